Lay the foundation: build, checks, shared headers and plumbing

Cause: an empty repository has nothing for the parts to start from. What: CMake, format, lint and sanitizer jobs; the public headers that the parts share (clock, identifiers, reasons, targets, cell scheduler, platform, presets); the Thrift messages; HTTP, RPC, settings, metrics and program plumbing; a first configuration fold. Ruled out: LEAF results in coroutines, since LEAF keeps error objects in thread-local contexts that a suspended coroutine cannot hold; coroutines return Boost.Outcome results and synchronous code returns LEAF results. Before: nothing. Conclusion: the parts can be worked on side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,53 @@
+# The commands of the README. Every one of them works on a fresh Debian 12.
+BUILD ?= build
+SEED ?= 1
+ROWS ?= *
+
+.PHONY: all packages build test check faults demo bench slopes format lint sanitize generate clean
+
+all: build
+
+packages:
+	@tools/install-packages
+
+build: packages
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake --build $(BUILD)
+
+# Everything that CI runs.
+test: build check
+	@tools/run-tests $(BUILD)
+
+check: build
+	@tools/check-format
+	@BUILD=$(BUILD) tools/check-lint
+
+sanitize: packages
+	@cmake -S . -B $(BUILD)-sanitize -G Ninja -DCMAKE_BUILD_TYPE=Sanitize >/dev/null
+	@cmake --build $(BUILD)-sanitize
+	@tools/run-tests $(BUILD)-sanitize
+
+faults: build
+	@tools/run-faults $(BUILD) "$(SEED)" "$(ROWS)"
+
+demo: build
+	@BUILD=$(BUILD) tools/demo
+
+bench: build
+	@BUILD=$(BUILD) tools/run-bench
+
+slopes: build
+	@BUILD=$(BUILD) tools/run-slopes
+
+format:
+	@tools/check-format --fix
+
+lint: build
+	@BUILD=$(BUILD) tools/check-lint
+
+# Writes the committed Thrift codecs again; needs Debian's thrift-compiler.
+generate:
+	@tools/generate-thrift
+
+clean:
+	@rm -rf $(BUILD) $(BUILD)-sanitize
--- /dev/null
+++ b/src/base/HttpClient.cpp
@@ -0,0 +1,203 @@
+#include "base/HttpClient.h"
+
+#include <optional>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace marigoldpaddle {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+struct HttpCall::Connection {
+    Connection(const asio::any_io_executor& executor, std::string address)
+        : stream(executor)
+        , address(std::move(address))
+    {
+    }
+
+    beast::tcp_stream stream;
+    std::string address;
+    beast::flat_buffer buffer;
+    std::optional<http::response_parser<http::string_body>> parser;
+    HttpResponseHeader header;
+};
+
+namespace {
+
+HttpError answerError(const error_code& failure)
+{
+    if (failure == beast::error::timeout)
+        return HttpError::Timeout;
+    if (failure == http::error::body_limit || failure == http::error::header_limit)
+        return HttpError::Malformed;
+    if (failure.category() == http::make_error_code(http::error::bad_method).category()
+        && failure != http::error::end_of_stream && failure != http::error::partial_message)
+        return HttpError::Malformed;
+    return HttpError::NoAnswer;
+}
+
+bool isStillOpen(tcp::socket& socket)
+{
+    error_code failure;
+    socket.non_blocking(true, failure);
+    char probe = 0;
+    socket.receive(asio::buffer(&probe, 1), tcp::socket::message_peek, failure);
+    return failure == asio::error::would_block;
+}
+
+}
+
+HttpCall::HttpCall(HttpClient& client, std::unique_ptr<Connection> connection)
+    : client(&client)
+    , connection(std::move(connection))
+{
+}
+
+HttpCall::HttpCall(HttpCall&&) noexcept = default;
+
+HttpCall::~HttpCall()
+{
+    if (this->connection && this->connection->parser && this->connection->parser->is_done()
+        && this->connection->parser->keep_alive())
+        this->client->giveBack(std::move(this->connection));
+}
+
+const HttpResponseHeader& HttpCall::header() const
+{
+    return this->connection->header;
+}
+
+asio::awaitable<HttpResult<std::string>> HttpCall::readSome(Duration timeout)
+{
+    auto& parser = *this->connection->parser;
+    auto& body = parser.get().body();
+    this->connection->stream.expires_after(timeout);
+    while (!parser.is_done() && body.empty()) {
+        error_code failure;
+        co_await http::async_read_some(this->connection->stream, this->connection->buffer, parser,
+            asio::redirect_error(asio::use_awaitable, failure));
+        if (failure == beast::error::timeout)
+            co_return HttpError::Timeout;
+        if (failure)
+            co_return answerError(failure) == HttpError::Malformed ? HttpError::Malformed : HttpError::Truncated;
+    }
+    this->connection->stream.expires_never();
+    co_return std::exchange(body, std::string {});
+}
+
+asio::awaitable<HttpResult<std::string>> HttpCall::readAll(Duration timeout)
+{
+    std::string whole;
+    while (true) {
+        auto piece = co_await this->readSome(timeout);
+        if (!piece)
+            co_return piece.error();
+        if (piece.value().empty())
+            co_return whole;
+        whole += piece.value();
+    }
+}
+
+HttpClient::HttpClient(asio::any_io_executor executor, HttpClientLimits limits)
+    : executor(std::move(executor))
+    , limits(limits)
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+asio::awaitable<HttpResult<HttpCall>> HttpClient::start(
+    std::string address, HttpRequest request, Duration timeout, ConnectionReuse reuse)
+{
+    auto connected = co_await this->connect(address, reuse);
+    if (!connected)
+        co_return connected.error();
+    auto connection = std::move(connected).value();
+    request.set(http::field::host, address);
+    request.keep_alive(true);
+    connection->stream.expires_after(timeout);
+    error_code failure;
+    co_await http::async_write(connection->stream, request, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure)
+        co_return HttpError::SendFailed;
+    connection->parser.emplace();
+    connection->parser->body_limit(this->limits.answerBytes);
+    co_await http::async_read_header(connection->stream, connection->buffer, *connection->parser,
+        asio::redirect_error(asio::use_awaitable, failure));
+    if (failure)
+        co_return answerError(failure);
+    connection->stream.expires_never();
+    connection->header = HttpResponseHeader { connection->parser->get().base() };
+    co_return HttpCall { *this, std::move(connection) };
+}
+
+asio::awaitable<HttpResult<HttpResponse>> HttpClient::call(
+    std::string address, HttpRequest request, Duration timeout, ConnectionReuse reuse)
+{
+    auto started = co_await this->start(std::move(address), std::move(request), timeout, reuse);
+    if (!started)
+        co_return started.error();
+    auto body = co_await started.value().readAll(timeout);
+    if (!body)
+        co_return body.error();
+    HttpResponse response { started.value().header().base() };
+    response.body() = std::move(body).value();
+    co_return response;
+}
+
+asio::awaitable<HttpResult<std::unique_ptr<HttpCall::Connection>>> HttpClient::connect(
+    std::string address, ConnectionReuse reuse)
+{
+    if (reuse == ConnectionReuse::Allowed) {
+        if (auto connection = this->takeIdle(address))
+            co_return connection;
+    }
+    auto connection = std::make_unique<Connection>(this->executor, address);
+    const auto [host, port] = splitAddress(address);
+    error_code failure;
+    const auto parsed = asio::ip::make_address(host, failure);
+    if (failure)
+        co_return HttpError::ConnectFailed;
+    connection->stream.expires_after(this->limits.connectTimeout);
+    co_await connection->stream.async_connect(
+        tcp::endpoint { parsed, port }, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure)
+        co_return HttpError::ConnectFailed;
+    connection->stream.socket().set_option(tcp::no_delay(true), failure);
+    co_return connection;
+}
+
+std::unique_ptr<HttpCall::Connection> HttpClient::takeIdle(const std::string& address)
+{
+    auto& connections = this->idle[address];
+    while (!connections.empty()) {
+        auto connection = std::move(connections.back());
+        connections.pop_back();
+        if (isStillOpen(connection->stream.socket()))
+            return connection;
+    }
+    return nullptr;
+}
+
+void HttpClient::giveBack(std::unique_ptr<Connection> connection)
+{
+    auto& connections = this->idle[connection->address];
+    if (connections.size() >= this->limits.idleConnectionsPerAddress)
+        return;
+    connection->parser.reset();
+    connections.push_back(std::move(connection));
+}
+
+}
--- /dev/null
+++ b/src/base/HttpServer.cpp
@@ -0,0 +1,289 @@
+#include "base/HttpServer.h"
+
+#include <optional>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <glog/logging.h>
+
+namespace marigoldpaddle {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+struct HttpServer::State {
+    State(asio::io_context& context, HttpHandler& handler, HttpServerLimits limits)
+        : context(context)
+        , handler(handler)
+        , limits(limits)
+        , acceptor(context)
+        , idle(context, TimePoint::max())
+    {
+    }
+
+    asio::io_context& context;
+    HttpHandler& handler;
+    HttpServerLimits limits;
+    tcp::acceptor acceptor;
+    asio::steady_timer idle; // Cancelled whenever an exchange ends.
+    std::unordered_set<Session*> sessions;
+    std::size_t exchanges { 0 };
+    bool isDraining { false };
+};
+
+class HttpServer::Session final : public HttpExchange, public std::enable_shared_from_this<Session> {
+public:
+    Session(tcp::socket socket, std::shared_ptr<State> state)
+        : stream(std::move(socket))
+        , state(std::move(state))
+    {
+        this->state->sessions.insert(this);
+    }
+
+    ~Session() override
+    {
+        this->state->sessions.erase(this);
+    }
+
+    asio::awaitable<void> run()
+    {
+        while (!this->state->isDraining && co_await this->receive()) {
+            this->beginExchange();
+            co_await this->answer();
+            this->endExchange();
+            if (!this->isReusable)
+                break;
+        }
+        error_code ignored;
+        this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        this->stream.close();
+    }
+
+    void closeIfIdle()
+    {
+        if (!this->isAnswering)
+            this->stream.close();
+    }
+
+    const HttpRequest& request() const override
+    {
+        return this->parser->get();
+    }
+
+    asio::awaitable<bool> respond(HttpResponse response) override
+    {
+        response.keep_alive(this->keepsAlive());
+        this->stream.expires_after(this->state->limits.sendTimeout);
+        error_code failure;
+        co_await http::async_write(this->stream, response, asio::redirect_error(asio::use_awaitable, failure));
+        this->didEnd = true;
+        co_return this->noteSent(failure);
+    }
+
+    asio::awaitable<bool> beginStream(HttpResponseHeader header) override
+    {
+        header.chunked(true);
+        header.keep_alive(this->keepsAlive());
+        http::response_serializer<http::empty_body> serializer { header };
+        this->stream.expires_after(this->state->limits.sendTimeout);
+        error_code failure;
+        co_await http::async_write_header(this->stream, serializer, asio::redirect_error(asio::use_awaitable, failure));
+        co_return this->noteSent(failure);
+    }
+
+    asio::awaitable<bool> write(std::string_view piece) override
+    {
+        if (piece.empty())
+            co_return this->isReusable;
+        this->stream.expires_after(this->state->limits.sendTimeout);
+        error_code failure;
+        co_await asio::async_write(this->stream, http::make_chunk(asio::buffer(piece.data(), piece.size())),
+            asio::redirect_error(asio::use_awaitable, failure));
+        co_return this->noteSent(failure);
+    }
+
+    asio::awaitable<bool> endStream() override
+    {
+        this->stream.expires_after(this->state->limits.sendTimeout);
+        error_code failure;
+        co_await asio::async_write(
+            this->stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, failure));
+        this->didEnd = true;
+        co_return this->noteSent(failure);
+    }
+
+    asio::awaitable<void> waitUntilCallerIsGone() override
+    {
+        error_code failure;
+        auto& socket = this->stream.socket();
+        co_await socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, failure));
+        if (failure)
+            co_return;
+        char probe = 0;
+        socket.non_blocking(true, failure);
+        const auto received = socket.receive(asio::buffer(&probe, 1), tcp::socket::message_peek, failure);
+        if (received == 0 && failure != asio::error::would_block)
+            co_return;
+        // The caller has sent its next request early: it is still there.
+        asio::steady_timer forever { this->state->context, TimePoint::max() };
+        co_await forever.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+    }
+
+private:
+    bool keepsAlive() const
+    {
+        return this->isReusable && !this->state->isDraining && this->parser && this->parser->get().keep_alive();
+    }
+
+    bool noteSent(const error_code& failure)
+    {
+        if (failure || !this->keepsAlive())
+            this->isReusable = false;
+        return !failure;
+    }
+
+    void beginExchange()
+    {
+        ++this->state->exchanges;
+        this->isAnswering = true;
+        this->didEnd = false;
+    }
+
+    void endExchange()
+    {
+        this->isAnswering = false;
+        --this->state->exchanges;
+        this->state->idle.cancel();
+    }
+
+    // Reads the next request. False when the connection has ended or was refused.
+    asio::awaitable<bool> receive()
+    {
+        this->parser.emplace();
+        this->parser->header_limit(static_cast<std::uint32_t>(this->state->limits.headerBytes));
+        this->parser->body_limit(this->state->limits.bodyBytes);
+        this->stream.expires_after(this->state->limits.receiveTimeout);
+        error_code failure;
+        co_await http::async_read(
+            this->stream, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, failure));
+        if (!failure)
+            co_return true;
+        const auto fault = this->faultOf(failure);
+        if (!fault)
+            co_return false;
+        this->isReusable = false;
+        this->stream.expires_never();
+        co_await this->respond(this->state->handler.describeFault(*fault));
+        co_return false;
+    }
+
+    std::optional<HttpFault> faultOf(const error_code& failure) const
+    {
+        if (failure == http::error::header_limit)
+            return HttpFault::HeaderTooLarge;
+        if (failure == http::error::body_limit)
+            return HttpFault::BodyTooLarge;
+        if (failure == beast::error::timeout)
+            return this->parser->got_some() ? std::optional { HttpFault::TooSlow } : std::nullopt;
+        if (failure == http::error::end_of_stream || failure.category() == asio::error::get_system_category()
+            || failure == http::error::partial_message)
+            return std::nullopt;
+        return HttpFault::Malformed;
+    }
+
+    asio::awaitable<void> answer()
+    {
+        this->stream.expires_never();
+        try {
+            co_await this->state->handler.handle(*this);
+        } catch (const std::exception& failure) {
+            LOG(ERROR) << "request handler failed: " << failure.what();
+        }
+        if (!this->didEnd)
+            this->isReusable = false;
+    }
+
+    beast::tcp_stream stream;
+    std::shared_ptr<State> state;
+    beast::flat_buffer buffer;
+    std::optional<http::request_parser<http::string_body>> parser;
+    bool isReusable { true };
+    bool isAnswering { false };
+    bool didEnd { false };
+};
+
+HttpServer::HttpServer(asio::io_context& context, HttpHandler& handler, HttpServerLimits limits)
+    : state(std::make_shared<State>(context, handler, limits))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    error_code ignored;
+    this->state->acceptor.close(ignored);
+    this->state->isDraining = true;
+    for (auto* session : this->state->sessions)
+        session->closeIfIdle();
+}
+
+std::uint16_t HttpServer::listen(std::string_view address)
+{
+    const auto [host, port] = splitAddress(address);
+    const tcp::endpoint endpoint { asio::ip::make_address(host), port };
+    auto& acceptor = this->state->acceptor;
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen();
+    asio::co_spawn(this->state->context, HttpServer::accept(this->state), asio::detached);
+    return acceptor.local_endpoint().port();
+}
+
+asio::awaitable<void> HttpServer::accept(std::shared_ptr<State> state)
+{
+    while (state->acceptor.is_open()) {
+        error_code failure;
+        auto socket = co_await state->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, failure));
+        if (failure == asio::error::operation_aborted || !state->acceptor.is_open())
+            co_return;
+        if (failure || state->sessions.size() >= state->limits.connections)
+            continue;
+        error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto session = std::make_shared<Session>(std::move(socket), state);
+        asio::co_spawn(
+            state->context, [session]() -> asio::awaitable<void> { co_await session->run(); }, asio::detached);
+    }
+}
+
+asio::awaitable<void> HttpServer::drain()
+{
+    auto state = this->state;
+    error_code ignored;
+    state->acceptor.close(ignored);
+    state->isDraining = true;
+    for (auto* session : state->sessions)
+        session->closeIfIdle();
+    while (state->exchanges > 0)
+        co_await state->idle.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+std::size_t HttpServer::activeExchanges() const
+{
+    return this->state->exchanges;
+}
+
+}
--- /dev/null
+++ b/src/programs/MarigoldctlMain.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/rpc/Codec.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <boost/leaf/error.hpp>
+#include <boost/leaf/result.hpp>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include "marigold_types.h"
+
+namespace marigoldpaddle {
+
+// Errors of the layer between the system's own processes.
+enum class RpcError {
+    Unreachable, // Not a byte of the request was written.
+    NoAnswer, // The connection broke after the request was written.
+    Timeout, // The request was written and the answer did not come in time.
+    Malformed, // The bytes are not a message, or larger than allowed.
+};
+
+std::string_view name(RpcError error);
+
+// Bounds on what a peer can make this process allocate.
+inline constexpr std::size_t MaximumMessageBytes = 64 * 1024 * 1024;
+inline constexpr int MaximumContainerElements = 1'000'000;
+
+// Returns the compact encoding of a message.
+template <typename Message> std::string encode(const Message& message)
+{
+    auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+    apache::thrift::protocol::TCompactProtocolT<apache::thrift::transport::TMemoryBuffer> protocol { buffer };
+    message.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+// Reads a message. Fails with RpcError::Malformed on anything that `encode` cannot have written.
+template <typename Message> boost::leaf::result<Message> decode(std::string_view bytes)
+{
+    using Buffer = apache::thrift::transport::TMemoryBuffer;
+    if (bytes.size() > MaximumMessageBytes)
+        return boost::leaf::new_error(RpcError::Malformed);
+    try {
+        // TMemoryBuffer only reads in OBSERVE mode; its interface takes a pointer to non-const all the same.
+        auto* data = reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data()));
+        auto buffer = std::make_shared<Buffer>(data, static_cast<std::uint32_t>(bytes.size()), Buffer::OBSERVE);
+        apache::thrift::protocol::TCompactProtocolT<Buffer> protocol { buffer, static_cast<int>(MaximumMessageBytes),
+            MaximumContainerElements };
+        Message message;
+        message.read(&protocol);
+        return message;
+    } catch (const std::exception&) {
+        return boost::leaf::new_error(RpcError::Malformed);
+    }
+}
+
+}
--- /dev/null
+++ b/standins/FaultSwitches.h
@@ -0,0 +1,1 @@
+#pragma once
--- /dev/null
+++ b/standins/Standins.cpp
@@ -0,0 +1,2 @@
+namespace marigoldpaddle {
+}
--- /dev/null
+++ b/thrift/marigold.thrift
@@ -0,0 +1,221 @@
+// Messages between the system's own processes. Compact protocol; TCP frames carry an Envelope behind a 4-byte
+// big-endian length, membership datagrams carry a MembershipMessage. Durations are milliseconds that remain at the
+// moment of sending: no clock is shared.
+namespace cpp marigoldpaddle.wire
+
+struct InstanceRef {
+    1: string name
+    2: i64 incarnation
+}
+
+struct CellRef {
+    1: string availabilityZone
+    2: string model
+    3: i32 number
+}
+
+struct GrantPartRecord {
+    1: string target
+    2: string address
+    3: i64 tokens
+}
+
+// Gateway to the owner of a cell: may this request run, and where?
+struct AcquireRequest {
+    1: string requestId
+    2: InstanceRef owner
+    3: CellRef cell
+    4: string workspace
+    5: double workspaceWeight
+    6: i64 promptTokens
+    7: i64 maximumOutputTokens
+    8: i64 remainingMs
+    9: list<i64> prefixBlocks
+    10: list<string> excludedTargets
+}
+
+struct GrantRecord {
+    1: list<GrantPartRecord> parts
+    2: i32 priority
+    3: i64 expiresInMs
+}
+
+struct RefusalRecord {
+    1: string reason
+    2: i64 retryAfterMs
+}
+
+// Exactly one field is set. `moved` asks the gateway to look up the owner again.
+struct AcquireAnswer {
+    1: optional GrantRecord grant
+    2: optional RefusalRecord refusal
+    3: optional bool moved
+}
+
+// Gateway to the owner of a cell: what became of a request. One-way.
+struct ProgressNotice {
+    1: string requestId
+    2: CellRef cell
+    3: bool firstToken
+    4: bool finished
+    5: bool withdrawn
+    6: i64 outputTokens
+    7: list<string> failedTargets
+}
+
+struct HoldingRecord {
+    1: string requestId
+    2: string workspace
+    3: list<GrantPartRecord> parts
+    4: i64 promptTokens
+    5: i64 outputTokens
+    6: i64 maximumOutputTokens
+    7: bool prefilling
+    8: i64 remainingMs
+}
+
+// Gateway to the owner of a cell: all that it holds there, on every change of owner and at every announcement period.
+struct HoldingsAnnouncement {
+    1: InstanceRef owner
+    2: CellRef cell
+    3: list<HoldingRecord> holdings
+}
+
+enum ClaimVerdict {
+    Won = 1
+    Repeated = 2
+    InProgress = 3
+    Mismatch = 4
+    Unavailable = 5
+    Unknown = 6
+}
+
+// Gateway to the owner of an idempotency key.
+struct ClaimRequest {
+    1: string workspace
+    2: string serviceName
+    3: string key
+    4: string bodyDigest
+    5: string requestId
+    6: InstanceRef holder
+    7: i64 remainingMs
+}
+
+struct CallOutcome {
+    1: i32 status
+    2: string contentType
+    3: binary body
+}
+
+struct ClaimAnswer {
+    1: ClaimVerdict verdict
+    2: optional CallOutcome outcome
+    3: i64 retryAfterMs
+}
+
+// Gateway to the owner of an idempotency key: how the claimed call ended.
+struct ClaimSettlement {
+    1: string workspace
+    2: string serviceName
+    3: string key
+    4: string requestId
+    5: optional CallOutcome outcome
+    6: bool unknown
+}
+
+struct CellDigestRecord {
+    1: CellRef cell
+    2: InstanceRef owner
+    3: i32 liveTargets
+    4: i32 queued
+    5: i64 freeTokens
+    6: i64 largestSpanTokens
+    7: i64 expectedWaitMs
+}
+
+enum MemberState {
+    Alive = 1
+    Suspected = 2
+    Leaving = 3
+    Dead = 4
+}
+
+struct MemberRecord {
+    1: InstanceRef instance
+    2: string availabilityZone
+    3: string membershipAddress
+    4: string dispatcherAddress
+    5: MemberState state
+    6: i64 configurationOffset
+}
+
+struct TargetMark {
+    1: string target
+    2: i64 incarnation
+    3: bool leaving
+}
+
+// Gateway to its dispatcher, and a starting dispatcher to its peers: what do you see?
+struct ViewRequest {
+    1: InstanceRef requester
+    2: i64 knownConfigurationOffset
+    3: i64 waitMs
+    4: i64 knownVersion
+}
+
+struct ServiceTargetRecord {
+    1: string name
+    2: string serviceName
+    3: string address
+    4: string availabilityZone
+}
+
+struct ViewAnswer {
+    1: i64 version
+    2: list<MemberRecord> members
+    3: list<CellDigestRecord> cells
+    4: list<ServiceTargetRecord> services
+    5: i64 configurationOffset
+    6: optional binary configurationSnapshot
+    7: list<TargetMark> leavingTargets
+}
+
+struct Acknowledgement {
+    1: bool accepted
+}
+
+union Payload {
+    1: AcquireRequest acquire
+    2: AcquireAnswer acquireAnswer
+    3: ProgressNotice progress
+    4: HoldingsAnnouncement holdings
+    5: ClaimRequest claim
+    6: ClaimAnswer claimAnswer
+    7: ClaimSettlement settle
+    8: ViewRequest view
+    9: ViewAnswer viewAnswer
+    10: Acknowledgement acknowledgement
+}
+
+// `callId` is chosen by the caller and comes back with the answer; 0 marks a one-way message.
+struct Envelope {
+    1: i64 callId
+    2: Payload payload
+}
+
+enum MembershipKind {
+    Ping = 1
+    Acknowledge = 2
+    PingRequest = 3
+}
+
+// SWIM probe, its answer, or a request to probe somebody else; updates ride along.
+struct MembershipMessage {
+    1: MembershipKind kind
+    2: i64 sequence
+    3: MemberRecord sender
+    4: list<MemberRecord> updates
+    5: optional MemberRecord subject
+    6: list<TargetMark> targetMarks
+    7: i64 configurationOffset
+}
