--- a/standins/FaultSwitches.h
+++ /dev/null
@@ -1,1 +0,0 @@
-#pragma once
--- a/standins/Standins.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-namespace marigoldpaddle {
-}
