--- /dev/null
+++ b/src/membership/Ownership.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <marigoldpaddle/Identifiers.h>
+#include <marigoldpaddle/Member.h>
+
+namespace marigoldpaddle {
+
+// Ownership by rendezvous hashing. Pure functions: the same members, in any order, give the same owner on every
+// instance, and a change of one member moves only the keys that it owned or comes to own. Members that are leaving or
+// dead never own. Returned pointers point into `members`.
+
+// Returns the owner of `key`; null if no member can own.
+const Member* rendezvousOwner(std::string_view key, std::span<const Member> members);
+
+// Returns the owner of `key` and those who would own it after the ones before them, at most `count` of them.
+std::vector<const Member*> rendezvousOrder(std::string_view key, std::span<const Member> members, std::size_t count);
+
+// Returns the key under which a cell is owned. Different cells have different keys.
+std::string ownershipKey(const CellId& cell);
+
+// Returns the owners of a cell in rendezvous order, at most `count` of them: instances of the cell's own availability
+// zone, or of any zone when none of its own can own.
+std::vector<const Member*> ownersOf(const CellId& cell, std::span<const Member> members, std::size_t count);
+
+// Returns the owner of a cell; null if no member can own.
+const Member* ownerOf(const CellId& cell, std::span<const Member> members);
+
+}
