Extend the membership messages by revisions, digests' age and zone digests

A refutation must not raise the process's incarnation, for stewards cancel what an earlier incarnation held; so member records get a revision of their own. Digests carry age and sequence, so that the latest wins without a shared clock. Decoding bounds strings and containers by the size of the message itself.

--- a/src/rpc/Codec.h
+++ b/src/rpc/Codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -47,8 +48,10 @@
         // TMemoryBuffer only reads in OBSERVE mode; its interface takes a pointer to non-const all the same.
         auto* data = reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data()));
         auto buffer = std::make_shared<Buffer>(data, static_cast<std::uint32_t>(bytes.size()), Buffer::OBSERVE);
-        apache::thrift::protocol::TCompactProtocolT<Buffer> protocol { buffer, static_cast<int>(MaximumMessageBytes),
-            MaximumContainerElements };
+        // No string and no container can be larger than the message that holds it, whatever length it claims.
+        const auto size = static_cast<int>(bytes.size());
+        apache::thrift::protocol::TCompactProtocolT<Buffer> protocol { buffer, size,
+            std::min(size, MaximumContainerElements) };
         Message message;
         message.read(&protocol);
         return message;
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -131,6 +131,9 @@
     5: i64 freeTokens
     6: i64 largestSpanTokens
     7: i64 expectedWaitMs
+    8: i64 ageMs
+    9: i64 sequence
+    10: string ownerAddress
 }
 
 enum MemberState {
@@ -147,6 +150,7 @@
     4: string dispatcherAddress
     5: MemberState state
     6: i64 configurationOffset
+    7: i64 revision
 }
 
 struct TargetMark {
@@ -207,9 +211,17 @@
     Ping = 1
     Acknowledge = 2
     PingRequest = 3
+    Gossip = 4
 }
 
-// SWIM probe, its answer, or a request to probe somebody else; updates ride along.
+// What one availability zone knows of another: a few instances to talk to, and how old that knowledge is.
+struct ZoneDigestRecord {
+    1: string availabilityZone
+    2: i64 ageMs
+    3: list<MemberRecord> contacts
+}
+
+// SWIM probe, its answer, a request to probe somebody else, or news alone; updates ride along.
 struct MembershipMessage {
     1: MembershipKind kind
     2: i64 sequence
@@ -218,4 +230,6 @@
     5: optional MemberRecord subject
     6: list<TargetMark> targetMarks
     7: i64 configurationOffset
+    8: list<CellDigestRecord> cells
+    9: list<ZoneDigestRecord> zones
 }
