--- a/include/marigoldpaddle/Member.h
+++ b/include/marigoldpaddle/Member.h
@@ -25,6 +25,7 @@
     std::string dispatcherAddress; // "IP:port", TCP
     MemberState state { MemberState::Alive };
     std::uint64_t configurationOffset { 0 }; // The highest offset that the instance said it has in force.
+    std::uint64_t revision { 0 }; // Raised by the instance itself, to refute a suspicion or to announce its stop.
 
     bool operator==(const Member&) const = default;
 };
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -232,4 +232,5 @@
     7: i64 configurationOffset
     8: list<CellDigestRecord> cells
     9: list<ZoneDigestRecord> zones
+    10: bool joining
 }
