Serve the whole path as separate processes

Cause: nothing was served end to end. Found on the way, with causes: a JSON value made with braces became an array, so no edit was ever accepted; a caller that sends Expect: 100-continue waited a second for its body to be asked for; a gateway that asked a former owner three times at once gave up before its view could change. Ruled out: tokens through the dispatcher (a dispatcher that dies must cut nothing). Before: no path. Thin, not yet proved: claims are in the dispatcher's memory only, membership is the instance list, the scheduler is first come first served, no stewardship, no resume.

--- a/src/base/HttpServer.cpp
+++ b/src/base/HttpServer.cpp
@@ -177,8 +177,13 @@
         this->parser->body_limit(this->state->limits.bodyBytes);
         this->stream.expires_after(this->state->limits.receiveTimeout);
         error_code failure;
-        co_await http::async_read(
+        co_await http::async_read_header(
             this->stream, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, failure));
+        if (!failure && this->parser->get()[http::field::expect] == "100-continue")
+            co_await this->sendContinue(failure);
+        if (!failure)
+            co_await http::async_read(
+                this->stream, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, failure));
         if (!failure)
             co_return true;
         const auto fault = this->faultOf(failure);
@@ -190,6 +195,13 @@
         co_return false;
     }
 
+    // Tells a caller that waits with its body that it may send it.
+    asio::awaitable<void> sendContinue(error_code& failure)
+    {
+        http::response<http::empty_body> interim { http::status::continue_, 11 };
+        co_await http::async_write(this->stream, interim, asio::redirect_error(asio::use_awaitable, failure));
+    }
+
     std::optional<HttpFault> faultOf(const error_code& failure) const
     {
         if (failure == http::error::header_limit)
--- a/src/configuration/ConfigurationState.cpp
+++ b/src/configuration/ConfigurationState.cpp
@@ -56,7 +56,7 @@
     object["based_on"] = change.basedOn;
     json::object sections;
     for (const auto& [name, section] : change.sections)
-        sections.emplace(name, section ? json::value { sectionToJson(*section) } : json::value { nullptr });
+        sections.emplace(name, section ? json::value(sectionToJson(*section)) : json::value(nullptr));
     object["sections"] = std::move(sections);
     return json::serialize(object);
 }
--- a/src/dispatch/FirstComeScheduler.cpp
+++ b/src/dispatch/FirstComeScheduler.cpp
@@ -86,7 +86,9 @@
 SchedulerCommands FirstComeScheduler::tick(TimePoint now)
 {
     SchedulerCommands commands;
-    const auto isLate = [&](const PlacementRequest& request) { return request.deadline <= now; };
+    const auto isLate = [&](const PlacementRequest& request) {
+        return request.deadline <= now;
+    };
     for (const auto& request : this->queue | std::views::filter(isLate))
         commands.push_back(Refusal { request.id, RefusalReason::DeadlineExceeded, RetryAfter });
     std::erase_if(this->queue, isLate);
@@ -139,6 +141,7 @@
 std::vector<GrantPart> FirstComeScheduler::place(std::uint64_t tokens) const
 {
     std::vector<std::pair<std::uint64_t, std::string>> byFree;
+    byFree.reserve(this->targets.size());
     for (const auto& [name, target] : this->targets)
         byFree.emplace_back(target.freeTokens(), name);
     std::ranges::sort(byFree, std::ranges::greater {});
--- a/src/dispatch/FirstComeScheduler.h
+++ b/src/dispatch/FirstComeScheduler.h
@@ -8,8 +8,8 @@
 
 namespace marigoldpaddle {
 
-// Grants requests strictly in the order of their arrival, each on the target with the most free memory, or on a span when
-// no single target could ever hold it.
+// Grants requests strictly in the order of their arrival, each on the target with the most free memory, or on a span
+// when no single target could ever hold it.
 class FirstComeScheduler final : public CellScheduler {
 public:
     SchedulerCommands submit(const PlacementRequest& request, TimePoint now) override;
--- /dev/null
+++ b/src/dispatch/OwnedCell.cpp
@@ -0,0 +1,172 @@
+#include "dispatch/OwnedCell.h"
+
+#include <algorithm>
+#include <ranges>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace marigoldpaddle {
+
+namespace asio = boost::asio;
+
+struct OwnedCell::Waiting {
+    explicit Waiting(asio::io_context& context)
+        : done(context, TimePoint::max())
+    {
+    }
+
+    asio::steady_timer done; // Cancelled by the answer.
+    std::optional<SchedulerCommand> answer;
+    bool isHandedOver { false };
+    TimePoint since {};
+};
+
+OwnedCell::OwnedCell(asio::io_context& context, const Clock& clock, MetricsRegistry& metrics, CellId id,
+    std::unique_ptr<CellScheduler> scheduler)
+    : clock(clock)
+    , metrics(metrics)
+    , cell(std::move(id))
+    , scheduler(std::move(scheduler))
+    , timer(context)
+{
+}
+
+OwnedCell::~OwnedCell()
+{
+    this->handOver();
+}
+
+const CellId& OwnedCell::id() const
+{
+    return this->cell;
+}
+
+asio::awaitable<std::optional<SchedulerCommand>> OwnedCell::acquire(PlacementRequest request)
+{
+    auto& context = static_cast<asio::io_context&>(this->timer.get_executor().context());
+    auto mine = std::make_shared<Waiting>(context);
+    mine->since = this->clock.now();
+    if (const auto earlier = this->waiting.find(request.id); earlier != this->waiting.end()) {
+        earlier->second->isHandedOver = true;
+        earlier->second->done.cancel();
+    }
+    this->waiting[request.id] = mine;
+    this->carryOut(this->scheduler->submit(request, this->clock.now()));
+    boost::system::error_code ignored;
+    if (!mine->answer && !mine->isHandedOver)
+        co_await mine->done.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_return mine->answer;
+}
+
+void OwnedCell::withdraw(const RequestId& id)
+{
+    this->waiting.erase(id);
+    this->carryOut(this->scheduler->withdraw(id, this->clock.now()));
+}
+
+void OwnedCell::firstToken(const RequestId& id)
+{
+    this->carryOut(this->scheduler->firstToken(id, this->clock.now()));
+}
+
+void OwnedCell::finish(const RequestId& id, std::uint64_t outputTokens)
+{
+    this->carryOut(this->scheduler->finish(id, outputTokens, this->clock.now()));
+}
+
+void OwnedCell::adopt(const Holding& holding)
+{
+    this->carryOut(this->scheduler->adopt(holding, this->clock.now()));
+}
+
+void OwnedCell::reportLoad(const LoadReport& report)
+{
+    this->carryOut(this->scheduler->reportLoad(report, this->clock.now()));
+}
+
+void OwnedCell::setTargets(std::span<const TargetDescription> wanted)
+{
+    const auto isWanted = [&](const std::string& name) {
+        return std::ranges::find(wanted, name, &TargetDescription::name) != wanted.end();
+    };
+    std::vector<std::string> removed;
+    std::ranges::copy_if(this->descriptions | std::views::keys, std::back_inserter(removed), std::not_fn(isWanted));
+    for (const auto& name : removed) {
+        this->descriptions.erase(name);
+        this->carryOut(this->scheduler->removeTarget(name, this->clock.now()));
+    }
+    for (const auto& description : wanted) {
+        auto& known = this->descriptions[description.name];
+        if (known == description)
+            continue;
+        known = description;
+        this->carryOut(this->scheduler->updateTarget(description, this->clock.now()));
+    }
+}
+
+const std::map<std::string, TargetDescription, std::less<>>& OwnedCell::targets() const
+{
+    return this->descriptions;
+}
+
+CellDigest OwnedCell::digest() const
+{
+    auto digest = this->scheduler->digest(this->clock.now());
+    digest.cell = this->cell;
+    return digest;
+}
+
+void OwnedCell::handOver()
+{
+    this->scheduler->drainQueue();
+    for (auto& [id, waiting] : this->waiting) {
+        waiting->isHandedOver = true;
+        waiting->done.cancel();
+    }
+    this->waiting.clear();
+}
+
+void OwnedCell::carryOut(const SchedulerCommands& commands)
+{
+    for (const auto& command : commands)
+        std::visit([&](const auto& each) { this->answer(each.id, command); }, command);
+    this->armTimer();
+}
+
+void OwnedCell::answer(const RequestId& id, const SchedulerCommand& command)
+{
+    const auto found = this->waiting.find(id);
+    if (const auto* refusal = std::get_if<Refusal>(&command)) {
+        const auto label = "reason=\"" + std::string { name(refusal->reason) } + "\"";
+        this->metrics.counter("marigold_dispatcher_refusals_total", label).increment();
+    } else if (found == this->waiting.end()) {
+        // Nobody waits for this grant any more.
+        this->finish(id, 0);
+        return;
+    }
+    if (found == this->waiting.end())
+        return;
+    auto waiting = found->second;
+    this->waiting.erase(found);
+    this->metrics.histogram("marigold_dispatcher_queue_seconds").record(this->clock.now() - waiting->since);
+    waiting->answer = command;
+    waiting->done.cancel();
+}
+
+void OwnedCell::armTimer()
+{
+    const auto next = this->scheduler->nextTick();
+    if (next == this->armedFor)
+        return;
+    this->armedFor = next;
+    this->timer.expires_at(next);
+    this->timer.async_wait([this](const boost::system::error_code& failure) {
+        if (failure)
+            return;
+        this->armedFor = TimePoint::max();
+        this->carryOut(this->scheduler->tick(this->clock.now()));
+    });
+}
+
+}
--- /dev/null
+++ b/src/gateway/GatewayView.cpp
@@ -0,0 +1,143 @@
+#include "gateway/GatewayView.h"
+
+#include <algorithm>
+#include <ranges>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <glog/logging.h>
+
+#include "rpc/Conversions.h"
+
+namespace marigoldpaddle {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds PollWait { 500 };
+constexpr std::chrono::milliseconds AnswerTimeout { 1500 };
+constexpr std::chrono::milliseconds RetryPause { 100 };
+
+CellView cellFrom(const wire::CellDigestRecord& record)
+{
+    return { fromWire(record), fromWire(record.owner) };
+}
+
+ServiceTarget serviceFrom(const wire::ServiceTargetRecord& record)
+{
+    return { record.name, record.serviceName, record.address, record.availabilityZone };
+}
+
+}
+
+GatewayView::GatewayView(asio::io_context& context, RpcClient& rpc, MetricsRegistry& metrics, InstanceId instance,
+    std::string dispatcherAddress)
+    : context(context)
+    , rpc(rpc)
+    , metrics(metrics)
+    , instance(std::move(instance))
+    , ownDispatcher(std::move(dispatcherAddress))
+{
+}
+
+void GatewayView::start()
+{
+    asio::co_spawn(this->context, this->follow(), asio::detached);
+}
+
+asio::awaitable<void> GatewayView::follow()
+{
+    while (true) {
+        if (co_await this->askOnce(this->nextAddress())) {
+            this->failures = 0;
+            continue;
+        }
+        ++this->failures;
+        this->metrics.counter("marigold_gateway_view_failures_total").increment();
+        asio::steady_timer timer { this->context, RetryPause };
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+asio::awaitable<bool> GatewayView::askOnce(std::string address)
+{
+    wire::ViewRequest request;
+    request.requester = toWire(this->instance);
+    request.knownConfigurationOffset = static_cast<std::int64_t>(this->configuration.nextOffset());
+    request.waitMs = PollWait.count();
+    request.knownVersion = address == this->versionSource ? this->version : 0;
+    wire::Payload payload;
+    payload.__set_view(request);
+    auto answer = co_await this->rpc.call(address, std::move(payload), AnswerTimeout);
+    if (!answer || !answer.value().__isset.viewAnswer)
+        co_return false;
+    this->versionSource = address;
+    this->take(answer.value().viewAnswer);
+    co_return true;
+}
+
+std::string GatewayView::nextAddress()
+{
+    // Every second failure in a row turns to another dispatcher; the own one is asked again in between.
+    if (this->failures % 2 == 0 || this->knownMembers.empty())
+        return this->ownDispatcher;
+    return this->knownMembers[(this->failures / 2) % this->knownMembers.size()].dispatcherAddress;
+}
+
+void GatewayView::take(const wire::ViewAnswer& answer)
+{
+    this->version = answer.version;
+    this->knownMembers.clear();
+    std::ranges::transform(answer.members, std::back_inserter(this->knownMembers),
+        [](const wire::MemberRecord& record) { return fromWire(record); });
+    this->knownCells.clear();
+    std::ranges::transform(answer.cells, std::back_inserter(this->knownCells), cellFrom);
+    this->knownServices.clear();
+    std::ranges::transform(answer.services, std::back_inserter(this->knownServices), serviceFrom);
+    if (!answer.__isset.configurationSnapshot)
+        return;
+    const auto before = this->configuration.nameInForce();
+    if (!this->configuration.restore(answer.configurationSnapshot))
+        this->metrics.counter("marigold_gateway_snapshots_refused_total").increment();
+    if (this->configuration.nameInForce() != before)
+        LOG(INFO) << "preset in force: " << this->configuration.nameInForce();
+}
+
+std::shared_ptr<const Preset> GatewayView::preset() const
+{
+    return this->configuration.presetInForce();
+}
+
+std::uint64_t GatewayView::configurationOffset() const
+{
+    return this->configuration.nextOffset();
+}
+
+const std::vector<CellView>& GatewayView::cells() const
+{
+    return this->knownCells;
+}
+
+const std::vector<ServiceTarget>& GatewayView::services() const
+{
+    return this->knownServices;
+}
+
+const std::vector<Member>& GatewayView::members() const
+{
+    return this->knownMembers;
+}
+
+std::string GatewayView::dispatcherAddressOf(const InstanceId& instance) const
+{
+    const auto found = std::ranges::find_if(
+        this->knownMembers, [&](const Member& member) { return member.instance.name == instance.name; });
+    return found == this->knownMembers.end() ? std::string {} : found->dispatcherAddress;
+}
+
+}
--- /dev/null
+++ b/src/gateway/GatewayView.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <marigoldpaddle/CellScheduler.h>
+#include <marigoldpaddle/ConfigurationState.h>
+#include <marigoldpaddle/Member.h>
+
+#include "base/Metrics.h"
+#include "rpc/RpcClient.h"
+
+namespace marigoldpaddle {
+
+// Which instance a gateway is.
+struct GatewaySettings {
+    InstanceId instance;
+    std::string availabilityZone;
+};
+
+// A cell, what is known of its load, and who schedules it.
+struct CellView {
+    CellDigest digest;
+    InstanceId owner;
+};
+
+// A target of a plain service.
+struct ServiceTarget {
+    std::string name;
+    std::string service;
+    std::string address;
+    std::string availabilityZone;
+};
+
+// What a gateway knows of the rest of the system. It asks its own dispatcher, and any other it has heard of when that
+// one does not answer.
+class GatewayView {
+public:
+    GatewayView(boost::asio::io_context& context, RpcClient& rpc, MetricsRegistry& metrics, InstanceId instance,
+        std::string dispatcherAddress);
+
+    // Starts to follow. Runs until the io_context stops.
+    void start();
+
+    // Null until a preset is in force and known.
+    std::shared_ptr<const Preset> preset() const;
+    std::uint64_t configurationOffset() const;
+
+    const std::vector<CellView>& cells() const;
+    const std::vector<ServiceTarget>& services() const;
+    const std::vector<Member>& members() const;
+
+    // The RPC address of an instance's dispatcher; empty when it is not known.
+    std::string dispatcherAddressOf(const InstanceId& instance) const;
+
+private:
+    boost::asio::awaitable<void> follow();
+    boost::asio::awaitable<bool> askOnce(std::string address);
+    std::string nextAddress();
+    void take(const wire::ViewAnswer& answer);
+
+    boost::asio::io_context& context;
+    RpcClient& rpc;
+    MetricsRegistry& metrics;
+    InstanceId instance;
+    std::string ownDispatcher;
+    std::size_t failures { 0 };
+    std::int64_t version { 0 };
+    std::string versionSource;
+    ConfigurationState configuration;
+    std::vector<Member> knownMembers;
+    std::vector<CellView> knownCells;
+    std::vector<ServiceTarget> knownServices;
+};
+
+}
--- a/src/platform/HttpPlatformLog.cpp
+++ b/src/platform/HttpPlatformLog.cpp
@@ -53,8 +53,7 @@
 }
 
 // Runs `parse` over the JSON of a body; anything that it cannot read is PlatformError::Malformed.
-template <typename Value, typename Parse>
-PlatformResult<Value> parseBody(const std::string& body, Parse parse)
+template <typename Value, typename Parse> PlatformResult<Value> parseBody(const std::string& body, Parse parse)
 {
     try {
         const auto value = json::parse(body);
@@ -110,7 +109,8 @@
 asio::awaitable<PlatformResult<std::uint64_t>> HttpPlatformLog::append(std::string record)
 {
     auto request = makeRequest(http::verb::post, "/streams/" + this->stream, std::move(record));
-    auto answer = co_await this->client.call(this->address, std::move(request), this->timeout, ConnectionReuse::Forbidden);
+    auto answer
+        = co_await this->client.call(this->address, std::move(request), this->timeout, ConnectionReuse::Forbidden);
     if (!answer)
         co_return platformErrorFrom(answer.error());
     if (answer.value().result_int() != StatusCreated)
@@ -122,8 +122,8 @@
 asio::awaitable<PlatformResult<LogPage>> HttpPlatformLog::read(std::uint64_t offset, std::size_t limit, Duration wait)
 {
     const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
-    const auto target = "/streams/" + this->stream + "?from=" + std::to_string(offset) + "&limit=" + std::to_string(limit)
-        + "&wait_ms=" + std::to_string(waitMs);
+    const auto target = "/streams/" + this->stream + "?from=" + std::to_string(offset)
+        + "&limit=" + std::to_string(limit) + "&wait_ms=" + std::to_string(waitMs);
     auto request = makeRequest(http::verb::get, target, {});
     auto answer = co_await this->client.call(this->address, std::move(request), wait + this->timeout);
     if (!answer)
--- a/src/platform/HttpPlatformLog.h
+++ b/src/platform/HttpPlatformLog.h
@@ -15,7 +15,8 @@
     HttpPlatformLog(HttpClient& client, std::string address, std::string stream, Duration timeout);
 
     boost::asio::awaitable<PlatformResult<std::uint64_t>> append(std::string record) override;
-    boost::asio::awaitable<PlatformResult<LogPage>> read(std::uint64_t offset, std::size_t limit, Duration wait) override;
+    boost::asio::awaitable<PlatformResult<LogPage>> read(
+        std::uint64_t offset, std::size_t limit, Duration wait) override;
 
 private:
     HttpClient& client;
--- a/src/programs/DispatcherMain.cpp
+++ b/src/programs/DispatcherMain.cpp
@@ -1,4 +1,80 @@
-int main()
+#include <chrono>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "base/HttpServer.h"
+#include "base/Program.h"
+#include "dispatch/Dispatcher.h"
+#include "platform/HttpPlatformLog.h"
+#include "rpc/RpcServer.h"
+
+using namespace marigoldpaddle;
+
+namespace {
+
+constexpr SettingSpecification DispatcherSpecifications[] = {
+    { "instance", "name", SettingKind::Text, 0, 0, std::nullopt, "name of the instance, as the platform lists it" },
+    { "instance", "zone", SettingKind::Text, 0, 0, std::nullopt, "availability zone of the instance" },
+    { "instance", "incarnation", SettingKind::Integer, 0, 9e15, "0",
+        "number of this run, higher than any before it; 0 takes the time of the start in milliseconds" },
+    { "listen", "rpc", SettingKind::Address, 0, 0, "127.0.0.1:0", "address for gateways and other dispatchers, TCP" },
+    { "listen", "http", SettingKind::Address, 0, 0, "127.0.0.1:0", "address for health and metrics" },
+    { "listen", "ports", SettingKind::Text, 0, 0, "-", "file for the bound ports; - for the standard output" },
+    { "platform", "address", SettingKind::Address, 0, 0, std::nullopt, "address of the log service and instance list" },
+    { "platform", "timeout_ms", SettingKind::Milliseconds, 10, 60'000, "2000", "time for an answer of the platform" },
+    { "stop", "grace_ms", SettingKind::Milliseconds, 0, 600'000, "1000",
+        "time between handing over and exit on a planned stop" },
+};
+
+std::uint64_t incarnationFrom(const Settings& values)
 {
-    return 0;
+    const auto configured = values.integer("instance", "incarnation");
+    if (configured > 0)
+        return static_cast<std::uint64_t>(configured);
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
+
+int run(const Settings& values)
+{
+    boost::asio::io_context context { 1 };
+    SteadyClock clock;
+    HttpClient client { context.get_executor() };
+    const auto& platform = values.text("platform", "address");
+    const auto timeout = values.milliseconds("platform", "timeout_ms");
+    HttpPlatformLog log { client, platform, "configuration", timeout };
+    HttpInstanceList list { client, platform, timeout };
+    DispatcherSettings settings;
+    settings.instance = { values.text("instance", "name"), incarnationFrom(values) };
+    settings.availabilityZone = values.text("instance", "zone");
+    Dispatcher dispatcher { context, clock, std::move(settings), log, list, client };
+    HttpServer httpServer { context, dispatcher };
+    RpcServer rpcServer { context, dispatcher };
+    const std::pair<std::string, std::uint16_t> ports[] {
+        { "rpc", rpcServer.listen(values.text("listen", "rpc")) },
+        { "http", httpServer.listen(values.text("listen", "http")) },
+    };
+    writePorts(values.text("listen", "ports"), ports);
+    dispatcher.start();
+    boost::asio::signal_set signals { context, SIGTERM, SIGINT };
+    boost::asio::steady_timer grace { context };
+    signals.async_wait([&](const boost::system::error_code&, int) {
+        dispatcher.beginPlannedStop();
+        grace.expires_after(values.milliseconds("stop", "grace_ms"));
+        grace.async_wait([&](const boost::system::error_code&) { context.stop(); });
+    });
+    context.run();
+    return static_cast<int>(ExitCode::Success);
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    const ProgramDescription description { "marigold-dispatcher",
+        "Schedules the cells of targets that it owns: queues, grants, engine memory, idempotency keys.",
+        DispatcherSpecifications };
+    return runProgram(argc, argv, description, run);
 }
--- a/src/programs/GatewayMain.cpp
+++ b/src/programs/GatewayMain.cpp
@@ -1,4 +1,102 @@
-int main()
+#include <chrono>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/HttpServer.h"
+#include "base/Program.h"
+#include "gateway/Gateway.h"
+#include "gateway/GatewayView.h"
+#include "rpc/RpcClient.h"
+
+using namespace marigoldpaddle;
+
+namespace {
+
+constexpr SettingSpecification GatewaySpecifications[] = {
+    { "instance", "name", SettingKind::Text, 0, 0, std::nullopt, "name of the instance, as the platform lists it" },
+    { "instance", "zone", SettingKind::Text, 0, 0, std::nullopt, "availability zone of the instance" },
+    { "instance", "incarnation", SettingKind::Integer, 0, 9e15, "0",
+        "number of this run, higher than any before it; 0 takes the time of the start in milliseconds" },
+    { "listen", "http", SettingKind::Address, 0, 0, "127.0.0.1:0", "address for callers" },
+    { "listen", "ports", SettingKind::Text, 0, 0, "-", "file for the bound ports; - for the standard output" },
+    { "limits", "body_bytes", SettingKind::Integer, 1024, 1'000'000'000, "33554432", "largest request body" },
+    { "limits", "header_bytes", SettingKind::Integer, 512, 1'000'000, "16384", "largest request header" },
+    { "limits", "connections", SettingKind::Integer, 1, 1'000'000, "16384", "connections from callers" },
+    { "limits", "receive_timeout_ms", SettingKind::Milliseconds, 10, 600'000, "15000",
+        "time for a whole request to arrive" },
+    { "limits", "send_timeout_ms", SettingKind::Milliseconds, 10, 600'000, "10000",
+        "time for a caller to take a piece of its answer" },
+    { "dispatcher", "address", SettingKind::Address, 0, 0, std::nullopt,
+        "RPC address of the instance's own dispatcher" },
+    { "stop", "grace_ms", SettingKind::Milliseconds, 0, 600'000, "3000",
+        "time for the balancer to move on before the listener closes" },
+};
+
+HttpServerLimits limitsFrom(const Settings& values)
 {
-    return 0;
+    HttpServerLimits limits;
+    limits.bodyBytes = static_cast<std::size_t>(values.integer("limits", "body_bytes"));
+    limits.headerBytes = static_cast<std::size_t>(values.integer("limits", "header_bytes"));
+    limits.connections = static_cast<std::size_t>(values.integer("limits", "connections"));
+    limits.receiveTimeout = values.milliseconds("limits", "receive_timeout_ms");
+    limits.sendTimeout = values.milliseconds("limits", "send_timeout_ms");
+    return limits;
+}
+
+std::uint64_t incarnationFrom(const Settings& values)
+{
+    const auto configured = values.integer("instance", "incarnation");
+    if (configured > 0)
+        return static_cast<std::uint64_t>(configured);
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
+
+boost::asio::awaitable<void> stopGracefully(
+    boost::asio::io_context& context, Gateway& gateway, HttpServer& server, Duration grace)
+{
+    gateway.beginPlannedStop();
+    boost::asio::steady_timer timer { context, grace };
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    co_await server.drain();
+    context.stop();
+}
+
+int run(const Settings& values)
+{
+    boost::asio::io_context context { 1 };
+    SteadyClock clock;
+    MetricsRegistry metrics;
+    HttpClient client { context.get_executor() };
+    RpcClient rpc { context.get_executor() };
+    GatewaySettings settings;
+    settings.instance = { values.text("instance", "name"), incarnationFrom(values) };
+    settings.availabilityZone = values.text("instance", "zone");
+    GatewayView view { context, rpc, metrics, settings.instance, values.text("dispatcher", "address") };
+    Gateway gateway { context, clock, settings, view, rpc, client, metrics };
+    HttpServer server { context, gateway, limitsFrom(values) };
+    const std::pair<std::string, std::uint16_t> ports[] { { "http", server.listen(values.text("listen", "http")) } };
+    writePorts(values.text("listen", "ports"), ports);
+    view.start();
+    boost::asio::signal_set signals { context, SIGTERM, SIGINT };
+    signals.async_wait([&](const boost::system::error_code&, int) {
+        auto stopping = stopGracefully(context, gateway, server, values.milliseconds("stop", "grace_ms"));
+        boost::asio::co_spawn(context, std::move(stopping), boost::asio::detached);
+    });
+    context.run();
+    return static_cast<int>(ExitCode::Success);
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    const ProgramDescription description { "marigold-gateway",
+        "Takes callers' requests, obtains a place on a target, and streams the answer back.", GatewaySpecifications };
+    return runProgram(argc, argv, description, run);
 }
--- a/standins/EngineStandin.cpp
+++ b/standins/EngineStandin.cpp
@@ -36,7 +36,8 @@
 std::uint64_t numberOf(const json::object& object, std::string_view key, std::uint64_t fallback)
 {
     const auto* value = object.if_contains(key);
-    return value && value->is_int64() && value->as_int64() >= 0 ? static_cast<std::uint64_t>(value->as_int64()) : fallback;
+    return value && value->is_int64() && value->as_int64() >= 0 ? static_cast<std::uint64_t>(value->as_int64())
+                                                                : fallback;
 }
 
 HttpResponse errorResponse(unsigned status, std::string_view error)
@@ -209,7 +210,8 @@
     const auto id = textOf(parseObject(body), "request_id");
     const auto isKnown = this->streams.contains(id);
     this->release(id);
-    return jsonResponse(StatusOk, json::object { { "cancelled", isKnown }, { "executed", this->executions.contains(id) } });
+    return jsonResponse(
+        StatusOk, json::object { { "cancelled", isKnown }, { "executed", this->executions.contains(id) } });
 }
 
 void EngineStandin::release(const std::string& id)
--- a/standins/EngineStandin.h
+++ b/standins/EngineStandin.h
@@ -30,8 +30,9 @@
     bool dropsCancelAnswers { false };
 };
 
-// Stands in for a model engine: streams the tokens of AnswerGenerator at a steady rate after a prefill time in proportion
-// to the prompt. An allocation lives until its request is finished or cancelled; a connection that closes frees nothing.
+// Stands in for a model engine: streams the tokens of AnswerGenerator at a steady rate after a prefill time in
+// proportion to the prompt. An allocation lives until its request is finished or cancelled; a connection that closes
+// frees nothing.
 class EngineStandin final : public HttpHandler {
 public:
     EngineStandin(boost::asio::io_context& context, EngineSettings settings);
@@ -67,7 +68,8 @@
 
     boost::asio::awaitable<void> complete(HttpExchange& exchange);
     boost::asio::awaitable<void> generate(std::shared_ptr<Stream> stream, std::string prompt, std::uint64_t parts);
-    boost::asio::awaitable<void> deliver(HttpExchange& exchange, std::shared_ptr<Stream> stream, std::uint64_t from, std::int64_t attempt);
+    boost::asio::awaitable<void> deliver(
+        HttpExchange& exchange, std::shared_ptr<Stream> stream, std::uint64_t from, std::int64_t attempt);
     HttpResponse reserve(std::string_view body);
     HttpResponse cancel(std::string_view body);
     HttpResponse load() const;
--- a/standins/PlatformMain.cpp
+++ b/standins/PlatformMain.cpp
@@ -6,7 +6,8 @@
 
 int main(int argc, char** argv)
 {
-    std::vector<SettingSpecification> settings { std::begin(standins::ListenSettings), std::end(standins::ListenSettings) };
+    std::vector<SettingSpecification> settings { std::begin(standins::ListenSettings),
+        std::end(standins::ListenSettings) };
     settings.push_back({ "log", "kept_records", SettingKind::Integer, 1, 10'000'000, "100000",
         "records of each stream that the log keeps" });
     const ProgramDescription description { "standin-platform",
--- a/standins/PlatformStandin.cpp
+++ b/standins/PlatformStandin.cpp
@@ -108,8 +108,9 @@
         });
         co_await this->appended.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    auto response = this->faults.isLogDown ? unavailable()
-                                           : this->page(this->streams[name], from, path.number("limit", DefaultPageRecords));
+    auto response = this->faults.isLogDown
+        ? unavailable()
+        : this->page(this->streams[name], from, path.number("limit", DefaultPageRecords));
     co_await exchange.respond(std::move(response));
 }
 
@@ -121,8 +122,7 @@
     json::array records;
     const auto end = std::min(stream.next(), from + std::min(limit, DefaultPageRecords));
     for (auto offset = from; offset < end; ++offset)
-        records.push_back(
-            json::object { { "offset", offset }, { "data", stream.records.at(offset - stream.first) } });
+        records.push_back(json::object { { "offset", offset }, { "data", stream.records.at(offset - stream.first) } });
     body["records"] = std::move(records);
     return jsonResponse(StatusOk, body);
 }
@@ -152,11 +152,10 @@
         this->visibleEntries = std::move(snapshot);
         return;
     }
-    auto timer = std::make_shared<asio::steady_timer>(
-        this->context, std::chrono::milliseconds { this->faults.listLagMs });
-    timer->async_wait([this, timer, snapshot = std::move(snapshot)](const boost::system::error_code&) mutable {
-        this->visibleEntries = std::move(snapshot);
-    });
+    auto timer
+        = std::make_shared<asio::steady_timer>(this->context, std::chrono::milliseconds { this->faults.listLagMs });
+    timer->async_wait([this, timer, snapshot = std::move(snapshot)](
+                          const boost::system::error_code&) mutable { this->visibleEntries = std::move(snapshot); });
 }
 
 HttpResponse PlatformStandin::listing() const
--- a/standins/PlatformStandin.h
+++ b/standins/PlatformStandin.h
@@ -52,7 +52,8 @@
     boost::asio::io_context& context;
     std::size_t keptRecords;
     std::map<std::string, Stream, std::less<>> streams;
-    std::map<std::string, std::map<std::string, boost::json::object>, std::less<>> entries; // By "instances" or "targets".
+    std::map<std::string, std::map<std::string, boost::json::object>, std::less<>>
+        entries; // By "instances" or "targets".
     std::map<std::string, std::map<std::string, boost::json::object>, std::less<>> visibleEntries;
     boost::asio::steady_timer appended; // Cancelled by every append.
     PlatformFaults faults;
