Run the membership over UDP

MembershipRunner binds (port 0 for any), carries out the core's commands and tells an observer of members, marks and configuration offsets. A datagram that the socket does not take at once counts as lost. The codec uses the conversions of the rpc layer instead of its own.

--- a/src/membership/DatagramWriter.cpp
+++ b/src/membership/DatagramWriter.cpp
@@ -39,7 +39,7 @@
 {
     this->message.kind = kind;
     this->message.sequence = sequence;
-    this->message.sender = recordOf(knowledge.self);
+    this->message.sender = toWire(knowledge.self);
     const auto& holder = knowledge.configurationHolder;
     this->message.configurationOffset = holder ? static_cast<std::int64_t>(holder->configurationOffset) : 0;
     this->freeBytes = MaximumDatagramBytes - EnvelopeBytes - encodedBytes(this->message.sender);
@@ -56,14 +56,14 @@
 
 void DatagramWriter::addRecord(const Member& member)
 {
-    auto record = recordOf(member);
+    auto record = toWire(member);
     if (this->reserve(record))
         this->message.updates.push_back(std::move(record));
 }
 
 void DatagramWriter::setSubject(const Member& member)
 {
-    auto record = recordOf(member);
+    auto record = toWire(member);
     if (this->reserve(record))
         this->message.__set_subject(std::move(record));
 }
@@ -91,15 +91,15 @@
     std::vector<TargetLeavingMark> chosen;
     std::ranges::sample(marks, std::back_inserter(chosen), BackgroundMarks, this->knowledge.random);
     for (const auto& mark : chosen)
-        if (this->reserve(recordOf(mark)))
-            this->message.targetMarks.push_back(recordOf(mark));
+        if (this->reserve(toWire(mark)))
+            this->message.targetMarks.push_back(toWire(mark));
 }
 
 void DatagramWriter::addZoneSummary()
 {
     this->addMarks();
     auto& random = this->knowledge.random;
-    auto record = recordOf(this->ownZone(), this->now);
+    auto record = toWire(this->ownZone(), this->now);
     if (this->reserve(record))
         this->message.zones.push_back(std::move(record));
     for (const auto& report : this->knowledge.digests.bestOfOwnZone(SummaryDigests, this->now, random))
@@ -132,9 +132,9 @@
         const auto* mark = marks.find(target);
         if (!mark)
             return true; // Forgotten since: it leaves the queue as if sent.
-        if (!this->reserve(recordOf(*mark)))
+        if (!this->reserve(toWire(*mark)))
             return false;
-        this->message.targetMarks.push_back(recordOf(*mark));
+        this->message.targetMarks.push_back(toWire(*mark));
         return true;
     });
 }
@@ -145,7 +145,7 @@
         const auto* entry = this->knowledge.members.find(name);
         if (!entry || this->isAddressedTo(name))
             return true; // The sender's own record is in every datagram; forgotten ones leave the queue as if sent.
-        auto record = recordOf(entry->member);
+        auto record = toWire(entry->member);
         if (!this->reserve(record))
             return false;
         this->message.updates.push_back(std::move(record));
@@ -168,7 +168,7 @@
         const auto* digest = zones.find(zone);
         if (!digest)
             return true;
-        auto record = recordOf(*digest, this->now);
+        auto record = toWire(*digest, this->now);
         if (!this->reserve(record))
             return false;
         this->message.zones.push_back(std::move(record));
@@ -178,7 +178,7 @@
 
 bool DatagramWriter::addDigest(const CellReport& report)
 {
-    auto record = recordOf(report, this->now);
+    auto record = toWire(report, this->now);
     if (!this->reserve(record))
         return false;
     this->message.cells.push_back(std::move(record));
--- a/src/membership/MembershipCodec.cpp
+++ b/src/membership/MembershipCodec.cpp
@@ -29,48 +29,9 @@
     return now - std::chrono::milliseconds { std::clamp<std::int64_t>(ageMs, 0, MaximumAgeMs) };
 }
 
-wire::InstanceRef referenceOf(const InstanceId& instance)
-{
-    wire::InstanceRef reference;
-    reference.name = instance.name;
-    reference.incarnation = static_cast<std::int64_t>(instance.incarnation);
-    return reference;
-}
-
-InstanceId instanceOf(const wire::InstanceRef& reference)
-{
-    return { reference.name, static_cast<std::uint64_t>(reference.incarnation) };
-}
-
 }
 
-wire::MemberRecord recordOf(const Member& member)
-{
-    wire::MemberRecord record;
-    record.instance = referenceOf(member.instance);
-    record.availabilityZone = member.availabilityZone;
-    record.membershipAddress = member.membershipAddress;
-    record.dispatcherAddress = member.dispatcherAddress;
-    record.state = static_cast<wire::MemberState::type>(static_cast<int>(member.state) + 1);
-    record.configurationOffset = static_cast<std::int64_t>(member.configurationOffset);
-    record.revision = static_cast<std::int64_t>(member.revision);
-    return record;
-}
-
-Member memberOf(const wire::MemberRecord& record)
-{
-    Member member;
-    member.instance = instanceOf(record.instance);
-    member.availabilityZone = record.availabilityZone;
-    member.membershipAddress = record.membershipAddress;
-    member.dispatcherAddress = record.dispatcherAddress;
-    member.state = static_cast<MemberState>(static_cast<int>(record.state) - 1);
-    member.configurationOffset = static_cast<std::uint64_t>(record.configurationOffset);
-    member.revision = static_cast<std::uint64_t>(record.revision);
-    return member;
-}
-
-wire::TargetMark recordOf(const TargetLeavingMark& mark)
+wire::TargetMark toWire(const TargetLeavingMark& mark)
 {
     wire::TargetMark record;
     record.target = mark.target;
@@ -79,66 +40,45 @@
     return record;
 }
 
-TargetLeavingMark markOf(const wire::TargetMark& record)
+TargetLeavingMark fromWire(const wire::TargetMark& record)
 {
     return { record.target, static_cast<std::uint64_t>(record.incarnation), record.leaving };
 }
 
-wire::CellDigestRecord recordOf(const CellReport& report, TimePoint now)
+wire::CellDigestRecord toWire(const CellReport& report, TimePoint now)
 {
-    wire::CellDigestRecord record;
-    record.cell.availabilityZone = report.digest.cell.availabilityZone;
-    record.cell.model = report.digest.cell.model;
-    record.cell.number = static_cast<std::int32_t>(report.digest.cell.number);
-    record.owner = referenceOf(report.owner);
+    auto record = toWire(report.digest, report.owner);
     record.ownerAddress = report.ownerAddress;
-    record.liveTargets = static_cast<std::int32_t>(report.digest.liveTargets);
-    record.queued = static_cast<std::int32_t>(report.digest.queued);
-    record.freeTokens = static_cast<std::int64_t>(report.digest.freeTokens);
-    record.largestSpanTokens = static_cast<std::int64_t>(report.digest.largestSpanTokens);
-    record.expectedWaitMs = std::chrono::duration_cast<std::chrono::milliseconds>(report.digest.expectedWait).count();
     record.sequence = static_cast<std::int64_t>(report.sequence);
     record.ageMs = ageMs(report.measuredAt, now);
     return record;
 }
 
-CellReport reportOf(const wire::CellDigestRecord& record, TimePoint now)
+CellReport fromWire(const wire::CellDigestRecord& record, TimePoint now)
 {
-    CellReport report;
-    report.digest.cell.availabilityZone = record.cell.availabilityZone;
-    report.digest.cell.model = record.cell.model;
-    report.digest.cell.number = static_cast<std::uint32_t>(record.cell.number);
-    report.owner = instanceOf(record.owner);
-    report.ownerAddress = record.ownerAddress;
-    report.digest.liveTargets = static_cast<std::uint32_t>(record.liveTargets);
-    report.digest.queued = static_cast<std::uint32_t>(record.queued);
-    report.digest.freeTokens = static_cast<std::uint64_t>(record.freeTokens);
-    report.digest.largestSpanTokens = static_cast<std::uint64_t>(record.largestSpanTokens);
-    const auto waitMs = std::clamp<std::int64_t>(record.expectedWaitMs, 0, MaximumAgeMs);
-    report.digest.expectedWait = std::chrono::milliseconds { waitMs };
+    CellReport report { fromWire(record), fromWire(record.owner), record.ownerAddress, 0, timeOf(record.ageMs, now) };
     report.sequence = static_cast<std::uint64_t>(record.sequence);
-    report.measuredAt = timeOf(record.ageMs, now);
     return report;
 }
 
-wire::ZoneDigestRecord recordOf(const ZoneDigest& digest, TimePoint now)
+wire::ZoneDigestRecord toWire(const ZoneDigest& digest, TimePoint now)
 {
     wire::ZoneDigestRecord record;
     record.availabilityZone = digest.availabilityZone;
     record.ageMs = ageMs(digest.heardAt, now);
     for (const auto& contact : digest.contacts)
-        record.contacts.push_back(recordOf(contact));
+        record.contacts.push_back(toWire(contact));
     return record;
 }
 
-ZoneDigest digestOf(const wire::ZoneDigestRecord& record, TimePoint now)
+ZoneDigest fromWire(const wire::ZoneDigestRecord& record, TimePoint now)
 {
     ZoneDigest digest;
     digest.availabilityZone = record.availabilityZone;
     digest.heardAt = timeOf(record.ageMs, now);
     for (const auto& contact : record.contacts)
         if (isWellFormed(contact) && contact.availabilityZone == record.availabilityZone)
-            digest.contacts.push_back(memberOf(contact));
+            digest.contacts.push_back(fromWire(contact));
     return digest;
 }
 
--- a/src/membership/MembershipCodec.h
+++ b/src/membership/MembershipCodec.h
@@ -5,21 +5,22 @@
 #include <marigoldpaddle/Membership.h>
 
 #include "rpc/Codec.h"
+#include "rpc/Conversions.h"
 
-// Turns the membership's records into those of the wire and back.
+// Turns what rides on the membership's messages into records of the wire and back.
 namespace marigoldpaddle::internal {
 
-wire::MemberRecord recordOf(const Member& member);
-Member memberOf(const wire::MemberRecord& record);
+using marigoldpaddle::fromWire;
+using marigoldpaddle::toWire;
 
-wire::TargetMark recordOf(const TargetLeavingMark& mark);
-TargetLeavingMark markOf(const wire::TargetMark& record);
+wire::TargetMark toWire(const TargetLeavingMark& mark);
+TargetLeavingMark fromWire(const wire::TargetMark& record);
 
 // Times cross the wire as ages at the moment of sending, since no clock is shared.
-wire::CellDigestRecord recordOf(const CellReport& report, TimePoint now);
-CellReport reportOf(const wire::CellDigestRecord& record, TimePoint now);
-wire::ZoneDigestRecord recordOf(const ZoneDigest& digest, TimePoint now);
-ZoneDigest digestOf(const wire::ZoneDigestRecord& record, TimePoint now);
+wire::CellDigestRecord toWire(const CellReport& report, TimePoint now);
+CellReport fromWire(const wire::CellDigestRecord& record, TimePoint now);
+wire::ZoneDigestRecord toWire(const ZoneDigest& digest, TimePoint now);
+ZoneDigest fromWire(const wire::ZoneDigestRecord& record, TimePoint now);
 
 // Upper bounds of the encoded sizes.
 std::size_t encodedBytes(const wire::MemberRecord& record);
--- a/src/membership/MembershipCore.cpp
+++ b/src/membership/MembershipCore.cpp
@@ -13,7 +13,6 @@
 
 using internal::DatagramWriter;
 using internal::isWellFormed;
-using internal::memberOf;
 
 namespace {
 
@@ -60,14 +59,14 @@
 
 void Membership::Core::handle(const wire::MembershipMessage& message, TimePoint now)
 {
-    const auto sender = memberOf(message.sender);
+    const auto sender = fromWire(message.sender);
     if (sender.instance == this->knowledge.self.instance)
         return;
     const auto* known = this->knowledge.members.find(sender.instance.name);
     const auto isNewcomer = !known || known->member.instance.incarnation < sender.instance.incarnation;
     this->apply(sender, now);
     for (const auto& record : message.updates | std::views::filter(isWellFormed))
-        this->apply(memberOf(record), now);
+        this->apply(fromWire(record), now);
     this->applyRidingNews(message, now);
     switch (message.kind) {
     case wire::MembershipKind::Ping:
@@ -86,7 +85,7 @@
 
 void Membership::Core::answer(const wire::MembershipMessage& message, bool isNewcomer, TimePoint now)
 {
-    const auto sender = memberOf(message.sender);
+    const auto sender = fromWire(message.sender);
     DatagramWriter writer { this->knowledge, now, wire::MembershipKind::Acknowledge, message.sequence };
     if (!this->isOfOwnZone(sender)) {
         writer.addZoneSummary();
@@ -106,7 +105,7 @@
 {
     if (!message.__isset.subject || !isWellFormed(message.subject))
         return;
-    const auto subject = memberOf(message.subject);
+    const auto subject = fromWire(message.subject);
     const auto sequence = this->expectAnswer(
         { Purpose::Relay, now, subject.instance.name, message.sender.membershipAddress, message.sequence });
     if (sequence == 0)
@@ -131,8 +130,8 @@
         this->resumedAt.reset();
     if (expected.purpose == Purpose::Relay) {
         DatagramWriter writer { this->knowledge, now, wire::MembershipKind::Acknowledge, expected.requesterSequence };
-        writer.setSubject(memberOf(message.sender));
-        writer.addRecord(memberOf(message.sender));
+        writer.setSubject(fromWire(message.sender));
+        writer.addRecord(fromWire(message.sender));
         this->send(expected.requesterAddress, writer.bytes());
     }
     if (!this->probe || this->probe->sequence != message.sequence)
@@ -177,15 +176,15 @@
 void Membership::Core::applyRidingNews(const wire::MembershipMessage& message, TimePoint now)
 {
     for (const auto& record : message.targetMarks)
-        this->markTarget(internal::markOf(record), now);
+        this->markTarget(internal::fromWire(record), now);
     for (const auto& record : message.cells)
         if (record.cell.availabilityZone != this->knowledge.self.availabilityZone
             || record.owner.name != this->knowledge.self.instance.name)
-            this->knowledge.digests.apply(internal::reportOf(record, now));
+            this->knowledge.digests.apply(internal::fromWire(record, now));
     for (const auto& record : message.zones) {
         if (record.availabilityZone == this->knowledge.self.availabilityZone)
             continue;
-        const auto digest = internal::digestOf(record, now);
+        const auto digest = internal::fromWire(record, now);
         std::ranges::for_each(digest.contacts, [this](const Member& contact) { this->noteConfiguration(contact); });
         this->knowledge.zones.apply(digest);
     }
--- /dev/null
+++ b/src/membership/MembershipRunner.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+
+#include <marigoldpaddle/Clock.h>
+#include <marigoldpaddle/Membership.h>
+
+#include "base/Metrics.h"
+
+namespace marigoldpaddle {
+
+// Is told what the membership learns. Called on the runner's io_context.
+class MembershipObserver {
+public:
+    virtual ~MembershipObserver() = default;
+
+    virtual void memberChanged(const Member& member) = 0;
+    virtual void targetMarked(const TargetLeavingMark& mark) = 0;
+
+    // `holder` has a higher offset in force than this instance; its record can be fetched there.
+    virtual void configurationOffsetHeard(std::uint64_t offset, const Member& holder) = 0;
+
+    // Another process runs under this instance's name. This one must stop acting as an owner.
+    virtual void superseded(std::uint64_t incarnation) = 0;
+};
+
+// Runs a Membership over UDP. Datagrams that the socket does not take at once are dropped like lost ones.
+class MembershipRunner {
+public:
+    // Everything that is passed by reference must outlive the runner.
+    MembershipRunner(boost::asio::io_context& context, const Clock& clock, MetricsRegistry& metrics);
+    ~MembershipRunner();
+
+    // Binds to "IP:port", port 0 for any. Returns the bound port; throws boost::system::system_error when it cannot.
+    std::uint16_t bind(std::string_view address);
+
+    // Starts as `self`, whose membershipAddress must be the bound one. To be called once, after bind().
+    void start(Member self, MembershipObserver& observer, std::uint64_t seed, const MembershipOptions& options = {});
+
+    // What the platform lists, and what this instance wants the others to know. Before start() they do nothing.
+    void updateListing(std::span<const InstanceDescription> instances);
+    void markTarget(const TargetLeavingMark& mark);
+    void publish(const CellDigest& digest);
+    void setConfigurationOffset(std::uint64_t offset);
+    void leave();
+
+    // Tells others that this process ends, and closes the socket. No observer is called afterwards.
+    void stop();
+
+    // What is known. Only after start().
+    const Membership& membership() const;
+    bool isStale() const;
+
+private:
+    struct State;
+    std::shared_ptr<State> state;
+};
+
+}
--- a/src/rpc/Conversions.cpp
+++ b/src/rpc/Conversions.cpp
@@ -47,6 +47,7 @@
     record.dispatcherAddress = member.dispatcherAddress;
     record.state = static_cast<wire::MemberState::type>(static_cast<int>(member.state) + wire::MemberState::Alive);
     record.configurationOffset = static_cast<std::int64_t>(member.configurationOffset);
+    record.revision = static_cast<std::int64_t>(member.revision);
     return record;
 }
 
@@ -60,6 +61,7 @@
     const auto state = std::clamp<int>(record.state, wire::MemberState::Alive, wire::MemberState::Dead);
     member.state = static_cast<MemberState>(state - wire::MemberState::Alive);
     member.configurationOffset = static_cast<std::uint64_t>(record.configurationOffset);
+    member.revision = static_cast<std::uint64_t>(record.revision);
     return member;
 }
 
