Judge configuration changes per section and share what an edit leaves alone

Cause: the first fold kept one revision per section but compared it with 'greater than', so two edits based on the same revision were both accepted; a deleted preset left no trace, so a late edit brought it back; an encoded section arrived wrapped in an array, so no edit could be read; and every edit copied and checked the whole preset.

Now: basedOn is the revision read (nextOffset), a section conflicts when its last change or removal is at or after it, removals are kept up to a bound with a floor below which an absent section conflicts, a change appended twice keeps its first verdict, a bounded history is part of the state. Workspaces live in a sharded copy-on-write map, only the named sections are checked.

--- /dev/null
+++ b/include/marigoldpaddle/ConfigurationChange.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <boost/leaf/result.hpp>
+
+#include <marigoldpaddle/Preset.h>
+
+namespace marigoldpaddle {
+
+enum class ConfigurationChangeKind {
+    Edit, // Replaces or removes sections of a preset, and creates the preset when it does not exist.
+    Use, // Puts a preset in force.
+    Delete, // Removes a preset that is not in force.
+};
+
+std::string_view name(ConfigurationChangeKind kind);
+
+// Bounds of one change. A record beyond them is malformed.
+struct ConfigurationLimits {
+    static constexpr std::size_t RecordBytes = 4 * 1024 * 1024;
+    static constexpr std::size_t NameBytes = 200; // Of an id, a preset, a section or a key.
+    static constexpr std::size_t ValueBytes = 64 * 1024;
+};
+
+// One record of the configuration stream.
+struct ConfigurationChange {
+    std::string id; // Unique; a change that is found under its id was appended.
+    ConfigurationChangeKind kind { ConfigurationChangeKind::Edit };
+    std::string preset;
+    std::uint64_t basedOn { 0 }; // The revision its author had read: ConfigurationState::nextOffset() at that moment.
+    PresetSectionChanges sections; // Of an edit.
+};
+
+std::string encodeChange(const ConfigurationChange& change);
+
+// Fails with ConfigurationError::MalformedRecord.
+boost::leaf::result<ConfigurationChange> decodeChange(std::string_view record);
+
+}
--- a/include/marigoldpaddle/Preset.h
+++ b/include/marigoldpaddle/Preset.h
@@ -10,6 +10,7 @@
 #include <boost/leaf/result.hpp>
 
 #include <marigoldpaddle/Clock.h>
+#include <marigoldpaddle/CopyOnWriteMap.h>
 
 namespace marigoldpaddle {
 
@@ -17,6 +18,9 @@
 using PresetSection = std::map<std::string, std::string, std::less<>>;
 using PresetSections = std::map<std::string, PresetSection, std::less<>>;
 
+// Sections to replace, and without a value, to remove.
+using PresetSectionChanges = std::map<std::string, std::optional<PresetSection>, std::less<>>;
+
 // Prompts up to `maximumTokens` belong to the class, unless a smaller class takes them.
 struct PromptClass {
     std::string name;
@@ -46,7 +50,7 @@
     Duration maximumAllowedTime {};
     double retryBudget { 0 }; // Retries per request, from 0 to 1.
     std::vector<PromptClass> promptClasses; // Ascending by maximumTokens.
-    std::map<std::string, WorkspaceSettings, std::less<>> workspacesByKeyDigest; // SHA-256 of the key, lower-case hex.
+    CopyOnWriteMap<WorkspaceSettings> workspacesByKeyDigest; // SHA-256 of the key, lower-case hex.
     std::map<std::string, ModelSettings, std::less<>> models;
     std::map<std::string, ServiceSettings, std::less<>> services;
 };
@@ -72,4 +76,10 @@
 // `file` is used in messages only.
 boost::leaf::result<Preset> makePreset(std::string_view name, const PresetSections& sections, std::string_view file);
 
+// Makes the typed preset that results from changing some sections of one. `before` holds the sections of `preset` as
+// they are. Only the changed sections are checked, and what they have in common with others: no two workspaces may
+// have one key, no two classes one bound. Costs the same whatever the number of sections. Fails like makePreset.
+boost::leaf::result<Preset> changePreset(
+    const Preset& preset, const PresetSections& before, const PresetSectionChanges& changes, std::string_view file);
+
 }
--- a/src/base/Settings.cpp
+++ b/src/base/Settings.cpp
@@ -1,5 +1,7 @@
 #include "base/Settings.h"
 
+#include "base/Text.h"
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -167,12 +169,6 @@
     }
 }
 
-std::string joinLines(std::span<const std::string> lines)
-{
-    return std::accumulate(lines.begin(), lines.end(), std::string {},
-        [](std::string text, const std::string& line) { return text.empty() ? line : text + "\n" + line; });
-}
-
 }
 
 std::string_view nearestWord(std::string_view word, std::span<const std::string_view> candidates)
--- a/src/configuration/ConfigurationState.cpp
+++ b/src/configuration/ConfigurationState.cpp
@@ -1,171 +1,198 @@
 #include <marigoldpaddle/ConfigurationState.h>
 
 #include <algorithm>
+#include <ranges>
 
-#include <boost/json.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
-namespace marigoldpaddle {
+#include "base/Text.h"
+#include "configuration/Checkpoint.h"
 
-namespace json = boost::json;
+namespace marigoldpaddle {
 
 namespace {
 
-constexpr std::array<std::string_view, 3> KindNames { "edit", "use", "delete" };
+constexpr std::size_t SectionsInHistory = 4;
+constexpr std::size_t ExplanationBytes = 1000;
 
-json::object sectionToJson(const PresetSection& section)
+ChangeVerdict accepted(std::uint64_t offset, const ConfigurationChange& change)
 {
-    json::object object;
-    for (const auto& [key, value] : section)
-        object.emplace(key, value);
-    return object;
+    return { change.id, true, {}, std::nullopt, offset };
 }
 
-PresetSection sectionFromJson(const json::value& value)
+ChangeVerdict refused(
+    std::uint64_t offset, const ConfigurationChange& change, ConfigurationError error, std::string explanation)
 {
-    PresetSection section;
-    for (const auto& [key, text] : value.as_object())
-        section.emplace(key, json::value_to<std::string>(text));
-    return section;
-}
-
-ChangeVerdict accepted(const ConfigurationChange& change)
-{
-    return { change.id, true, {} };
-}
-
-ChangeVerdict refused(const ConfigurationChange& change, std::string explanation)
-{
-    return { change.id, false, std::move(explanation) };
-}
-
-std::string conflictText(std::string_view what, std::uint64_t basedOn, std::uint64_t changedAt)
-{
-    return std::string { what } + " was changed at revision " + std::to_string(changedAt) + " after revision "
-        + std::to_string(basedOn) + ", on which this change is based";
-}
-
+    explanation.resize(truncateUtf8(explanation, ExplanationBytes).size());
+    return { change.id, false, std::move(explanation), error, offset };
 }
 
-std::string encodeChange(const ConfigurationChange& change)
+// `verb` says what happened to it, e.g. "was changed".
+std::string conflictText(std::string_view what, std::string_view verb, std::uint64_t changedAt, std::uint64_t basedOn)
 {
-    json::object object;
-    object["id"] = change.id;
-    object["kind"] = KindNames.at(static_cast<std::size_t>(change.kind));
-    object["preset"] = change.preset;
-    object["based_on"] = change.basedOn;
-    json::object sections;
-    for (const auto& [name, section] : change.sections)
-        sections.emplace(name, section ? json::value { sectionToJson(*section) } : json::value { nullptr });
-    object["sections"] = std::move(sections);
-    return json::serialize(object);
+    return std::string { what } + " " + std::string { verb } + " at revision " + std::to_string(changedAt)
+        + "; this change is based on revision " + std::to_string(basedOn);
 }
 
-boost::leaf::result<ConfigurationChange> decodeChange(std::string_view record)
-{
-    try {
-        const auto value = json::parse({ record.data(), record.size() });
-        const auto& object = value.as_object();
-        ConfigurationChange change;
-        change.id = json::value_to<std::string>(object.at("id"));
-        const auto kind = json::value_to<std::string>(object.at("kind"));
-        const auto found = std::ranges::find(KindNames, kind);
-        if (found == KindNames.end() || change.id.empty())
-            return boost::leaf::new_error(ConfigurationError::MalformedRecord);
-        change.kind = static_cast<ConfigurationChangeKind>(found - KindNames.begin());
-        change.preset = json::value_to<std::string>(object.at("preset"));
-        change.basedOn = json::value_to<std::uint64_t>(object.at("based_on"));
-        for (const auto& [name, section] : object.at("sections").as_object())
-            change.sections.emplace(
-                name, section.is_null() ? std::nullopt : std::optional { sectionFromJson(section) });
-        return change;
-    } catch (const std::exception&) {
-        return boost::leaf::new_error(ConfigurationError::MalformedRecord);
-    }
 }
 
 ChangeVerdict ConfigurationState::apply(std::uint64_t offset, std::string_view record)
 {
-    if (offset < this->next)
+    if (offset != this->next)
         return {};
     this->next = offset + 1;
+    if (isCheckpointPart(record))
+        return {};
     return boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<ChangeVerdict> {
             BOOST_LEAF_AUTO(change, decodeChange(record));
-            switch (change.kind) {
-            case ConfigurationChangeKind::Edit:
-                return this->applyEdit(offset, change);
-            case ConfigurationChangeKind::Use:
-                return this->applyUse(offset, change);
-            case ConfigurationChangeKind::Delete:
-                return this->applyDelete(offset, change);
-            }
-            return ChangeVerdict {};
+            if (const auto first = this->verdictOn(change.id))
+                return *first;
+            auto verdict = this->judge(offset, change);
+            this->remember(change, verdict);
+            return verdict;
         },
-        [] { return ChangeVerdict { {}, false, "the record cannot be read" }; });
+        [&] { return refused(offset, {}, ConfigurationError::MalformedRecord, "the record cannot be read"); });
+}
+
+ChangeVerdict ConfigurationState::judge(std::uint64_t offset, const ConfigurationChange& change)
+{
+    if (change.basedOn > offset)
+        return refused(offset, change, ConfigurationError::MalformedRecord,
+            "it is based on revision " + std::to_string(change.basedOn) + ", which lies beyond its own offset "
+                + std::to_string(offset));
+    switch (change.kind) {
+    case ConfigurationChangeKind::Edit:
+        return this->judgeEdit(offset, change);
+    case ConfigurationChangeKind::Use:
+        return this->judgeUse(offset, change);
+    case ConfigurationChangeKind::Delete:
+        return this->judgeDelete(offset, change);
+    }
+    return {};
 }
 
-ChangeVerdict ConfigurationState::applyEdit(std::uint64_t offset, const ConfigurationChange& change)
+ChangeVerdict ConfigurationState::judgeEdit(std::uint64_t offset, const ConfigurationChange& change)
 {
-    auto sections = this->presetsByName[change.preset];
-    for (const auto& [name, section] : change.sections) {
-        const auto revision = this->revisions.find(change.preset + "/" + name);
-        if (revision != this->revisions.end() && revision->second > change.basedOn)
-            return refused(change, conflictText("section [" + name + "]", change.basedOn, revision->second));
-        if (section)
-            sections[name] = *section;
-        else
-            sections.erase(name);
+    if (change.sections.empty())
+        return refused(offset, change, ConfigurationError::InvalidPreset, "the edit names no section");
+    for (const auto& section : std::views::keys(change.sections)) {
+        auto conflict = this->conflictOfSection(change, section);
+        if (!conflict.empty())
+            return refused(offset, change, ConfigurationError::Conflict, std::move(conflict));
     }
-    const auto problem = boost::leaf::try_handle_all(
+    const auto typed = this->preset(change.preset);
+    const auto sections = this->presetsByName.find(change.preset);
+    auto problem = boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<std::string> {
-            BOOST_LEAF_CHECK(makePreset(change.preset, sections, change.preset));
+            BOOST_LEAF_AUTO(
+                base, typed ? boost::leaf::result<Preset> { *typed } : makePreset(change.preset, {}, change.preset));
+            const auto& before = typed ? sections->second : PresetSections {};
+            BOOST_LEAF_AUTO(changed, changePreset(base, before, change.sections, change.preset));
+            this->typedByName[change.preset] = std::make_shared<const Preset>(std::move(changed));
             return std::string {};
         },
         [](const PresetProblem& fault) { return fault.message; }, [] { return std::string { "invalid preset" }; });
     if (!problem.empty())
-        return refused(change, problem);
-    this->presetsByName[change.preset] = std::move(sections);
-    for (const auto& [name, section] : change.sections)
-        this->revisions[change.preset + "/" + name] = offset;
-    this->refreshPresetInForce();
-    return accepted(change);
+        return refused(offset, change, ConfigurationError::InvalidPreset, std::move(problem));
+    this->applySections(offset, change);
+    return accepted(offset, change);
 }
 
-ChangeVerdict ConfigurationState::applyUse(std::uint64_t offset, const ConfigurationChange& change)
+ChangeVerdict ConfigurationState::judgeUse(std::uint64_t offset, const ConfigurationChange& change)
 {
     if (!this->presetsByName.contains(change.preset))
-        return refused(change, "there is no preset " + change.preset);
-    if (this->inForceSince > change.basedOn)
-        return refused(change, conflictText("the preset in force", change.basedOn, this->inForceSince));
+        return refused(offset, change, ConfigurationError::UnknownPreset, this->missingPreset(change.preset));
+    if (this->inForce == change.preset)
+        return accepted(offset, change);
+    if (!this->inForce.empty() && this->inForceSince >= change.basedOn)
+        return refused(offset, change, ConfigurationError::Conflict,
+            conflictText("the preset in force", "was set to " + this->inForce, this->inForceSince, change.basedOn));
     this->inForce = change.preset;
     this->inForceSince = offset;
-    this->refreshPresetInForce();
-    return accepted(change);
+    return accepted(offset, change);
 }
 
-ChangeVerdict ConfigurationState::applyDelete(std::uint64_t, const ConfigurationChange& change)
+ChangeVerdict ConfigurationState::judgeDelete(std::uint64_t offset, const ConfigurationChange& change)
 {
     if (!this->presetsByName.contains(change.preset))
-        return refused(change, "there is no preset " + change.preset);
+        return refused(offset, change, ConfigurationError::UnknownPreset, this->missingPreset(change.preset));
     if (this->inForce == change.preset)
-        return refused(change, "preset " + change.preset + " is in force");
+        return refused(offset, change, ConfigurationError::PresetInForce,
+            "preset " + change.preset + " is in force since revision " + std::to_string(this->inForceSince));
+    const auto revisions = this->revisionsByName.find(change.preset);
+    if (revisions->second.last >= change.basedOn)
+        return refused(offset, change, ConfigurationError::Conflict,
+            conflictText("preset " + change.preset, "was changed", revisions->second.last, change.basedOn));
     this->presetsByName.erase(change.preset);
-    return accepted(change);
+    this->typedByName.erase(change.preset);
+    this->revisionsByName.erase(revisions);
+    this->recordRemoval({ offset, change.preset, {} });
+    return accepted(offset, change);
+}
+
+std::string ConfigurationState::conflictOfSection(const ConfigurationChange& change, std::string_view section) const
+{
+    const auto what = "section [" + std::string { section } + "] of preset " + change.preset;
+    if (const auto revision = this->revisionOf(change.preset, section))
+        return *revision < change.basedOn ? std::string {}
+                                          : conflictText(what, "was changed", *revision, change.basedOn);
+    const auto removal = std::ranges::find_if(std::views::reverse(this->removals), [&](const auto& each) {
+        return each.offset < change.basedOn
+            || (each.preset == change.preset && (each.section.empty() || each.section == section));
+    });
+    if (removal != this->removals.rend() && removal->offset >= change.basedOn)
+        return conflictText(what, removal->section.empty() ? "was deleted with its preset" : "was removed",
+            removal->offset, change.basedOn);
+    if (change.basedOn < this->removalFloor)
+        return conflictText(what, "may have been removed", this->removalFloor - 1, change.basedOn);
+    return {};
 }
 
-void ConfigurationState::refreshPresetInForce()
+std::string ConfigurationState::missingPreset(std::string_view name) const
 {
-    const auto found = this->presetsByName.find(this->inForce);
-    if (found == this->presetsByName.end())
+    const auto removal = std::ranges::find_if(std::views::reverse(this->removals),
+        [&](const auto& each) { return each.preset == name && each.section.empty(); });
+    const auto missing = "there is no preset " + std::string { name };
+    return removal == this->removals.rend()
+        ? missing
+        : missing + ": it was deleted at revision " + std::to_string(removal->offset);
+}
+
+void ConfigurationState::applySections(std::uint64_t offset, const ConfigurationChange& change)
+{
+    auto& sections = this->presetsByName[change.preset];
+    auto& revisions = this->revisionsByName[change.preset];
+    revisions.last = offset;
+    for (const auto& [name, section] : change.sections) {
+        if (section) {
+            sections[name] = *section;
+            revisions.sections[name] = offset;
+        } else {
+            sections.erase(name);
+            revisions.sections.erase(name);
+            this->recordRemoval({ offset, change.preset, name });
+        }
+    }
+}
+
+void ConfigurationState::recordRemoval(Removal removal)
+{
+    this->removals.push_back(std::move(removal));
+    if (this->removals.size() <= RemovalsKept)
         return;
-    boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<void> {
-            BOOST_LEAF_AUTO(made, makePreset(this->inForce, found->second, this->inForce));
-            this->preset = std::make_shared<const Preset>(std::move(made));
-            return {};
-        },
-        [] { /* Every accepted edit was checked; an invalid preset cannot be stored. */ });
+    this->removalFloor = this->removals.front().offset + 1;
+    this->removals.pop_front();
+}
+
+void ConfigurationState::remember(const ConfigurationChange& change, const ChangeVerdict& verdict)
+{
+    HistoryEntry entry { verdict, change.kind, change.preset, {}, change.sections.size() };
+    std::ranges::copy(
+        change.sections | std::views::keys | std::views::take(SectionsInHistory), std::back_inserter(entry.sections));
+    this->judged.push_back(std::move(entry));
+    if (this->judged.size() > HistoryLength)
+        this->judged.pop_front();
 }
 
 std::uint64_t ConfigurationState::nextOffset() const
@@ -175,7 +202,7 @@
 
 std::shared_ptr<const Preset> ConfigurationState::presetInForce() const
 {
-    return this->preset;
+    return this->preset(this->inForce);
 }
 
 const std::string& ConfigurationState::nameInForce() const
@@ -188,46 +215,31 @@
     return this->presetsByName;
 }
 
-std::string ConfigurationState::snapshot() const
+std::shared_ptr<const Preset> ConfigurationState::preset(std::string_view name) const
 {
-    json::object presets;
-    for (const auto& [name, sections] : this->presetsByName) {
-        json::object object;
-        for (const auto& [section, values] : sections)
-            object.emplace(section, sectionToJson(values));
-        presets.emplace(name, std::move(object));
-    }
-    json::object revisionObject;
-    for (const auto& [name, offset] : this->revisions)
-        revisionObject.emplace(name, offset);
-    return json::serialize(
-        json::object { { "next", this->next }, { "in_force", this->inForce }, { "in_force_since", this->inForceSince },
-            { "revisions", std::move(revisionObject) }, { "presets", std::move(presets) } });
-}
-
-boost::leaf::result<bool> ConfigurationState::restore(std::string_view snapshot)
-{
-    try {
-        const auto value = json::parse({ snapshot.data(), snapshot.size() });
-        const auto& object = value.as_object();
-        ConfigurationState restored;
-        restored.next = json::value_to<std::uint64_t>(object.at("next"));
-        if (restored.next <= this->next)
-            return false;
-        restored.inForce = json::value_to<std::string>(object.at("in_force"));
-        restored.inForceSince = json::value_to<std::uint64_t>(object.at("in_force_since"));
-        for (const auto& [name, offset] : object.at("revisions").as_object())
-            restored.revisions.emplace(name, json::value_to<std::uint64_t>(offset));
-        for (const auto& [name, sections] : object.at("presets").as_object()) {
-            for (const auto& [section, values] : sections.as_object())
-                restored.presetsByName[name].emplace(section, sectionFromJson(values));
-        }
-        restored.refreshPresetInForce();
-        *this = std::move(restored);
-        return true;
-    } catch (const std::exception&) {
-        return boost::leaf::new_error(ConfigurationError::MalformedRecord);
-    }
+    const auto found = this->typedByName.find(name);
+    return found == this->typedByName.end() ? nullptr : found->second;
+}
+
+std::optional<std::uint64_t> ConfigurationState::revisionOf(std::string_view preset, std::string_view section) const
+{
+    const auto revisions = this->revisionsByName.find(preset);
+    if (revisions == this->revisionsByName.end())
+        return std::nullopt;
+    const auto found = revisions->second.sections.find(section);
+    return found == revisions->second.sections.end() ? std::nullopt : std::optional { found->second };
+}
+
+const std::deque<HistoryEntry>& ConfigurationState::history() const
+{
+    return this->judged;
+}
+
+std::optional<ChangeVerdict> ConfigurationState::verdictOn(std::string_view id) const
+{
+    const auto found = std::ranges::find_if(
+        std::views::reverse(this->judged), [&](const auto& each) { return each.verdict.id == id; });
+    return found == this->judged.rend() ? std::nullopt : std::optional { found->verdict };
 }
 
 }
--- a/src/configuration/Preset.cpp
+++ b/src/configuration/Preset.cpp
@@ -1,22 +1,18 @@
 #include <marigoldpaddle/Preset.h>
 
 #include <algorithm>
-#include <charconv>
-#include <numeric>
+#include <ranges>
 
 #include <boost/leaf/error.hpp>
 
+#include "base/Text.h"
+#include "configuration/PresetEditor.h"
 #include "configuration/PresetSchema.h"
 
 namespace marigoldpaddle {
 
 namespace {
 
-constexpr std::string_view WorkspacePrefix = "workspace ";
-constexpr std::string_view ModelPrefix = "model ";
-constexpr std::string_view ServicePrefix = "service ";
-constexpr std::string_view ClassPrefix = "class ";
-
 constexpr SettingSpecification PresetSpecifications[] = {
     { "limits", "default_allowed_ms", SettingKind::Milliseconds, 100, 3'600'000, "30000",
         "allowed time of a request that names none" },
@@ -33,68 +29,23 @@
         "how long an idempotency key is remembered" },
 };
 
-std::string valueOf(const PresetSection& section, std::string_view key, std::string_view sectionPattern)
-{
-    const auto found = section.find(key);
-    if (found != section.end())
-        return found->second;
-    const auto specification = std::ranges::find_if(
-        PresetSpecifications, [&](const auto& each) { return each.key == key && each.section == sectionPattern; });
-    return std::string { specification->defaultValue.value_or("") };
-}
-
-double numberOf(const PresetSection& section, std::string_view key, std::string_view sectionPattern)
-{
-    const auto text = valueOf(section, key, sectionPattern);
-    double value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
-}
-
-Duration durationOf(const PresetSection& section, std::string_view key, std::string_view sectionPattern)
-{
-    return std::chrono::milliseconds { static_cast<std::int64_t>(numberOf(section, key, sectionPattern)) };
-}
-
-std::vector<std::string> splitList(std::string_view text)
-{
-    std::vector<std::string> words;
-    while (!text.empty() && text != "none") {
-        const auto comma = text.find(',');
-        words.emplace_back(text.substr(0, comma));
-        text = comma == std::string_view::npos ? std::string_view {} : text.substr(comma + 1);
-    }
-    return words;
-}
-
-void addNamedSection(Preset& preset, std::string_view section, const PresetSection& values)
+PresetSections sectionsSetBy(const PresetSectionChanges& changes)
 {
-    if (section.starts_with(WorkspacePrefix)) {
-        WorkspaceSettings workspace;
-        workspace.name = section.substr(WorkspacePrefix.size());
-        workspace.weight = numberOf(values, "weight", "workspace *");
-        preset.workspacesByKeyDigest.emplace(valueOf(values, "key_sha256", "workspace *"), std::move(workspace));
-    } else if (section.starts_with(ModelPrefix)) {
-        ModelSettings model;
-        model.name = section.substr(ModelPrefix.size());
-        model.version = valueOf(values, "version", "model *");
-        model.adapters = splitList(valueOf(values, "adapters", "model *"));
-        preset.models.emplace(model.name, model);
-    } else if (section.starts_with(ServicePrefix)) {
-        ServiceSettings service;
-        service.name = section.substr(ServicePrefix.size());
-        service.keyWindow = durationOf(values, "key_window_ms", "service *");
-        preset.services.emplace(service.name, service);
-    } else if (section.starts_with(ClassPrefix)) {
-        preset.promptClasses.push_back({ std::string { section.substr(ClassPrefix.size()) },
-            static_cast<std::uint64_t>(numberOf(values, "maximum_tokens", "class *")) });
+    PresetSections sections;
+    for (const auto& [name, section] : changes) {
+        if (section)
+            sections.emplace(name, *section);
     }
+    return sections;
 }
 
-std::string joinLines(std::span<const std::string> lines)
+Preset emptyPreset(std::string_view name)
 {
-    return std::accumulate(lines.begin(), lines.end(), std::string {},
-        [](std::string text, const std::string& line) { return text.empty() ? line : text + "\n" + line; });
+    Preset preset;
+    preset.name = name;
+    internal::PresetEditor editor { std::move(preset), name };
+    editor.remove("limits", {});
+    return editor.takePreset();
 }
 
 }
@@ -127,20 +78,31 @@
 
 boost::leaf::result<Preset> makePreset(std::string_view name, const PresetSections& sections, std::string_view file)
 {
-    const auto faults = checkSettings(sections, presetSpecifications(), file);
-    if (!faults.empty())
-        return boost::leaf::new_error(ConfigurationError::InvalidPreset, PresetProblem { joinLines(faults) });
-    Preset preset;
-    preset.name = name;
-    const auto limits = sections.find("limits");
-    const auto& limitValues = limits == sections.end() ? PresetSection {} : limits->second;
-    preset.defaultAllowedTime = durationOf(limitValues, "default_allowed_ms", "limits");
-    preset.maximumAllowedTime = durationOf(limitValues, "maximum_allowed_ms", "limits");
-    preset.retryBudget = numberOf(limitValues, "retry_budget", "limits");
+    PresetSectionChanges changes;
     for (const auto& [section, values] : sections)
-        addNamedSection(preset, section, values);
-    std::ranges::sort(preset.promptClasses, {}, &PromptClass::maximumTokens);
-    return preset;
+        changes.emplace(section, values);
+    return changePreset(emptyPreset(name), {}, changes, file);
+}
+
+boost::leaf::result<Preset> changePreset(
+    const Preset& preset, const PresetSections& before, const PresetSectionChanges& changes, std::string_view file)
+{
+    const auto added = sectionsSetBy(changes);
+    auto faults = checkSettings(added, presetSpecifications(), file);
+    if (faults.empty()) {
+        internal::PresetEditor editor { preset, file };
+        for (const auto& [section, values] : changes) {
+            const auto old = before.find(section);
+            if (old != before.end())
+                editor.remove(section, old->second);
+        }
+        for (const auto& [section, values] : added)
+            editor.add(section, values);
+        faults = editor.finish();
+        if (faults.empty())
+            return editor.takePreset();
+    }
+    return boost::leaf::new_error(ConfigurationError::InvalidPreset, PresetProblem { joinLines(faults) });
 }
 
 }
--- /dev/null
+++ b/test/ConfigurationSupport.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+#include <marigoldpaddle/ConfigurationState.h>
+
+namespace marigoldpaddle::testing {
+
+// The seed of randomized tests; MARIGOLD_SEED overrides it. Print it with every failure.
+inline std::uint64_t seedFromEnvironment()
+{
+    const auto* text = std::getenv("MARIGOLD_SEED");
+    return text ? std::strtoull(text, nullptr, 10) : 1;
+}
+
+// A key digest that differs for every number.
+inline std::string digestOf(std::uint64_t number)
+{
+    auto text = std::to_string(number);
+    return std::string(64 - text.size(), '0') + text;
+}
+
+inline PresetSection workspaceSection(std::uint64_t number, std::string weight = "1")
+{
+    return { { "key_sha256", digestOf(number) }, { "weight", std::move(weight) } };
+}
+
+inline ConfigurationChange editOf(
+    std::string id, std::string preset, std::uint64_t basedOn, PresetSectionChanges sections)
+{
+    return { std::move(id), ConfigurationChangeKind::Edit, std::move(preset), basedOn, std::move(sections) };
+}
+
+inline ConfigurationChange useOf(std::string id, std::string preset, std::uint64_t basedOn)
+{
+    return { std::move(id), ConfigurationChangeKind::Use, std::move(preset), basedOn, {} };
+}
+
+inline ConfigurationChange deleteOf(std::string id, std::string preset, std::uint64_t basedOn)
+{
+    return { std::move(id), ConfigurationChangeKind::Delete, std::move(preset), basedOn, {} };
+}
+
+// Applies a change at the next offset.
+inline ChangeVerdict applyNext(ConfigurationState& state, const ConfigurationChange& change)
+{
+    return state.apply(state.nextOffset(), encodeChange(change));
+}
+
+}
