--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -170,6 +170,14 @@
     4: string availabilityZone
 }
 
+// One record of the configuration stream.
+struct ConfigurationRecord {
+    1: i64 offset
+    2: binary data
+}
+
+// The configuration comes as the records from `knownConfigurationOffset` on, or where these are no longer kept, as a
+// snapshot.
 struct ViewAnswer {
     1: i64 version
     2: list<MemberRecord> members
@@ -178,6 +186,22 @@
     5: i64 configurationOffset
     6: optional binary configurationSnapshot
     7: list<TargetMark> leavingTargets
+    8: list<ConfigurationRecord> configurationRecords
+}
+
+// A dispatcher to a peer: what do you have of the configuration from this offset on?
+struct ConfigurationRequest {
+    1: i64 knownOffset
+}
+
+// `offset` is the revision of the sender. Holds the records from the offset asked for on, or where these are no longer
+// kept, a snapshot. The age is that of the newest checkpoint in the log; absent if the sender does not know it.
+struct ConfigurationAnswer {
+    1: i64 offset
+    2: list<ConfigurationRecord> records
+    3: optional binary snapshot
+    4: optional i64 checkpointAsOf
+    5: optional i64 checkpointAgeMs
 }
 
 struct Acknowledgement {
@@ -195,6 +219,8 @@
     8: ViewRequest view
     9: ViewAnswer viewAnswer
     10: Acknowledgement acknowledgement
+    11: ConfigurationRequest configuration
+    12: ConfigurationAnswer configurationAnswer
 }
 
 // `callId` is chosen by the caller and comes back with the answer; 0 marks a one-way message.
