Follow, checkpoint and publish the configuration by pure cores, with their fault rows

CheckpointSchedule lets every instance write a checkpoint, later by rank. ChangePublication appends under one id until the change is read back, and says unknown where it cannot know.

--- /dev/null
+++ b/src/configuration/ChangePublication.cpp
@@ -0,0 +1,117 @@
+#include "configuration/ChangePublication.h"
+
+#include <algorithm>
+
+namespace marigoldpaddle {
+
+namespace {
+
+constexpr std::size_t PageRecords = 1000;
+
+}
+
+std::string_view name(PublicationOutcome outcome)
+{
+    switch (outcome) {
+    case PublicationOutcome::Accepted:
+        return "accepted";
+    case PublicationOutcome::Refused:
+        return "refused";
+    case PublicationOutcome::NotPublished:
+        return "not_published";
+    case PublicationOutcome::Unknown:
+        return "unknown";
+    }
+    return "invalid";
+}
+
+ChangePublication::ChangePublication(
+    ConfigurationState& state, const ConfigurationChange& change, PublicationSettings settings, TimePoint now)
+    : state(state)
+    , id(change.id)
+    , record(encodeChange(change))
+    , settings(settings)
+    , deadline(now + settings.allowedTime)
+    , retryDelay(settings.firstRetryDelay)
+{
+}
+
+PublicationStep ChangePublication::start(TimePoint now)
+{
+    if (this->record.size() > ConfigurationLimits::RecordBytes)
+        return this->giveUp("the change is larger than a record may be");
+    return this->append(now);
+}
+
+PublicationStep ChangePublication::appended(const PlatformResult<std::uint64_t>& result, TimePoint now)
+{
+    const auto isCertainlyAbsent
+        = !result && (result.error() == PlatformError::Unreachable || result.error() == PlatformError::Rejected);
+    if (isCertainlyAbsent)
+        return this->wait(now);
+    this->mayBeInLog = true;
+    this->isReadNext = true;
+    return this->read(now);
+}
+
+PublicationStep ChangePublication::wasRead(const PlatformResult<LogPage>& result, TimePoint now)
+{
+    if (!result && result.error() == PlatformError::Trimmed)
+        return this->giveUp("the log no longer keeps the records to read it back");
+    if (!result)
+        return this->wait(now);
+    for (const auto& each : result.value().records)
+        this->state.apply(each.offset, each.data);
+    if (const auto verdict = this->state.verdictOn(this->id)) {
+        const auto outcome = verdict->isAccepted ? PublicationOutcome::Accepted : PublicationOutcome::Refused;
+        return PublicationResult { outcome, *verdict, {} };
+    }
+    if (this->state.nextOffset() < result.value().next)
+        return this->read(now);
+    this->isReadNext = false; // The whole log was read after the append, and does not have it.
+    return this->wait(now);
+}
+
+PublicationStep ChangePublication::waited(TimePoint now)
+{
+    return this->isReadNext ? this->read(now) : this->append(now);
+}
+
+PublicationStep ChangePublication::append(TimePoint now)
+{
+    if (this->isOver(now))
+        return this->giveUp("the log did not take the change in time");
+    if (this->appends == this->settings.appends)
+        return this->giveUp("the log did not take the change in " + std::to_string(this->appends) + " attempts");
+    ++this->appends;
+    return AppendStep { this->record };
+}
+
+PublicationStep ChangePublication::read(TimePoint now)
+{
+    if (this->isOver(now))
+        return this->giveUp("the change could not be read back in time");
+    return ReadStep { this->state.nextOffset(), PageRecords, this->settings.readWait };
+}
+
+PublicationStep ChangePublication::wait(TimePoint now)
+{
+    if (this->isOver(now))
+        return this->giveUp("the log could not be reached in time");
+    const auto delay = std::min(this->retryDelay, this->deadline - now);
+    this->retryDelay = std::min(this->retryDelay * 2, this->settings.lastRetryDelay);
+    return WaitStep { delay };
+}
+
+PublicationStep ChangePublication::giveUp(std::string_view reason) const
+{
+    const auto outcome = this->mayBeInLog ? PublicationOutcome::Unknown : PublicationOutcome::NotPublished;
+    return PublicationResult { outcome, {}, std::string { reason } };
+}
+
+bool ChangePublication::isOver(TimePoint now) const
+{
+    return now >= this->deadline;
+}
+
+}
--- a/test/ConfigurationSupport.h
+++ b/standins/ConfigurationChanges.h
@@ -1,19 +1,11 @@
 #pragma once
 
 #include <cstdint>
-#include <cstdlib>
 #include <string>
 
 #include <marigoldpaddle/ConfigurationState.h>
 
-namespace marigoldpaddle::testing {
-
-// The seed of randomized tests; MARIGOLD_SEED overrides it. Print it with every failure.
-inline std::uint64_t seedFromEnvironment()
-{
-    const auto* text = std::getenv("MARIGOLD_SEED");
-    return text ? std::strtoull(text, nullptr, 10) : 1;
-}
+namespace marigoldpaddle::standins {
 
 // A key digest that differs for every number.
 inline std::string digestOf(std::uint64_t number)
--- /dev/null
+++ b/standins/ConfigurationWorld.cpp
@@ -0,0 +1,317 @@
+#include "standins/ConfigurationWorld.h"
+
+#include <algorithm>
+
+namespace marigoldpaddle::standins {
+
+namespace {
+
+constexpr Duration PeerDelay = 1ms;
+constexpr Duration GossipPeriod = 1s;
+constexpr Duration ReadTimeout = 3s; // Beyond the wait of a read.
+
+std::string nameOf(std::size_t instance)
+{
+    return std::to_string(instance);
+}
+
+}
+
+ConfigurationWorld::ConfigurationWorld(std::size_t instances, std::uint64_t seed, FollowerSettings settings)
+    : settings(settings)
+    , random(seed)
+    , instances(instances)
+{
+    for (std::size_t i = 0; i < instances; ++i)
+        this->start(i);
+    this->gossip();
+}
+
+void ConfigurationWorld::run(Duration duration)
+{
+    const auto end = this->now + duration;
+    while (!this->events.empty() && this->events.begin()->first <= end) {
+        auto node = this->events.extract(this->events.begin());
+        this->now = std::max(this->now, node.key());
+        node.mapped()();
+    }
+    this->now = end;
+}
+
+void ConfigurationWorld::after(Duration delay, std::function<void()> action)
+{
+    this->events.emplace(this->now + delay, std::move(action));
+}
+
+void ConfigurationWorld::start(std::size_t index)
+{
+    auto& instance = this->instances[index];
+    ++instance.incarnation;
+    instance.follower = std::make_unique<ConfigurationFollower>(this->settings, this->random());
+    instance.wakeAt.reset();
+    this->execute(index, instance.follower->start(this->now));
+    this->tellPeers();
+}
+
+void ConfigurationWorld::kill(std::size_t index)
+{
+    this->instances[index].follower.reset();
+    ++this->instances[index].incarnation;
+    this->tellPeers();
+}
+
+void ConfigurationWorld::tellPeers()
+{
+    for (std::size_t i = 0; i < this->instances.size(); ++i) {
+        std::vector<std::string> peers;
+        for (std::size_t each = 0; each < this->instances.size(); ++each) {
+            if (each != i && this->instances[each].follower)
+                peers.push_back(nameOf(each));
+        }
+        this->deliver(
+            i, this->instances[i].incarnation, [&](auto& follower) { return follower.setPeers(peers, i, this->now); });
+    }
+}
+
+void ConfigurationWorld::gossip()
+{
+    for (std::size_t from = 0; from < this->instances.size(); ++from) {
+        if (!this->instances[from].follower)
+            continue;
+        const auto offset = this->instances[from].follower->state().nextOffset();
+        for (std::size_t to = 0; to < this->instances.size(); ++to) {
+            if (to != from)
+                this->deliver(to, this->instances[to].incarnation,
+                    [&](auto& follower) { return follower.peerReached(nameOf(from), offset, this->now); });
+        }
+    }
+    this->after(GossipPeriod, [this] { this->gossip(); });
+}
+
+void ConfigurationWorld::deliver(std::size_t index, std::uint64_t incarnation, const Event& event)
+{
+    auto& instance = this->instances[index];
+    if (!instance.follower || instance.incarnation != incarnation)
+        return;
+    const auto before = instance.follower->state().nextOffset();
+    auto commands = event(*instance.follower);
+    if (instance.follower->state().nextOffset() < before)
+        this->violations.push_back("offset fell at instance " + nameOf(index));
+    this->execute(index, std::move(commands));
+    this->check(index);
+}
+
+void ConfigurationWorld::check(std::size_t index)
+{
+    auto& instance = this->instances[index];
+    if (!instance.follower || !instance.follower->isReady())
+        return;
+    const auto offset = instance.follower->state().nextOffset();
+    if (offset < instance.highestReady)
+        this->violations.push_back("instance " + nameOf(index) + " is ready at " + std::to_string(offset) + " after "
+            + std::to_string(instance.highestReady));
+    instance.highestReady = std::max(instance.highestReady, offset);
+}
+
+void ConfigurationWorld::execute(std::size_t index, FollowerCommands commands)
+{
+    for (auto& command : commands) {
+        if (const auto* read = std::get_if<ReadLogCommand>(&command))
+            this->readFor(index, *read);
+        else if (const auto* fetch = std::get_if<FetchFromPeerCommand>(&command))
+            this->fetchFor(index, *fetch);
+        else
+            this->appendCheckpoint(index, std::move(std::get<AppendCheckpointCommand>(command).records), 0);
+    }
+    this->wake(index);
+}
+
+void ConfigurationWorld::wake(std::size_t index)
+{
+    auto& instance = this->instances[index];
+    const auto deadline = std::max(instance.follower->nextDeadline(), this->now + 1ms);
+    if (deadline == TimePoint::max()
+        || (instance.wakeAt && *instance.wakeAt <= deadline && *instance.wakeAt > this->now))
+        return;
+    instance.wakeAt = deadline;
+    this->events.emplace(deadline, [this, index, incarnation = instance.incarnation, deadline] {
+        if (this->instances[index].wakeAt == deadline)
+            this->instances[index].wakeAt.reset();
+        this->deliver(index, incarnation, [&](auto& follower) { return follower.advance(this->now); });
+    });
+}
+
+void ConfigurationWorld::readFor(std::size_t index, const ReadLogCommand& command)
+{
+    ++this->logReads;
+    const auto incarnation = this->instances[index].incarnation;
+    const auto delay = this->faults.delay + this->extraDelay[index];
+    this->read(command.offset, command.limit, command.wait, delay, [this, index, incarnation](auto result) {
+        this->deliver(index, incarnation, [&](auto& follower) {
+            return result ? follower.logRead(result.value(), this->now)
+                          : follower.logReadFailed(result.error(), this->now);
+        });
+    });
+}
+
+void ConfigurationWorld::fetchFor(std::size_t index, const FetchFromPeerCommand& command)
+{
+    const auto incarnation = this->instances[index].incarnation;
+    this->after(PeerDelay, [this, index, incarnation, command] {
+        auto& peer = this->instances[std::stoul(command.peer)];
+        if (!peer.follower)
+            return this->deliver(
+                index, incarnation, [&](auto& follower) { return follower.peerFailed(command.peer, this->now); });
+        auto update = peer.follower->updateSince(command.knownOffset, this->now);
+        this->peerBytes += update.snapshot ? update.snapshot->size() : 0;
+        for (const auto& record : update.records)
+            this->peerBytes += record.data.size();
+        this->after(PeerDelay, [this, index, incarnation, command, update = std::move(update)] {
+            this->deliver(index, incarnation,
+                [&](auto& follower) { return follower.peerAnswered(command.peer, update, this->now); });
+        });
+    });
+}
+
+void ConfigurationWorld::appendCheckpoint(std::size_t index, std::vector<std::string> parts, std::size_t next)
+{
+    if (next == parts.size())
+        return;
+    const auto incarnation = this->instances[index].incarnation;
+    const auto part = parts[next];
+    this->append(part, [this, index, incarnation, parts = std::move(parts), next](auto result) mutable {
+        if (!result || this->instances[index].incarnation != incarnation)
+            return;
+        ++this->checkpointRecords;
+        if (this->onCheckpointPart)
+            this->onCheckpointPart(result.value());
+        this->appendCheckpoint(index, std::move(parts), next + 1);
+    });
+}
+
+void ConfigurationWorld::read(std::uint64_t offset, std::size_t limit, Duration wait, Duration delay,
+    std::function<void(PlatformResult<LogPage>)> done)
+{
+    const auto until = this->now + delay + wait;
+    if (delay > ReadTimeout)
+        return this->after(ReadTimeout + wait, [done] { done(PlatformError::NoAnswer); });
+    this->after(delay, [this, offset, limit, until, done = std::move(done)] {
+        this->polls.push_back({ offset, limit, until, done });
+        this->events.emplace(until, [this] { this->answerPolls(); });
+        this->answerPolls();
+    });
+}
+
+void ConfigurationWorld::answerPolls()
+{
+    std::vector<Poll> ready;
+    std::erase_if(this->polls, [&](auto& poll) {
+        const auto isDue = this->faults.isDown || poll.until <= this->now || poll.offset < this->logEnd();
+        if (isDue)
+            ready.push_back(std::move(poll));
+        return isDue;
+    });
+    for (auto& poll : ready)
+        poll.done(this->page(poll.offset, poll.limit));
+}
+
+PlatformResult<LogPage> ConfigurationWorld::page(std::uint64_t offset, std::size_t limit)
+{
+    if (this->faults.isDown)
+        return PlatformError::Rejected;
+    if (offset < this->first)
+        return PlatformError::Trimmed;
+    LogPage page { {}, this->first, this->logEnd() };
+    for (auto each = offset; each < this->logEnd() && page.records.size() < limit; ++each) {
+        page.records.push_back({ each, this->records[each - this->first] });
+        this->logBytes += page.records.back().data.size();
+    }
+    return page;
+}
+
+void ConfigurationWorld::append(std::string record, std::function<void(PlatformResult<std::uint64_t>)> done)
+{
+    this->after(this->faults.delay, [this, record = std::move(record), done = std::move(done)] {
+        if (this->faults.isDown)
+            return done(PlatformError::Rejected);
+        const auto offset = this->logEnd();
+        this->records.push_back(record);
+        this->answerPolls();
+        if (this->faults.lostAppendAnswers > 0) {
+            --this->faults.lostAppendAnswers;
+            return this->after(ReadTimeout, [done] { done(PlatformError::NoAnswer); });
+        }
+        done(offset);
+    });
+}
+
+void ConfigurationWorld::publish(
+    ConfigurationState& author, ConfigurationChange change, std::function<void(PublicationResult)> done)
+{
+    auto publication = std::make_shared<ChangePublication>(author, change, PublicationSettings {}, this->now);
+    this->step(publication, publication->start(this->now), std::move(done));
+}
+
+void ConfigurationWorld::step(
+    std::shared_ptr<ChangePublication> publication, PublicationStep step, std::function<void(PublicationResult)> done)
+{
+    if (const auto* append = std::get_if<AppendStep>(&step)) {
+        this->append(append->record, [this, publication, done](auto result) {
+            this->step(publication, publication->appended(result, this->now), done);
+        });
+    } else if (const auto* read = std::get_if<ReadStep>(&step)) {
+        this->read(read->offset, read->limit, read->wait, this->faults.delay, [this, publication, done](auto result) {
+            this->step(publication, publication->wasRead(result, this->now), done);
+        });
+    } else if (const auto* wait = std::get_if<WaitStep>(&step)) {
+        this->after(
+            wait->delay, [this, publication, done] { this->step(publication, publication->waited(this->now), done); });
+    } else {
+        done(std::get<PublicationResult>(step));
+    }
+}
+
+ConfigurationState ConfigurationWorld::readLog() const
+{
+    ConfigurationState state;
+    for (auto offset = this->first; offset < this->logEnd(); ++offset)
+        state.apply(offset, this->recordAt(offset));
+    return state;
+}
+
+void ConfigurationWorld::trim(std::uint64_t offset)
+{
+    while (this->first < offset && !this->records.empty()) {
+        this->records.pop_front();
+        ++this->first;
+    }
+}
+
+const ConfigurationFollower* ConfigurationWorld::follower(std::size_t instance) const
+{
+    return this->instances[instance].follower.get();
+}
+
+bool ConfigurationWorld::allAgreeAt(std::uint64_t offset) const
+{
+    return std::ranges::all_of(this->instances, [&](const auto& each) {
+        return !each.follower || (each.follower->isReady() && each.follower->state().nextOffset() > offset);
+    });
+}
+
+std::uint64_t ConfigurationWorld::logEnd() const
+{
+    return this->first + this->records.size();
+}
+
+std::uint64_t ConfigurationWorld::logFirst() const
+{
+    return this->first;
+}
+
+const std::string& ConfigurationWorld::recordAt(std::uint64_t offset) const
+{
+    return this->records[offset - this->first];
+}
+
+}
--- /dev/null
+++ b/test/ConfigurationFollower_test.cpp
@@ -0,0 +1,222 @@
+#include "configuration/ConfigurationFollower.h"
+
+#include <gmock/gmock.h>
+
+#include "standins/ConfigurationChanges.h"
+#include "standins/ConfigurationWorld.h"
+
+using namespace marigoldpaddle;
+using namespace marigoldpaddle::standins;
+using ::testing::IsEmpty;
+using ::testing::SizeIs;
+
+namespace {
+
+template <typename Command> std::vector<Command> commandsOf(const FollowerCommands& commands)
+{
+    std::vector<Command> found;
+    for (const auto& each : commands) {
+        if (const auto* command = std::get_if<Command>(&each))
+            found.push_back(*command);
+    }
+    return found;
+}
+
+// A state of `changes` edits with a preset in force.
+ConfigurationState stateOf(std::size_t changes)
+{
+    ConfigurationState state;
+    applyNext(state, editOf("make", "ordinary", 0, { { "workspace a", workspaceSection(1) } }));
+    applyNext(state, useOf("use", "ordinary", 1));
+    for (std::size_t i = state.nextOffset(); i < changes; ++i)
+        applyNext(state, editOf("edit" + std::to_string(i), "ordinary", i, { { "workspace a", workspaceSection(1) } }));
+    return state;
+}
+
+ConfigurationUpdate updateOf(const ConfigurationState& state, bool isCurrent = true)
+{
+    ConfigurationUpdate update;
+    update.offset = state.nextOffset();
+    update.snapshot = state.snapshot();
+    update.isCurrent = isCurrent;
+    return update;
+}
+
+class ConfigurationFollowerTest : public ::testing::Test {
+protected:
+    void startWithoutLog(std::vector<std::string> peers)
+    {
+        this->follower.start(this->now);
+        this->follower.setPeers(std::move(peers), 0, this->now);
+        const auto commands = this->follower.logReadFailed(PlatformError::Unreachable, this->now);
+        this->asked = commandsOf<FetchFromPeerCommand>(commands);
+    }
+
+    TimePoint now { 1h };
+    ConfigurationFollower follower { {}, 1 };
+    std::vector<FetchFromPeerCommand> asked;
+};
+
+TEST_F(ConfigurationFollowerTest, StartWithoutLogTakesTheHighestOfItsPeersAndIsNotReadyBefore)
+{
+    this->startWithoutLog({ "a", "b", "c" });
+    EXPECT_THAT(this->asked, SizeIs(3));
+    this->follower.peerAnswered("a", updateOf(stateOf(5)), this->now);
+    this->follower.peerAnswered("b", updateOf(stateOf(9)), this->now);
+    EXPECT_FALSE(this->follower.isReady());
+    this->follower.peerFailed("c", this->now);
+    EXPECT_TRUE(this->follower.isReady());
+    EXPECT_EQ(this->follower.state().nextOffset(), 9U);
+}
+
+TEST_F(ConfigurationFollowerTest, StartWithoutLogIsNotReadyFromPeersThatNeverWereCurrent)
+{
+    this->startWithoutLog({ "a" });
+    this->follower.peerAnswered("a", updateOf(stateOf(5), false), this->now);
+    EXPECT_FALSE(this->follower.isReady());
+    this->now += 1s;
+    EXPECT_THAT(commandsOf<FetchFromPeerCommand>(this->follower.advance(this->now)), SizeIs(1));
+}
+
+TEST_F(ConfigurationFollowerTest, SilentPeerIsGivenUpAfterItsTimeout)
+{
+    this->startWithoutLog({ "a", "b" });
+    this->follower.peerAnswered("a", updateOf(stateOf(5)), this->now);
+    this->now += FollowerSettings {}.peerTimeout;
+    this->follower.advance(this->now);
+    EXPECT_TRUE(this->follower.isReady());
+}
+
+TEST_F(ConfigurationFollowerTest, OffsetLearntFromAPeerIsFetchedAtOnceAndOnlyOnce)
+{
+    this->follower.start(this->now);
+    EXPECT_THAT(commandsOf<FetchFromPeerCommand>(this->follower.peerReached("a", 7, this->now)), SizeIs(1));
+    EXPECT_THAT(this->follower.peerReached("b", 7, this->now), IsEmpty());
+    this->follower.peerAnswered("a", updateOf(stateOf(7)), this->now);
+    EXPECT_EQ(this->follower.state().nextOffset(), 7U);
+    EXPECT_THAT(this->follower.peerReached("b", 7, this->now), IsEmpty());
+}
+
+TEST_F(ConfigurationFollowerTest, OlderSnapshotAndLateAnswerOfAPeerChangeNothing)
+{
+    this->startWithoutLog({ "a" });
+    this->follower.peerAnswered("a", updateOf(stateOf(9)), this->now);
+    this->follower.peerAnswered("z", updateOf(stateOf(20)), this->now);
+    EXPECT_EQ(this->follower.state().nextOffset(), 9U);
+    this->follower.peerReached("b", 12, this->now);
+    this->follower.peerAnswered("b", updateOf(stateOf(4)), this->now);
+    EXPECT_EQ(this->follower.state().nextOffset(), 9U);
+}
+
+TEST_F(ConfigurationFollowerTest, ReaderALittleBehindGetsRecordsAndOneFarBehindASnapshot)
+{
+    ConfigurationFollower source { {}, 1 };
+    source.start(this->now);
+    LogPage page { {}, 0, 3000 };
+    for (std::uint64_t offset = 0; offset < page.next; ++offset)
+        page.records.push_back({ offset, "damaged" });
+    source.logRead(page, this->now);
+    EXPECT_THAT(source.updateSince(2990, this->now).records, SizeIs(10));
+    EXPECT_FALSE(source.updateSince(2990, this->now).snapshot);
+    EXPECT_TRUE(source.updateSince(10, this->now).snapshot);
+    ConfigurationState reader;
+    EXPECT_TRUE(applyUpdate(reader, source.updateSince(0, this->now)));
+    EXPECT_EQ(reader.nextOffset(), 3000U);
+}
+
+// A stream of edits that is checkpointed and trimmed, as on an ordinary day.
+class ConfigurationCheckpointingTest : public ::testing::Test {
+protected:
+    static constexpr std::size_t Instances = 4;
+
+    static FollowerSettings settings()
+    {
+        FollowerSettings settings;
+        settings.checkpoints.retention = 10min;
+        return settings;
+    }
+
+    void publish(ConfigurationChange change)
+    {
+        this->world.publish(this->author, std::move(change), [](const auto& result) {
+            EXPECT_EQ(result.outcome, PublicationOutcome::Accepted) << result.explanation << result.verdict.explanation;
+        });
+        this->world.run(10s);
+    }
+
+    void editFor(Duration duration)
+    {
+        const auto end = this->world.now + duration;
+        while (this->world.now < end)
+            this->publish(editOf("edit" + std::to_string(++this->edits), "ordinary", this->author.nextOffset(),
+                { { "workspace a", workspaceSection(1, std::to_string(1 + this->edits % 9)) } }));
+    }
+
+    // The offset as of which the last checkpoint of the log was taken.
+    std::uint64_t newestCheckpoint() const
+    {
+        std::uint64_t asOf = 0;
+        for (auto offset = this->world.logFirst(); offset < this->world.logEnd(); ++offset) {
+            if (const auto part = decodeCheckpointPart(this->world.recordAt(offset)))
+                asOf = part->asOf;
+        }
+        return asOf;
+    }
+
+    void SetUp() override
+    {
+        this->publish(editOf("make", "ordinary", 0, { { "workspace a", workspaceSection(1) } }));
+        this->publish(useOf("use", "ordinary", this->author.nextOffset()));
+    }
+
+    ConfigurationWorld world { Instances, 1, settings() };
+    ConfigurationState author;
+    std::size_t edits { 0 };
+};
+
+TEST_F(ConfigurationCheckpointingTest, RestartOfAllInstancesAfterTrimmingStartsFromTheCheckpoint)
+{
+    this->editFor(20min);
+    const auto before = this->world.follower(0)->state().snapshot();
+    this->world.trim(this->newestCheckpoint());
+    ASSERT_GT(this->world.logFirst(), 0U);
+    for (std::size_t i = 0; i < Instances; ++i)
+        this->world.kill(i);
+    for (std::size_t i = 0; i < Instances; ++i)
+        this->world.start(i);
+    this->world.run(3s);
+    for (std::size_t i = 0; i < Instances; ++i) {
+        EXPECT_TRUE(this->world.follower(i)->isReady());
+        EXPECT_EQ(this->world.follower(i)->state().snapshot(), before);
+    }
+    EXPECT_THAT(this->world.violations, IsEmpty());
+}
+
+TEST_F(ConfigurationCheckpointingTest, CheckpointThatTheLogHasPartlyOutrunIsNotUsed)
+{
+    this->editFor(1min);
+    this->world.trim(this->newestCheckpoint() + 2); // The checkpoint and one edit are gone.
+    for (std::size_t i = 0; i < Instances; ++i)
+        this->world.kill(i);
+    this->world.start(0);
+    this->world.run(10s);
+    EXPECT_FALSE(this->world.follower(0)->isReady());
+    EXPECT_TRUE(this->world.follower(0)->isLost());
+}
+
+TEST_F(ConfigurationCheckpointingTest, MostlyOneInstanceWritesAndRestartsDoNotAddCheckpoints)
+{
+    this->editFor(5min);
+    this->world.checkpointRecords = 0;
+    for (int i = 0; i < 12; ++i) {
+        this->world.kill(i % Instances);
+        this->world.run(5s);
+        this->world.start(i % Instances);
+        this->editFor(5min);
+    }
+    // An hour at one checkpoint every four minutes, and the waits by rank.
+    EXPECT_GE(this->world.checkpointRecords, 11U);
+    EXPECT_LE(this->world.checkpointRecords, 18U);
+}
+
+}
--- a/test/ConfigurationState_test.cpp
+++ b/test/ConfigurationState_test.cpp
@@ -4,11 +4,12 @@
 
 #include <gmock/gmock.h>
 
-#include "ConfigurationSupport.h"
+#include "Seed.h"
 #include "configuration/Checkpoint.h"
+#include "standins/ConfigurationChanges.h"
 
 using namespace marigoldpaddle;
-using namespace marigoldpaddle::testing;
+using namespace marigoldpaddle::standins;
 using ::testing::AllOf;
 using ::testing::HasSubstr;
 
@@ -237,7 +238,7 @@
 
 TEST(ConfigurationPathsTest, EveryPathOverRecordsSnapshotsAndCheckpointsEndsInOneState)
 {
-    const auto seed = seedFromEnvironment();
+    const auto seed = marigoldpaddle::testing::seedFromEnvironment();
     SCOPED_TRACE("MARIGOLD_SEED=" + std::to_string(seed));
     RandomStream stream { seed };
     const auto records = stream.draw(3000);
@@ -266,7 +267,7 @@
 
 TEST(ConfigurationRecordsTest, MutatedRecordsAndSnapshotsNeverCrashAndKeepTheStateValid)
 {
-    const auto seed = seedFromEnvironment();
+    const auto seed = marigoldpaddle::testing::seedFromEnvironment();
     SCOPED_TRACE("MARIGOLD_SEED=" + std::to_string(seed));
     RandomStream stream { seed };
     ConfigurationState state;
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -202,6 +202,7 @@
     3: optional binary snapshot
     4: optional i64 checkpointAsOf
     5: optional i64 checkpointAgeMs
+    6: bool current
 }
 
 struct Acknowledgement {
