Add the claim ledger: first claim in log order holds a key

Keys are digests; a record of the claim stream is a checksummed batch. The first claim holds its key until its own release or its expiry stands in the log, so neither a lease nor a clock takes part. Windows are measured by a chain of ticks, each of which counts only the time between two records that were read, so no reader sees a window as over too early. Checkpoints of one shard each carry the ledger past the log's retention.

Ruled out: wall-clock times in records (a fast clock forgets keys early), and a maximum of elapsed times (a paused writer's jump ages claims that it never saw; the test TickOfAPausedWriterDoesNotCountTimeTwice shows the case). Renewals of single claims were dropped for checkpoints of a shard as of an offset: a late reader cannot tell a stale renewal from a live one.

The IDL grows compatibly: key window, mayLand, notSent, omitted body, log records.

--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -99,18 +99,24 @@
     5: string requestId
     6: InstanceRef holder
     7: i64 remainingMs
+    8: i64 keyWindowMs
 }
 
+// `omittedBodyBytes` above 0: the call ran and answered with that many bytes, which are not kept.
 struct CallOutcome {
     1: i32 status
     2: string contentType
     3: binary body
+    4: i64 omittedBodyBytes
 }
 
+// `mayLand` comes with Unavailable: the claim may still appear in the log, so that its gateway has to settle it with
+// `notSent` once it has marked the attempt dead.
 struct ClaimAnswer {
     1: ClaimVerdict verdict
     2: optional CallOutcome outcome
     3: i64 retryAfterMs
+    4: bool mayLand
 }
 
 // Gateway to the owner of an idempotency key: how the claimed call ended.
@@ -121,6 +127,75 @@
     4: string requestId
     5: optional CallOutcome outcome
     6: bool unknown
+    7: bool notSent
+}
+
+// The records of the claim stream. Keys, bodies and request ids are digests of 16 bytes.
+struct ClaimEntryRecord {
+    1: binary key
+    2: binary body
+    3: binary request
+    4: InstanceRef holder
+    5: i64 windowMs
+    6: i64 allowedMs
+}
+
+struct ClaimReferenceRecord {
+    1: binary key
+    2: binary request
+}
+
+struct ClaimOutcomeRecord {
+    1: binary key
+    2: binary request
+    3: optional CallOutcome outcome
+}
+
+// At least `elapsedMs` passed between the record at `anchor` and the record that carries this.
+struct ClaimTickRecord {
+    1: i64 anchor
+    2: i64 elapsedMs
+}
+
+enum ClaimPhase {
+    Claimed = 1
+    Completed = 2
+    Unknown = 3
+}
+
+struct ClaimCheckpointEntryRecord {
+    1: ClaimEntryRecord claim
+    2: i64 claimedAt
+    3: i64 ageMs
+    4: ClaimPhase phase
+    5: optional CallOutcome outcome
+}
+
+struct ClaimReleaseRecord {
+    1: binary request
+    2: i64 releasedAt
+}
+
+// One of `parts` pieces of a shard of the ledger, as it was before the record at `asOf`.
+struct ClaimCheckpointRecord {
+    1: i32 shard
+    2: i64 asOf
+    3: i32 part
+    4: i32 parts
+    5: list<ClaimCheckpointEntryRecord> entries
+    6: list<ClaimReleaseRecord> releases
+    7: i64 id
+}
+
+// Applied in this order: expiries, releases, outcomes, claims, checkpoint.
+struct ClaimBatchRecord {
+    1: i64 readUpTo
+    2: optional ClaimTickRecord tick
+    3: list<ClaimReferenceRecord> expiries
+    4: list<ClaimReferenceRecord> releases
+    5: list<ClaimOutcomeRecord> outcomes
+    6: list<ClaimEntryRecord> claims
+    7: optional ClaimCheckpointRecord checkpoint
 }
 
 struct CellDigestRecord {
