Schedule a cell by predicted cost, slack and fair share

SlackCostScheduler ranks by predicted cost with aging by slack, shares fairly between workspaces of a prompt class, and places each request where its first token is predicted soonest, cached prefix and queue time in one figure.

Interface: PlacementRequest gains prefixBlockTokens (256 by default); CellSchedulerSettings and makeCellScheduler are new.

--- a/include/marigoldpaddle/CellScheduler.h
+++ b/include/marigoldpaddle/CellScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <span>
 #include <string>
 #include <variant>
@@ -23,6 +24,7 @@
     std::uint64_t maximumOutputTokens { 0 };
     TimePoint deadline {};
     std::vector<std::uint64_t> prefixBlocks; // XXH3 of the prompt's prefix at each block boundary, shortest first.
+    std::uint64_t prefixBlockTokens { 256 }; // Tokens between two boundaries.
 };
 
 // The share of a placement that one target carries. The first part of a grant streams the answer.
@@ -118,4 +120,21 @@
     virtual std::vector<PlacementRequest> drainQueue() = 0;
 };
 
+// What the scheduling of a cell may be adjusted by. The defaults suit engines of a few hundred thousand tokens.
+struct CellSchedulerSettings {
+    CellId cell;
+    std::vector<std::uint64_t> classBounds { 8'000, 64'000 }; // Ascending; a class above the last bound takes the rest.
+    double prefillTokensPerSecond { 10'000 }; // Of a target that has not reported yet.
+    Duration tokenGap { std::chrono::milliseconds { 50 } }; // Between output tokens, until answers have been observed.
+    Duration prefillLookahead { std::chrono::milliseconds { 150 } }; // Prefill work handed to a target ahead of need.
+    Duration shortWaitLimit { std::chrono::milliseconds { 1'000 } }; // Queue time beyond which short prompts are shed.
+    double agingFactor { 16 }; // Waiting time, in multiples of its own cost, after which a request goes first.
+    double minimumShortReserve { 0.05 }; // Share of a target's memory that long prompts leave free, at least and
+    double maximumShortReserve { 0.4 }; // at most.
+    std::uint32_t maximumStreams { 64 }; // Requests on one target at a time.
+};
+
+// Makes the scheduler that dispatchers use.
+std::unique_ptr<CellScheduler> makeCellScheduler(const CellSchedulerSettings& settings);
+
 }
--- /dev/null
+++ b/src/dispatch/SlackCostSchedulerPlacement.cpp
@@ -0,0 +1,336 @@
+// The placement of the SlackCostScheduler: which target or span gets a request, and when.
+#include "dispatch/SlackCostScheduler.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <ranges>
+
+namespace marigoldpaddle {
+
+namespace {
+
+constexpr std::size_t HeadsConsidered = 3; // Workspaces of a class that are tried in one decision.
+constexpr std::chrono::seconds GrantLifetime { 2 };
+constexpr double ShortReserveMargin = 1.25; // Memory kept for short prompts, relative to what they use.
+
+}
+
+void SlackCostScheduler::dispatch(TimePoint now, SchedulerCommands& commands)
+{
+    if (this->usableTargets() == 0) {
+        this->refuseAll(RefusalReason::NoTarget, commands);
+        return;
+    }
+    this->reserveForAged(now);
+    if (this->reservation)
+        this->dispatchReserved(now, commands);
+    for (std::size_t promptClass = 0; promptClass < this->classes.size(); ++promptClass)
+        while (this->dispatchOne(promptClass, now, commands))
+            continue;
+}
+
+bool SlackCostScheduler::dispatchOne(std::size_t promptClass, TimePoint now, SchedulerCommands& commands)
+{
+    for (auto* entry : this->classes[promptClass].queue.heads(HeadsConsidered)) {
+        if (auto placement = this->place(*entry, now)) {
+            this->grant(*entry, *placement, now, commands);
+            return true;
+        }
+    }
+    return false;
+}
+
+void SlackCostScheduler::dispatchReserved(TimePoint now, SchedulerCommands& commands)
+{
+    auto& entry = *this->queued.find(this->reservation->id.value)->second;
+    if (auto placement = this->place(entry, now))
+        this->grant(entry, *placement, now, commands);
+}
+
+std::optional<SlackCostScheduler::Placement> SlackCostScheduler::place(const QueuedRequest& entry, TimePoint now)
+{
+    auto width = this->spanWidth(entry.request.promptTokens + entry.request.maximumOutputTokens);
+    if (width == 0)
+        return std::nullopt;
+    if (width == 1)
+        return this->placeOnOne(entry, now);
+    return this->placeOnSpan(entry, width, now);
+}
+
+std::optional<SlackCostScheduler::Placement> SlackCostScheduler::placeOnOne(const QueuedRequest& entry, TimePoint now)
+{
+    const auto& request = entry.request;
+    auto need = request.promptTokens + request.maximumOutputTokens;
+    auto priority = this->priorityOf(entry, now);
+    std::optional<Placement> best;
+    for (auto& [name, target] : this->targets) {
+        auto wait = target.prefillWait(priority);
+        auto allPrefill = target.prefillTime(entry.work);
+        if (wait > this->settings.prefillLookahead + allPrefill || !this->canHold(target, entry, need, now))
+            continue;
+        auto cached = target.prefixes.cachedTokens(request.prefixBlocks, request.prefixBlockTokens);
+        cached = std::min(cached, request.promptTokens);
+        auto saved = target.prefillTime(static_cast<double>(cached));
+        if (wait > this->settings.prefillLookahead + saved)
+            continue;
+        auto firstToken = wait + allPrefill - saved;
+        if (!best || firstToken < best->firstToken)
+            best = Placement { { &target }, cached, priority, firstToken };
+    }
+    return best;
+}
+
+std::optional<SlackCostScheduler::Placement> SlackCostScheduler::placeOnSpan(
+    const QueuedRequest& entry, std::size_t width, TimePoint now)
+{
+    auto tokens = this->partTokens(entry.request, width);
+    auto priority = this->priorityOf(entry, now);
+    std::vector<TargetForecast*> able;
+    for (auto& [name, target] : this->targets)
+        if (this->canHold(target, entry, tokens, now))
+            able.push_back(&target);
+    if (able.size() < width)
+        return std::nullopt;
+    auto wait = [priority](const TargetForecast* target) {
+        return target->prefillWait(priority);
+    };
+    std::ranges::sort(able, {}, wait);
+    able.resize(width);
+    auto firstToken = wait(able.back()) + able.front()->prefillTime(entry.work / static_cast<double>(width));
+    std::ranges::sort(able, {}, [](const TargetForecast* target) { return target->description().name; });
+    return Placement { std::move(able), 0, priority, firstToken };
+}
+
+bool SlackCostScheduler::canHold(
+    const TargetForecast& target, const QueuedRequest& entry, std::uint64_t tokens, TimePoint now) const
+{
+    if (!target.isUsable() || target.streams() >= this->settings.maximumStreams)
+        return false;
+    auto reserve = entry.promptClass == 0 ? 0 : this->shortReserve(target);
+    if (this->unreservedTokens(target, entry, now) < tokens + reserve)
+        return false;
+    return entry.promptClass == 0 || this->mayCarryLong(target);
+}
+
+// Keeps free what short prompts are using on average, and a margin, beyond what they already hold on the target.
+std::uint64_t SlackCostScheduler::shortReserve(const TargetForecast& target) const
+{
+    auto capacity = static_cast<double>(target.capacity());
+    auto wanted = ShortReserveMargin * this->shortMemory / static_cast<double>(this->usableTargets());
+    auto bounded = std::clamp(
+        wanted, capacity * this->settings.minimumShortReserve, capacity * this->settings.maximumShortReserve);
+    auto used = static_cast<double>(target.shortTokens());
+    return static_cast<std::uint64_t>(std::max(bounded - used, 0.0));
+}
+
+// Returns the free memory without what is kept for the waiting reservation, unless the request is expected to be over
+// before the reservation can start.
+std::uint64_t SlackCostScheduler::unreservedTokens(
+    const TargetForecast& target, const QueuedRequest& entry, TimePoint now) const
+{
+    auto free = target.freeTokens();
+    if (!this->reservation || this->reservation->id == entry.request.id)
+        return free;
+    if (!std::ranges::binary_search(this->reservation->targets, target.description().name))
+        return free;
+    auto end = now + this->predictedDuration(entry.request);
+    if (entry.promptClass == 0 && end <= this->reservation->expectedStart)
+        return free;
+    return free - std::min(free, this->reservation->tokensPerTarget);
+}
+
+// A long request whose slack is used up is served like a short one.
+std::size_t SlackCostScheduler::priorityOf(const QueuedRequest& entry, TimePoint now) const
+{
+    auto slack = entry.request.deadline - now;
+    return slack < 2 * this->predictedDuration(entry.request) ? 0 : entry.promptClass;
+}
+
+// Returns the fewest targets whose memory holds the tokens; 0 if all of them do not.
+std::size_t SlackCostScheduler::spanWidth(std::uint64_t tokens) const
+{
+    auto usableShare = 1 - this->settings.minimumShortReserve;
+    std::vector<double> capacities;
+    for (const auto& [name, target] : this->targets)
+        if (target.isUsable())
+            capacities.push_back(usableShare * static_cast<double>(target.capacity()));
+    std::ranges::sort(capacities, std::ranges::greater {});
+    for (std::size_t width = 1; width <= capacities.size(); ++width)
+        if (static_cast<double>(width) * capacities[width - 1] >= static_cast<double>(tokens))
+            return width;
+    return 0;
+}
+
+std::uint64_t SlackCostScheduler::partTokens(const PlacementRequest& request, std::size_t width) const
+{
+    return (request.promptTokens + request.maximumOutputTokens + width - 1) / width;
+}
+
+// Returns the most tokens that a request may need.
+std::uint64_t SlackCostScheduler::longestSpan() const
+{
+    auto usableShare = 1 - this->settings.minimumShortReserve;
+    std::vector<double> capacities;
+    for (const auto& [name, target] : this->targets)
+        if (target.isUsable())
+            capacities.push_back(usableShare * static_cast<double>(target.capacity()));
+    std::ranges::sort(capacities, std::ranges::greater {});
+    double longest = 0;
+    for (std::size_t width = 1; width <= capacities.size(); ++width)
+        longest = std::max(longest, static_cast<double>(width) * capacities[width - 1]);
+    return static_cast<std::uint64_t>(longest);
+}
+
+// Long prefills are kept to as many targets as the demand of short prompts leaves idle, at least to one.
+bool SlackCostScheduler::mayCarryLong(const TargetForecast& target) const
+{
+    if (target.longPrefills() > 0)
+        return true;
+    auto carries = [](const auto& each) {
+        return each.second.longPrefills() > 0;
+    };
+    auto carrying = static_cast<double>(std::ranges::count_if(this->targets, carries));
+    auto shortShare = std::min(1.0, this->shortDemand.tokensPerSecond() / this->totalPrefillRate());
+    auto allowed = std::ceil(static_cast<double>(this->usableTargets()) * (1 - shortShare));
+    return carrying < std::max(1.0, allowed);
+}
+
+void SlackCostScheduler::grant(
+    QueuedRequest& entry, const Placement& placement, TimePoint now, SchedulerCommands& commands)
+{
+    const auto& request = entry.request;
+    auto width = placement.targets.size();
+    auto memory = this->partTokens(request, width);
+    auto prefill = (entry.work - static_cast<double>(placement.cachedTokens)) / static_cast<double>(width);
+    TargetShare share { memory, prefill, placement.priority, entry.promptClass > 0 };
+    GrantedRequest granted;
+    granted.id = request.id;
+    granted.maximumOutputTokens = request.maximumOutputTokens;
+    granted.expectedEnd = now + placement.firstToken + this->tokenGap * request.maximumOutputTokens;
+    granted.forgetAt = request.deadline + ForgetAfterDeadline;
+    Grant grant { request.id, {}, static_cast<int>(placement.priority),
+        std::min(now + GrantLifetime, request.deadline) };
+    for (auto* target : placement.targets) {
+        grant.parts.push_back({ target->description().name, memory });
+        granted.parts.push_back({ target->description().name, share, false });
+        target->prefixes.store(request.prefixBlocks, request.prefixBlockTokens, now);
+    }
+    auto& kept = this->grantedRequests.emplace(request.id.value, std::move(granted)).first->second;
+    this->byForgetAt.emplace(kept.forgetAt, request.id.value);
+    this->count(kept);
+    commands.push_back(std::move(grant));
+    auto& each = this->classes[entry.promptClass];
+    each.drain.served(entry.work);
+    if (entry.promptClass == 0)
+        this->shortDemand.served(prefill);
+    each.queue.serve(entry);
+    this->takeOut(RequestId { request.id });
+}
+
+// Keeps memory for the long request that has waited for its share of slack, on the targets that have room first.
+void SlackCostScheduler::reserveForAged(TimePoint now)
+{
+    if (this->reservation || this->byReserveAt.empty() || this->byReserveAt.begin()->first > now)
+        return;
+    const auto& entry = *this->byReserveAt.begin()->second;
+    auto width = this->spanWidth(entry.request.promptTokens + entry.request.maximumOutputTokens);
+    auto tokens = this->partTokens(entry.request, std::max<std::size_t>(width, 1));
+    std::vector<std::pair<TimePoint, std::string>> byRelease;
+    for (const auto& [name, target] : this->targets)
+        if (target.isUsable())
+            byRelease.emplace_back(this->expectedRelease(name, tokens, now), name);
+    if (width == 0 || byRelease.size() < width)
+        return;
+    std::ranges::sort(byRelease);
+    byRelease.resize(width);
+    this->reservation = Reservation { entry.request.id, {}, tokens, byRelease.back().first };
+    for (auto& [release, name] : byRelease)
+        this->reservation->targets.push_back(std::move(name));
+    std::ranges::sort(this->reservation->targets);
+}
+
+// Returns when grants of the target are expected to have freed enough memory.
+TimePoint SlackCostScheduler::expectedRelease(const std::string& name, std::uint64_t tokens, TimePoint now) const
+{
+    std::vector<std::pair<TimePoint, std::uint64_t>> releases;
+    for (const auto& [id, granted] : this->grantedRequests)
+        for (const auto& part : granted.parts)
+            if (part.isCounted && part.target == name)
+                releases.emplace_back(granted.expectedEnd, part.share.memoryTokens);
+    std::ranges::sort(releases);
+    auto free = this->targets.find(name)->second.freeTokens();
+    auto release = now;
+    for (const auto& [at, freed] : releases) {
+        if (free >= tokens)
+            break;
+        free += freed;
+        release = std::max(release, at);
+    }
+    return release;
+}
+
+void SlackCostScheduler::count(GrantedRequest& granted)
+{
+    for (auto& part : granted.parts) {
+        auto found = this->targets.find(part.target);
+        if (part.isCounted || found == this->targets.end())
+            continue;
+        part.isCounted = true;
+        found->second.add(part.share);
+        if (!granted.isPrefilling)
+            found->second.endPrefill(part.share);
+    }
+}
+
+void SlackCostScheduler::forget(GrantedRequest& granted)
+{
+    for (const auto& part : granted.parts)
+        if (part.isCounted)
+            this->targets.find(part.target)->second.remove(part.share, granted.isPrefilling);
+    this->byForgetAt.erase({ granted.forgetAt, granted.id.value });
+    this->grantedRequests.erase(std::string { granted.id.value });
+}
+
+void SlackCostScheduler::forgetExpired(TimePoint now)
+{
+    while (!this->byForgetAt.empty() && this->byForgetAt.begin()->first <= now)
+        this->forget(this->grantedRequests.find(this->byForgetAt.begin()->second)->second);
+}
+
+// Drops a target with its forecast. Requests that run on other targets too keep what they hold there.
+void SlackCostScheduler::forgetTarget(std::string_view name)
+{
+    auto found = this->targets.find(name);
+    if (found == this->targets.end())
+        return;
+    std::vector<std::string> ended;
+    for (auto& [id, granted] : this->grantedRequests) {
+        std::erase_if(granted.parts, [name](const GrantedPart& part) { return part.target == name; });
+        if (granted.parts.empty())
+            ended.push_back(id);
+    }
+    for (const auto& id : ended)
+        this->forget(this->grantedRequests.find(id)->second);
+    this->targets.erase(found);
+    if (this->reservation && std::ranges::binary_search(this->reservation->targets, name))
+        this->reservation.reset();
+}
+
+std::size_t SlackCostScheduler::usableTargets() const
+{
+    auto isUsable = [](const auto& each) {
+        return each.second.isUsable();
+    };
+    return static_cast<std::size_t>(std::ranges::count_if(this->targets, isUsable));
+}
+
+double SlackCostScheduler::totalPrefillRate() const
+{
+    double total = 0;
+    for (const auto& [name, target] : this->targets)
+        total += target.isUsable() ? target.prefillRate() : 0;
+    return total;
+}
+
+}
--- /dev/null
+++ b/src/dispatch/TargetForecast.cpp
@@ -0,0 +1,154 @@
+#include "dispatch/TargetForecast.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace marigoldpaddle {
+
+namespace {
+
+constexpr std::chrono::seconds MemoryHistory { 6 };
+constexpr std::chrono::milliseconds MemorySamplePeriod { 250 };
+constexpr std::chrono::milliseconds ReportUncertainty { 500 };
+constexpr double RateCorrection = 0.3; // Weight of a new report against earlier ones.
+constexpr double MinimumRate = 100; // Tokens per second.
+
+}
+
+TargetForecast::TargetForecast(double prefillTokensPerSecond)
+    : rate(std::max(prefillTokensPerSecond, MinimumRate))
+{
+}
+
+void TargetForecast::describe(const TargetDescription& description)
+{
+    this->target = description;
+    this->prefixes.setCapacity(description.memoryTokens);
+}
+
+const TargetDescription& TargetForecast::description() const
+{
+    return this->target;
+}
+
+void TargetForecast::advance(TimePoint now)
+{
+    if (now <= this->asOf)
+        return;
+    auto done = this->rate * std::chrono::duration<double>(now - this->asOf).count();
+    for (auto& waiting : this->backlog) {
+        auto step = std::min(waiting, done);
+        waiting -= step;
+        done -= step;
+    }
+    this->asOf = now;
+    this->sampleMemory(now);
+}
+
+void TargetForecast::add(const TargetShare& share)
+{
+    this->granted += share.memoryTokens;
+    this->grantedShort += share.isLong ? 0 : share.memoryTokens;
+    this->backlog[share.priority] += share.prefillTokens;
+    ++this->prefilling[share.priority];
+    this->longPrefillCount += share.isLong ? 1 : 0;
+    ++this->requests;
+    this->sampleMemory(this->asOf);
+}
+
+void TargetForecast::endPrefill(const TargetShare& share)
+{
+    --this->prefilling[share.priority];
+    this->longPrefillCount -= share.isLong ? 1 : 0;
+    if (this->prefilling[share.priority] == 0)
+        this->backlog[share.priority] = 0;
+}
+
+void TargetForecast::remove(const TargetShare& share, bool isPrefilling)
+{
+    if (isPrefilling)
+        this->endPrefill(share);
+    this->granted -= share.memoryTokens;
+    this->grantedShort -= share.isLong ? 0 : share.memoryTokens;
+    --this->requests;
+}
+
+void TargetForecast::report(const LoadReport& report)
+{
+    if (report.memoryTokens > 0)
+        this->target.memoryTokens = report.memoryTokens;
+    if (report.prefillTokensPerSecond > MinimumRate)
+        this->rate += RateCorrection * (report.prefillTokensPerSecond - this->rate);
+    auto explained = this->mostGrantedAround(report.measuredAt);
+    this->unaccounted = report.usedTokens > explained ? report.usedTokens - explained : 0;
+}
+
+Duration TargetForecast::prefillWait(std::size_t priority) const
+{
+    auto end = this->backlog.begin() + static_cast<std::ptrdiff_t>(priority) + 1;
+    return this->prefillTime(std::accumulate(this->backlog.begin(), end, 0.0));
+}
+
+Duration TargetForecast::prefillTime(double tokens) const
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(tokens / this->rate));
+}
+
+bool TargetForecast::isUsable() const
+{
+    return !this->target.isLeaving && this->target.memoryTokens > 0;
+}
+
+std::uint64_t TargetForecast::capacity() const
+{
+    return this->target.memoryTokens;
+}
+
+std::uint64_t TargetForecast::freeTokens() const
+{
+    auto used = this->granted + this->unaccounted;
+    return used < this->target.memoryTokens ? this->target.memoryTokens - used : 0;
+}
+
+std::uint64_t TargetForecast::shortTokens() const
+{
+    return this->grantedShort;
+}
+
+std::uint32_t TargetForecast::streams() const
+{
+    return this->requests;
+}
+
+std::uint32_t TargetForecast::longPrefills() const
+{
+    return this->longPrefillCount;
+}
+
+double TargetForecast::prefillRate() const
+{
+    return this->rate;
+}
+
+void TargetForecast::sampleMemory(TimePoint now)
+{
+    if (!this->samples.empty() && now - this->samples.back().at < MemorySamplePeriod) {
+        this->samples.back().granted = std::max(this->samples.back().granted, this->granted);
+        return;
+    }
+    this->samples.push_back({ now, this->granted });
+    while (now - this->samples.front().at > MemoryHistory)
+        this->samples.pop_front();
+}
+
+// Grants reach the target late and are freed late: any amount granted near the time may have been in use.
+std::uint64_t TargetForecast::mostGrantedAround(TimePoint at) const
+{
+    auto most = this->granted;
+    for (const auto& sample : this->samples)
+        if (sample.at >= at - ReportUncertainty - MemorySamplePeriod)
+            most = std::max(most, sample.granted);
+    return most;
+}
+
+}
