--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -23,11 +23,8 @@
 
 namespace {
 
-constexpr std::chrono::seconds LogWait { 5 };
-constexpr std::chrono::milliseconds LogRetryPause { 200 };
 constexpr std::chrono::milliseconds LoadTimeout { 500 };
 constexpr std::chrono::seconds MaximumViewWait { 5 };
-constexpr std::size_t LogPageRecords = 500;
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusUnavailable = 503;
@@ -114,9 +111,12 @@
     : context(context)
     , clock(clock)
     , settings(std::move(settings))
-    , configurationLog(configurationLog)
     , instanceList(instanceList)
     , client(client)
+    , peerClient(context.get_executor())
+    , configurationPeers(this->peerClient, this->settings.configuration.peerTimeout)
+    , configuration(context, clock, configurationLog, this->configurationPeers, this->metrics,
+          this->settings.configuration, [this] { this->noteChange(); })
     , changed(context, TimePoint::max())
 {
 }
@@ -125,7 +125,7 @@
 
 void Dispatcher::start()
 {
-    asio::co_spawn(this->context, this->followConfiguration(), asio::detached);
+    this->configuration.start();
     asio::co_spawn(this->context, this->followInstanceList(), asio::detached);
     asio::co_spawn(this->context, this->followLoads(), asio::detached);
 }
@@ -140,26 +140,6 @@
     this->noteChange();
 }
 
-asio::awaitable<void> Dispatcher::followConfiguration()
-{
-    while (true) {
-        auto page = co_await this->configurationLog.read(this->configuration.nextOffset(), LogPageRecords, LogWait);
-        if (!page) {
-            const auto label = "error=\"" + std::string { name(page.error()) } + "\"";
-            this->metrics.counter("marigold_configuration_read_failures_total", label).increment();
-            co_await waitFor(this->context, LogRetryPause);
-            continue;
-        }
-        const auto before = this->configuration.nameInForce();
-        for (const auto& record : page.value().records)
-            this->configuration.apply(record.offset, record.data);
-        if (this->configuration.nameInForce() != before)
-            LOG(INFO) << "preset in force: " << this->configuration.nameInForce();
-        if (!page.value().records.empty())
-            this->noteChange();
-    }
-}
-
 asio::awaitable<void> Dispatcher::followInstanceList()
 {
     while (true) {
@@ -182,9 +162,28 @@
     this->targets = std::move(listing.targets);
     this->cells = makeCells(this->targets);
     this->reassignCells();
+    this->tellFollower();
     this->noteChange();
 }
 
+void Dispatcher::tellFollower()
+{
+    const auto isMe = [&](const Member& each) {
+        return each.instance.name == this->settings.instance.name;
+    };
+    std::vector<std::string> peers;
+    for (const auto& each : this->members) {
+        if (!isMe(each) && each.state != MemberState::Dead)
+            peers.push_back(each.dispatcherAddress);
+    }
+    const auto me = std::ranges::find_if(this->members, isMe);
+    this->configuration.setPeers(std::move(peers), static_cast<std::size_t>(me - this->members.begin()));
+    for (const auto& each : this->members) {
+        if (!isMe(each))
+            this->configuration.peerReached(each.dispatcherAddress, each.configurationOffset);
+    }
+}
+
 void Dispatcher::reassignCells()
 {
     std::erase_if(this->ownedCells, [&](auto& entry) {
@@ -249,6 +248,9 @@
         answer.__set_viewAnswer(seen);
     } else if (request.__isset.claim) {
         answer.__set_claimAnswer(this->claim(request.claim));
+    } else if (request.__isset.configuration) {
+        const auto known = static_cast<std::uint64_t>(request.configuration.knownOffset);
+        answer.__set_configurationAnswer(wireFrom(this->configuration.updateSince(known)));
     } else {
         if (request.__isset.progress)
             this->noteProgress(request.progress);
@@ -314,7 +316,7 @@
     co_return this->currentView(static_cast<std::uint64_t>(request.knownConfigurationOffset));
 }
 
-wire::ViewAnswer Dispatcher::currentView(std::uint64_t knownConfigurationOffset) const
+wire::ViewAnswer Dispatcher::currentView(std::uint64_t knownConfigurationOffset)
 {
     wire::ViewAnswer answer;
     answer.version = static_cast<std::int64_t>(this->version);
@@ -341,9 +343,11 @@
         record.availabilityZone = target.availabilityZone;
         answer.services.push_back(std::move(record));
     }
-    answer.configurationOffset = static_cast<std::int64_t>(this->configuration.nextOffset());
-    if (this->configuration.nextOffset() > knownConfigurationOffset)
-        answer.__set_configurationSnapshot(this->configuration.snapshot());
+    const auto update = this->configuration.updateSince(knownConfigurationOffset);
+    answer.configurationOffset = static_cast<std::int64_t>(update.offset);
+    answer.configurationRecords = wireRecordsFrom(update.records);
+    if (update.snapshot)
+        answer.__set_configurationSnapshot(*update.snapshot);
     return answer;
 }
 
@@ -417,7 +421,7 @@
 
 bool Dispatcher::isReady() const
 {
-    return !this->isStopping && this->configuration.presetInForce() && !this->members.empty();
+    return !this->isStopping && this->configuration.isReady() && !this->members.empty();
 }
 
 asio::awaitable<void> Dispatcher::handle(HttpExchange& exchange)
@@ -426,14 +430,15 @@
     HttpResponse response = makeResponse(StatusNotFound, "text/plain", "no such path\n");
     if (target == "/healthz") {
         const auto body = json::serialize(json::object { { "instance", this->settings.instance.name },
-            { "preset", this->configuration.nameInForce() },
-            { "configuration_offset", this->configuration.nextOffset() } });
+            { "preset", this->configuration.state().nameInForce() },
+            { "configuration_offset", this->configuration.state().nextOffset() } });
         response = makeResponse(StatusOk, "application/json", body + "\n");
     } else if (target == "/readyz") {
         response = this->isReady() ? makeResponse(StatusOk, "text/plain", "ready\n")
                                    : makeResponse(StatusUnavailable, "text/plain", "not ready\n");
     } else if (target == "/metrics") {
-        this->metrics.gauge("marigold_configuration_offset").set(static_cast<double>(this->configuration.nextOffset()));
+        this->metrics.gauge("marigold_configuration_offset")
+            .set(static_cast<double>(this->configuration.state().nextOffset()));
         response = makeResponse(StatusOk, "text/plain; version=0.0.4", this->metrics.exposition());
     }
     co_await exchange.respond(std::move(response));
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -19,6 +19,7 @@
 #include "base/HttpClient.h"
 #include "base/HttpServer.h"
 #include "base/Metrics.h"
+#include "configuration/FollowerRuntime.h"
 #include "dispatch/CellMap.h"
 #include "dispatch/OwnedCell.h"
 #include "rpc/RpcServer.h"
@@ -30,6 +31,7 @@
     std::string availabilityZone;
     Duration listPeriod { std::chrono::milliseconds { 500 } };
     Duration loadPeriod { std::chrono::milliseconds { 500 } };
+    FollowerSettings configuration;
 };
 
 // The process that schedules the cells it owns. Answers gateways by RPC and operators by HTTP.
@@ -57,7 +59,6 @@
         std::optional<wire::CallOutcome> outcome;
     };
 
-    boost::asio::awaitable<void> followConfiguration();
     boost::asio::awaitable<void> followInstanceList();
     boost::asio::awaitable<void> followLoads();
     boost::asio::awaitable<void> readLoad(TargetDescription target, CellId cell);
@@ -70,7 +71,8 @@
     void takeListing(InstanceListing listing);
     void reassignCells();
     void noteChange();
-    wire::ViewAnswer currentView(std::uint64_t knownConfigurationOffset) const;
+    wire::ViewAnswer currentView(std::uint64_t knownConfigurationOffset);
+    void tellFollower();
     OwnedCell* owned(const CellId& cell);
     std::string addressOf(std::string_view target) const;
     bool isReady() const;
@@ -78,11 +80,12 @@
     boost::asio::io_context& context;
     const Clock& clock;
     DispatcherSettings settings;
-    PlatformLog& configurationLog;
     InstanceList& instanceList;
     HttpClient& client;
     MetricsRegistry metrics;
-    ConfigurationState configuration;
+    RpcClient peerClient;
+    RpcConfigurationPeers configurationPeers;
+    FollowerRuntime configuration;
     std::vector<Member> members;
     std::vector<TargetDescription> targets;
     CellMap cells;
--- a/src/gateway/GatewayView.cpp
+++ b/src/gateway/GatewayView.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <glog/logging.h>
 
+#include "configuration/ConfigurationPeers.h"
 #include "rpc/Conversions.h"
 
 namespace marigoldpaddle {
@@ -99,10 +100,13 @@
     std::ranges::transform(answer.cells, std::back_inserter(this->knownCells), cellFrom);
     this->knownServices.clear();
     std::ranges::transform(answer.services, std::back_inserter(this->knownServices), serviceFrom);
-    if (!answer.__isset.configurationSnapshot)
-        return;
+    ConfigurationUpdate update;
+    update.records = recordsFrom(answer.configurationRecords);
+    if (answer.__isset.configurationSnapshot)
+        update.snapshot = answer.configurationSnapshot;
     const auto before = this->configuration.nameInForce();
-    if (!this->configuration.restore(answer.configurationSnapshot))
+    applyUpdate(this->configuration, update);
+    if (this->configuration.nextOffset() < static_cast<std::uint64_t>(answer.configurationOffset))
         this->metrics.counter("marigold_gateway_snapshots_refused_total").increment();
     if (this->configuration.nameInForce() != before)
         LOG(INFO) << "preset in force: " << this->configuration.nameInForce();
--- a/src/programs/DispatcherMain.cpp
+++ b/src/programs/DispatcherMain.cpp
@@ -24,6 +24,10 @@
     { "listen", "ports", SettingKind::Text, 0, 0, "-", "file for the bound ports; - for the standard output" },
     { "platform", "address", SettingKind::Address, 0, 0, std::nullopt, "address of the log service and instance list" },
     { "platform", "timeout_ms", SettingKind::Milliseconds, 10, 60'000, "2000", "time for an answer of the platform" },
+    { "log", "retention_ms", SettingKind::Milliseconds, 60'000, 31'536'000'000, "86400000",
+        "how long the log keeps a record" },
+    { "log", "checkpoint_share", SettingKind::Real, 0.05, 0.95, "0.4",
+        "share of the retention after which a checkpoint of the configuration is written again" },
     { "stop", "grace_ms", SettingKind::Milliseconds, 0, 600'000, "1000",
         "time between handing over and exit on a planned stop" },
 };
@@ -49,6 +53,8 @@
     DispatcherSettings settings;
     settings.instance = { values.text("instance", "name"), incarnationFrom(values) };
     settings.availabilityZone = values.text("instance", "zone");
+    settings.configuration.checkpoints.retention = values.milliseconds("log", "retention_ms");
+    settings.configuration.checkpoints.refreshShare = values.real("log", "checkpoint_share");
     Dispatcher dispatcher { context, clock, std::move(settings), log, list, client };
     HttpServer httpServer { context, dispatcher };
     RpcServer rpcServer { context, dispatcher };
