Let the dispatcher take live instances from the membership

Cause: the thin dispatcher took ownership straight from the platform's list, which lags and may be down or wrong, so a dead dispatcher kept its cells until the platform noticed. Now the list only seeds the membership and names targets; members, marks of leaving targets, configuration offsets and digests of cells come by UDP. A dispatcher that was paused beyond 3 s answers 'moved' until its view is confirmed again.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -1,7 +1,9 @@
 #include "dispatch/Dispatcher.h"
 
 #include <algorithm>
+#include <random>
 #include <ranges>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -25,21 +27,11 @@
 
 constexpr std::chrono::milliseconds LoadTimeout { 500 };
 constexpr std::chrono::seconds MaximumViewWait { 5 };
+constexpr std::chrono::seconds DigestPeriod { 2 };
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusUnavailable = 503;
 
-Member memberFrom(const InstanceDescription& instance)
-{
-    Member member;
-    member.instance = { instance.name, instance.incarnation };
-    member.availabilityZone = instance.availabilityZone;
-    member.membershipAddress = instance.membershipAddress;
-    member.dispatcherAddress = instance.dispatcherAddress;
-    member.state = instance.isLeaving ? MemberState::Leaving : MemberState::Alive;
-    return member;
-}
-
 PlacementRequest placementFrom(const wire::AcquireRequest& request, TimePoint now)
 {
     PlacementRequest placement;
@@ -117,15 +109,26 @@
     , configurationPeers(this->peerClient, this->settings.configuration.peerTimeout)
     , configuration(context, clock, configurationLog, this->configurationPeers, this->metrics,
           this->settings.configuration, [this] { this->noteChange(); })
+    , membership(context, clock, this->metrics)
     , changed(context, TimePoint::max())
 {
 }
 
 Dispatcher::~Dispatcher() = default;
 
-void Dispatcher::start()
+std::uint16_t Dispatcher::listenMembership(std::string_view address)
+{
+    return this->membership.bind(address);
+}
+
+void Dispatcher::start(std::string rpcAddress, std::string membershipAddress)
 {
+    Member self { this->settings.instance, this->settings.availabilityZone, std::move(membershipAddress),
+        std::move(rpcAddress), MemberState::Alive, 0, 0 };
+    this->membership.start(std::move(self), *this, std::random_device {}());
+    this->refreshMembers();
     this->configuration.start();
+    asio::co_spawn(this->context, this->publishDigests(), asio::detached);
     asio::co_spawn(this->context, this->followInstanceList(), asio::detached);
     asio::co_spawn(this->context, this->followLoads(), asio::detached);
 }
@@ -137,6 +140,7 @@
     for (auto& [id, cell] : this->ownedCells)
         cell->handOver();
     this->ownedCells.clear();
+    this->membership.leave();
     this->noteChange();
 }
 
@@ -154,18 +158,80 @@
 
 void Dispatcher::takeListing(InstanceListing listing)
 {
-    std::vector<Member> listed;
-    std::ranges::transform(listing.instances, std::back_inserter(listed), memberFrom);
-    if (listed == this->members && listing.targets == this->targets)
+    const auto isLeavingSelf = [this](const InstanceDescription& each) {
+        return each.isLeaving && each.name == this->settings.instance.name
+            && each.incarnation == this->settings.instance.incarnation;
+    };
+    if (std::ranges::any_of(listing.instances, isLeavingSelf))
+        this->membership.leave();
+    this->membership.updateListing(listing.instances);
+    for (const auto& target : listing.targets | std::views::filter(&TargetDescription::isLeaving))
+        this->membership.markTarget({ target.name, target.incarnation, true });
+    const auto before = std::exchange(this->targets, std::move(listing.targets));
+    this->isListRead = true;
+    this->applyMarks();
+    this->refreshMembers();
+    if (this->targets == before)
         return;
-    this->members = std::move(listed);
-    this->targets = std::move(listing.targets);
     this->cells = makeCells(this->targets);
     this->reassignCells();
+    this->noteChange();
+}
+
+void Dispatcher::refreshMembers()
+{
+    auto current = this->membership.membership().membersAndContacts(this->clock.now());
+    if (current == this->members)
+        return;
+    this->members = std::move(current);
+    this->reassignCells();
     this->tellFollower();
     this->noteChange();
 }
 
+void Dispatcher::applyMarks()
+{
+    for (const auto& mark : this->membership.membership().targetMarks())
+        for (auto& target : this->targets)
+            if (target.name == mark.target && target.incarnation <= mark.incarnation && mark.isLeaving)
+                target.isLeaving = true;
+}
+
+void Dispatcher::memberChanged(const Member&)
+{
+    this->refreshMembers();
+}
+
+void Dispatcher::targetMarked(const TargetLeavingMark&)
+{
+    const auto before = this->targets;
+    this->applyMarks();
+    if (this->targets == before)
+        return;
+    this->cells = makeCells(this->targets);
+    this->reassignCells();
+    this->noteChange();
+}
+
+void Dispatcher::configurationOffsetHeard(std::uint64_t offset, const Member& holder)
+{
+    this->configuration.peerReached(holder.dispatcherAddress, offset);
+}
+
+void Dispatcher::superseded(std::uint64_t)
+{
+    this->beginPlannedStop();
+}
+
+asio::awaitable<void> Dispatcher::publishDigests()
+{
+    while (true) {
+        for (const auto& [id, cell] : this->ownedCells)
+            this->membership.publish(cell->digest());
+        co_await waitFor(this->context, DigestPeriod);
+    }
+}
+
 void Dispatcher::tellFollower()
 {
     const auto isMe = [&](const Member& each) {
@@ -269,7 +335,7 @@
 {
     wire::AcquireAnswer answer;
     auto found = this->ownedCells.find(fromWire(request.cell));
-    if (found == this->ownedCells.end()) {
+    if (found == this->ownedCells.end() || this->membership.isStale()) {
         answer.__set_moved(true);
         co_return answer;
     }
@@ -316,22 +382,32 @@
     co_return this->currentView(static_cast<std::uint64_t>(request.knownConfigurationOffset));
 }
 
+std::map<CellId, CellDigest> Dispatcher::knownDigests() const
+{
+    std::map<CellId, CellDigest> digests;
+    for (const auto& report : this->membership.membership().cellReports(this->clock.now()))
+        digests.emplace(report.digest.cell, report.digest);
+    for (const auto& [id, cell] : this->ownedCells)
+        digests.insert_or_assign(id, cell->digest());
+    return digests;
+}
+
 wire::ViewAnswer Dispatcher::currentView(std::uint64_t knownConfigurationOffset)
 {
     wire::ViewAnswer answer;
     answer.version = static_cast<std::int64_t>(this->version);
     std::ranges::transform(
         this->members, std::back_inserter(answer.members), [](const Member& each) { return toWire(each); });
+    const auto digests = this->knownDigests();
     for (const auto& [id, descriptions] : this->cells) {
         const auto* owner = ownerOf(id, this->members);
         if (!owner)
             continue;
-        const auto mine = this->ownedCells.find(id);
         CellDigest digest;
         digest.cell = id;
         digest.liveTargets = static_cast<std::uint32_t>(descriptions.size());
-        answer.cells.push_back(
-            toWire(mine == this->ownedCells.end() ? digest : mine->second->digest(), owner->instance));
+        const auto known = digests.find(id);
+        answer.cells.push_back(toWire(known == digests.end() ? digest : known->second, owner->instance));
     }
     for (const auto& target : this->targets) {
         if (target.kind != TargetKind::Service || target.isLeaving)
@@ -416,12 +492,13 @@
 void Dispatcher::noteChange()
 {
     ++this->version;
+    this->membership.setConfigurationOffset(this->configuration.state().nextOffset());
     this->changed.cancel();
 }
 
 bool Dispatcher::isReady() const
 {
-    return !this->isStopping && this->configuration.isReady() && !this->members.empty();
+    return !this->isStopping && this->configuration.isReady() && this->isListRead;
 }
 
 asio::awaitable<void> Dispatcher::handle(HttpExchange& exchange)
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -22,6 +22,7 @@
 #include "configuration/FollowerRuntime.h"
 #include "dispatch/CellMap.h"
 #include "dispatch/OwnedCell.h"
+#include "membership/MembershipRunner.h"
 #include "rpc/RpcServer.h"
 
 namespace marigoldpaddle {
@@ -35,17 +36,21 @@
 };
 
 // The process that schedules the cells it owns. Answers gateways by RPC and operators by HTTP.
-class Dispatcher final : public RpcHandler, public HttpHandler {
+class Dispatcher final : public RpcHandler, public HttpHandler, private MembershipObserver {
 public:
     // Everything that is passed by reference must outlive the dispatcher.
     Dispatcher(boost::asio::io_context& context, const Clock& clock, DispatcherSettings settings,
         PlatformLog& configurationLog, InstanceList& instanceList, HttpClient& client);
     ~Dispatcher() override;
 
-    // Starts following the log, the instance list and the targets.
-    void start();
+    // Binds the membership to "IP:port", port 0 for any, and returns the bound port. To be called before start().
+    std::uint16_t listenMembership(std::string_view address);
 
-    // Hands every cell over and takes no new requests.
+    // Starts the membership and following the log, the instance list and the targets. The addresses are those at which
+    // others reach this dispatcher.
+    void start(std::string rpcAddress, std::string membershipAddress);
+
+    // Hands every cell over, takes no new requests and tells the other instances.
     void beginPlannedStop();
 
     boost::asio::awaitable<std::optional<wire::Payload>> handle(wire::Payload request) override;
@@ -68,9 +73,20 @@
     void settle(const wire::ClaimSettlement& settlement);
     void noteProgress(const wire::ProgressNotice& notice);
     void noteHoldings(const wire::HoldingsAnnouncement& announcement);
+    // The membership's news.
+    void memberChanged(const Member& member) override;
+    void targetMarked(const TargetLeavingMark& mark) override;
+    void configurationOffsetHeard(std::uint64_t offset, const Member& holder) override;
+    void superseded(std::uint64_t incarnation) override;
+
+    boost::asio::awaitable<void> publishDigests();
     void takeListing(InstanceListing listing);
+    void refreshMembers();
+    void applyMarks();
     void reassignCells();
     void noteChange();
+    // The digests of the own cells, and those heard of others.
+    std::map<CellId, CellDigest> knownDigests() const;
     wire::ViewAnswer currentView(std::uint64_t knownConfigurationOffset);
     void tellFollower();
     OwnedCell* owned(const CellId& cell);
@@ -86,8 +102,10 @@
     RpcClient peerClient;
     RpcConfigurationPeers configurationPeers;
     FollowerRuntime configuration;
-    std::vector<Member> members;
-    std::vector<TargetDescription> targets;
+    MembershipRunner membership;
+    std::vector<Member> members; // Of the own zone, and the contacts of others.
+    std::vector<TargetDescription> targets; // As listed, but leaving if marked so.
+    bool isListRead { false };
     CellMap cells;
     std::map<CellId, std::shared_ptr<OwnedCell>> ownedCells;
     std::map<std::string, Claim> claims;
--- a/src/programs/DispatcherMain.cpp
+++ b/src/programs/DispatcherMain.cpp
@@ -20,6 +20,8 @@
     { "instance", "incarnation", SettingKind::Integer, 0, 9e15, "0",
         "number of this run, higher than any before it; 0 takes the time of the start in milliseconds" },
     { "listen", "rpc", SettingKind::Address, 0, 0, "127.0.0.1:0", "address for gateways and other dispatchers, TCP" },
+    { "listen", "membership", SettingKind::Address, 0, 0, "127.0.0.1:0",
+        "address for the membership of the other instances, UDP" },
     { "listen", "http", SettingKind::Address, 0, 0, "127.0.0.1:0", "address for health and metrics" },
     { "listen", "ports", SettingKind::Text, 0, 0, "-", "file for the bound ports; - for the standard output" },
     { "platform", "address", SettingKind::Address, 0, 0, std::nullopt, "address of the log service and instance list" },
@@ -41,6 +43,12 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
 }
 
+// Returns the address with the port that was bound in place of the configured one.
+std::string withPort(std::string_view address, std::uint16_t port)
+{
+    return splitAddress(address).host + ":" + std::to_string(port);
+}
+
 int run(const Settings& values)
 {
     boost::asio::io_context context { 1 };
@@ -58,12 +66,15 @@
     Dispatcher dispatcher { context, clock, std::move(settings), log, list, client };
     HttpServer httpServer { context, dispatcher };
     RpcServer rpcServer { context, dispatcher };
+    const auto& rpcAddress = values.text("listen", "rpc");
+    const auto& membershipAddress = values.text("listen", "membership");
     const std::pair<std::string, std::uint16_t> ports[] {
-        { "rpc", rpcServer.listen(values.text("listen", "rpc")) },
+        { "rpc", rpcServer.listen(rpcAddress) },
+        { "membership", dispatcher.listenMembership(membershipAddress) },
         { "http", httpServer.listen(values.text("listen", "http")) },
     };
     writePorts(values.text("listen", "ports"), ports);
-    dispatcher.start();
+    dispatcher.start(withPort(rpcAddress, ports[0].second), withPort(membershipAddress, ports[1].second));
     boost::asio::signal_set signals { context, SIGTERM, SIGINT };
     boost::asio::steady_timer grace { context };
     signals.async_wait([&](const boost::system::error_code&, int) {
