Measure the membership at several sizes; keep digests out of gossip

Cause: at 100 nodes in one zone, under the target's load, a node sent 4,331 B/s and received as much, 8.7 of the 12.3 KB/s allowed for all of control. Every change of the configuration starts two rounds of gossip, and each datagram of these carried up to eight digests of cells, which can wait for the next probe. Change: gossip and relayed probes carry marks and members only.

--- /dev/null
+++ b/bench/membership_bench.cpp
@@ -0,0 +1,292 @@
+// Prints what membership costs each node, how fast it detects deaths and how often it errs, at several sizes.
+// Usage: membership_bench [--nodes N] [--zones Z] [--seeds S]; without arguments, the sizes of docs/CAPACITY.md.
+
+#include <sys/resource.h>
+
+#include <cstdio>
+#include <malloc.h>
+#include <map>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+
+#include "membership/MembershipRunner.h"
+#include "standins/MembershipNetwork.h"
+
+using namespace marigoldpaddle;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double UdpHeaderBytes = 28; // IPv4 and UDP.
+constexpr auto SteadyTime = 30s;
+constexpr auto LossTime = 30s;
+constexpr auto DetectionTime = 12s;
+constexpr auto DigestPeriod = 2s;
+constexpr double ChangesPerSecond = 49'000.0 / 86'400; // Of the configuration.
+constexpr double CellsPerNode = 0.6; // 60 cells and 100 instances in a zone.
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+struct Size {
+    int nodes { 0 };
+    int zones { 0 };
+};
+
+struct Totals {
+    double sent { 0 };
+    double received { 0 };
+    std::uint64_t suspicions { 0 };
+    std::uint64_t deaths { 0 };
+};
+
+// One network under the load of the target, driven through steady time, deaths, loss and freezes.
+class Trial {
+public:
+    Trial(const Size& size, std::uint64_t seed)
+        : size(size)
+        , network(seed)
+        , random(seed)
+    {
+        const auto heapBefore = mallinfo2().uordblks;
+        for (int number = 0; number < size.nodes; ++number)
+            this->network.add(this->nameOf(number), "zone-" + std::to_string(number % size.zones));
+        this->network.listAll();
+        this->runLoaded(20s);
+        this->heapPerNode = static_cast<double>(mallinfo2().uordblks - heapBefore) / size.nodes;
+    }
+
+    void steady()
+    {
+        const auto before = this->totals();
+        const auto busyBefore = this->network.timeInMemberships;
+        this->runLoaded(SteadyTime);
+        const auto after = this->totals();
+        const auto nodeSeconds = this->size.nodes * secondsOf(SteadyTime);
+        this->sentPerSecond = (after.sent - before.sent) / nodeSeconds;
+        this->receivedPerSecond = (after.received - before.received) / nodeSeconds;
+        this->corePercent = 100 * secondsOf(this->network.timeInMemberships - busyBefore) / nodeSeconds;
+    }
+
+    // Kills one node in each zone that has three or more, and notes when all others of the zone knew.
+    void deaths()
+    {
+        const auto start = this->network.clock.now();
+        std::vector<std::string> killed;
+        for (int zone = 0; zone < this->size.zones && this->size.nodes / this->size.zones >= 2; ++zone)
+            killed.push_back(this->nameOf(zone));
+        for (const auto& name : killed)
+            this->network.kill(name);
+        this->runLoaded(DetectionTime);
+        std::map<std::string, TimePoint> lastHeard;
+        for (const auto* node : this->network.all())
+            for (const auto& [time, member] : node->changes)
+                if (member.state == MemberState::Dead && time > start)
+                    lastHeard[member.instance.name] = std::max(lastHeard[member.instance.name], time);
+        for (const auto& name : killed)
+            this->detections.push_back(lastHeard.contains(name) ? secondsOf(lastHeard[name] - start) : 1e9);
+    }
+
+    // Returns false suspicions and false deaths for each node and hour under loss.
+    std::pair<double, double> errorsUnderLoss(double loss)
+    {
+        const auto before = this->totals();
+        this->network.loss = loss;
+        this->runLoaded(LossTime);
+        this->network.loss = 0;
+        this->runLoaded(6s); // Suspicions still open are refuted or confirmed.
+        const auto after = this->totals();
+        const auto nodeHours = this->size.nodes * secondsOf(LossTime) / 3600;
+        return { static_cast<double>(after.suspicions - before.suspicions) / nodeHours,
+            static_cast<double>(after.deaths - before.deaths) / nodeHours };
+    }
+
+    // Freezes a tenth of the nodes, at most 20, for 3 s; returns the deaths that were confirmed of them.
+    std::uint64_t deathsAfterFreeze()
+    {
+        const auto before = this->totals();
+        const auto count = std::clamp(this->size.nodes / 10, 1, 20);
+        for (int index = 0; index < count; ++index)
+            this->network.freeze(this->nameOf(this->size.nodes - 1 - index), 3s);
+        this->runLoaded(12s);
+        return this->totals().deaths - before.deaths;
+    }
+
+    double sentPerSecond { 0 };
+    double receivedPerSecond { 0 };
+    double corePercent { 0 };
+    double heapPerNode { 0 };
+    std::vector<double> detections;
+
+private:
+    static std::string nameOf(int number)
+    {
+        return "instance-" + std::to_string(number);
+    }
+
+    Totals totals() const
+    {
+        Totals sum;
+        for (const auto* node : this->network.all()) {
+            const auto& counters = node->membership->counters();
+            sum.sent += static_cast<double>(counters.bytesSent)
+                + UdpHeaderBytes * static_cast<double>(counters.datagramsSent);
+            sum.received += static_cast<double>(counters.bytesReceived)
+                + UdpHeaderBytes * static_cast<double>(counters.datagramsReceived);
+            sum.suspicions += counters.suspicionsRaised;
+            sum.deaths += counters.deathsConfirmed;
+        }
+        return sum;
+    }
+
+    // Runs with digests of the cells and changes of the configuration at the rate of the target.
+    void runLoaded(Duration duration)
+    {
+        constexpr auto Slice = 100ms;
+        for (Duration done {}; done < duration; done += Slice) {
+            const auto now = this->network.clock.now();
+            if (now >= this->nextDigests) {
+                this->publishDigests();
+                this->nextDigests = now + DigestPeriod;
+            }
+            std::bernoulli_distribution isChange { ChangesPerSecond * secondsOf(Slice) };
+            if (isChange(this->random))
+                this->anyNode().membership->setConfigurationOffset(++this->offset, now);
+            for (auto* node : this->network.all())
+                for (const auto& heard : std::exchange(node->offsets, {}))
+                    node->membership->setConfigurationOffset(heard.offset, now);
+            this->network.run(Slice);
+        }
+    }
+
+    void publishDigests()
+    {
+        for (int number = 0; number < static_cast<int>(this->size.nodes * CellsPerNode); ++number) {
+            auto& node = this->network.node(this->nameOf(number));
+            CellDigest digest;
+            digest.cell = { node.membership->self().availabilityZone, "marigold-medium-" + std::to_string(number % 21),
+                static_cast<std::uint32_t>(number) };
+            digest.freeTokens = this->random() % 4'000'000;
+            digest.expectedWait = std::chrono::milliseconds { this->random() % 2000 };
+            if (!node.isDead)
+                node.membership->publish(digest, this->network.clock.now());
+        }
+    }
+
+    MembershipNetwork::Node& anyNode()
+    {
+        const auto& all = this->network.all();
+        return *all[this->random() % all.size()];
+    }
+
+    Size size;
+    MembershipNetwork network;
+    std::mt19937_64 random;
+    TimePoint nextDigests {};
+    std::uint64_t offset { 0 };
+};
+
+void printSize(const Size& size, int seeds)
+{
+    std::vector<double> detections;
+    double sent = 0, received = 0, core = 0, heap = 0;
+    std::pair<double, double> atOne {}, atFive {};
+    std::uint64_t frozenDeaths = 0;
+    for (int seed = 1; seed <= seeds; ++seed) {
+        Trial trial { size, static_cast<std::uint64_t>(seed) };
+        trial.steady();
+        const auto one = trial.errorsUnderLoss(0.01);
+        const auto five = trial.errorsUnderLoss(0.05);
+        frozenDeaths += trial.deathsAfterFreeze();
+        trial.deaths();
+        sent += trial.sentPerSecond / seeds;
+        received += trial.receivedPerSecond / seeds;
+        core += trial.corePercent / seeds;
+        heap += trial.heapPerNode / seeds;
+        atOne = { atOne.first + one.first / seeds, atOne.second + one.second / seeds };
+        atFive = { atFive.first + five.first / seeds, atFive.second + five.second / seeds };
+        std::ranges::copy(trial.detections, std::back_inserter(detections));
+    }
+    std::ranges::sort(detections);
+    const auto median = detections.empty() ? 0 : detections[detections.size() / 2];
+    const auto worst = detections.empty() ? 0 : detections.back();
+    std::printf("%6d %5d %5d %9.0f %9.0f %9.4f %8.0f %7.2f %7.2f %8.2f %7.2f %8.2f %7.2f %7lu\n", size.nodes,
+        size.zones, seeds, sent, received, core, heap / 1024, median, worst, atOne.first, atOne.second, atFive.first,
+        atFive.second, static_cast<unsigned long>(frozenDeaths));
+    std::fflush(stdout);
+}
+
+class Silent final : public MembershipObserver {
+    void memberChanged(const Member&) override { }
+    void targetMarked(const TargetLeavingMark&) override { }
+    void configurationOffsetHeard(std::uint64_t, const Member&) override { }
+    void superseded(std::uint64_t) override { }
+};
+
+double processorSeconds()
+{
+    rusage usage {};
+    getrusage(RUSAGE_SELF, &usage);
+    const auto secondsFrom = [](const timeval& time) {
+        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6;
+    };
+    return secondsFrom(usage.ru_utime) + secondsFrom(usage.ru_stime);
+}
+
+// The whole cost with sockets, timers and metrics: runners of one zone over UDP on loopback, in real time.
+void printSockets(int nodes)
+{
+    boost::asio::io_context context { 1 };
+    SteadyClock clock;
+    Silent observer;
+    std::vector<std::unique_ptr<MetricsRegistry>> metrics;
+    std::vector<std::unique_ptr<MembershipRunner>> runners;
+    std::vector<InstanceDescription> listing;
+    for (int number = 0; number < nodes; ++number) {
+        metrics.push_back(std::make_unique<MetricsRegistry>());
+        runners.push_back(std::make_unique<MembershipRunner>(context, clock, *metrics.back()));
+        const auto name = "instance-" + std::to_string(number);
+        const auto address = "127.0.0.1:" + std::to_string(runners.back()->bind("127.0.0.1:0"));
+        listing.push_back({ name, "zone", "127.0.0.1:1", address, 1, false });
+        Member self { { name, 1 }, "zone", address, "127.0.0.1:1", MemberState::Alive, 0, 0 };
+        runners.back()->start(std::move(self), observer, static_cast<std::uint64_t>(number));
+    }
+    for (auto& runner : runners)
+        runner->updateListing(listing);
+    context.run_for(12s);
+    const auto before = processorSeconds();
+    context.run_for(10s);
+    std::printf("%6d %9.4f\n", nodes, 100 * (processorSeconds() - before) / nodes / 10);
+    std::fflush(stdout);
+}
+
+}
+
+int main(int count, char** arguments)
+{
+    const std::vector<std::string> words { arguments + 1, arguments + count };
+    const auto valueOf = [&](std::string_view option, int fallback) {
+        const auto found = std::ranges::find(words, option);
+        return found == words.end() || found + 1 == words.end() ? fallback : std::atoi((found + 1)->c_str());
+    };
+    std::vector<Size> sizes { { 8, 3 }, { 64, 1 }, { 256, 3 }, { 1100, 11 }, { 25, 1 }, { 50, 1 }, { 100, 1 },
+        { 200, 1 } };
+    if (valueOf("--nodes", 0) > 0)
+        sizes = { { valueOf("--nodes", 0), valueOf("--zones", 1) } };
+    std::printf(
+        "membership, in memory: cost of each node under the target's load; bounds 12,288 B/s and 1.8%% of a core\n");
+    std::printf(
+        " nodes zones seeds  sent B/s recv B/s    core %%  heap KB det p50 det max susp/h1%% dead/h1%% susp/h5%% "
+        "dead/h5%% frozen\n");
+    for (const auto& size : sizes)
+        printSize(size, valueOf("--seeds", size.nodes > 500 ? 2 : 5));
+    if (valueOf("--sockets", 1) == 0)
+        return 0;
+    std::printf("membership over UDP on loopback, with sockets and timers\n nodes    core %%\n");
+    for (const auto nodes : { 8, 32, 100 })
+        printSockets(nodes);
+    return 0;
+}
--- a/src/membership/DatagramWriter.cpp
+++ b/src/membership/DatagramWriter.cpp
@@ -73,10 +73,15 @@
     this->message.joining = isJoining;
 }
 
-void DatagramWriter::addNews()
+void DatagramWriter::addUrgentNews()
 {
     this->addMarks();
     this->addMemberNews();
+}
+
+void DatagramWriter::addNews()
+{
+    this->addUrgentNews();
     this->addZones();
     this->addDigests(this->knowledge.digests.ownNews, OwnDigestsPerDatagram);
     this->addDigests(this->knowledge.digests.foreignNews, ForeignDigestsPerDatagram);
--- a/src/membership/DatagramWriter.h
+++ b/src/membership/DatagramWriter.h
@@ -46,6 +46,9 @@
     // Adds what is news in the own availability zone.
     void addNews();
 
+    // Adds of the news only what cannot wait: marks and changes of members.
+    void addUrgentNews();
+
     // Adds a few members at random, so that one who missed a piece of news hears of it later.
     void addBackground(std::size_t count);
 
--- a/src/membership/MembershipCore.cpp
+++ b/src/membership/MembershipCore.cpp
@@ -112,7 +112,7 @@
         return;
     DatagramWriter writer { this->knowledge, now, wire::MembershipKind::Ping, sequence };
     writer.addRecord(subject);
-    writer.addNews();
+    writer.addUrgentNews();
     this->send(subject.membershipAddress, writer.bytes());
 }
 
@@ -272,7 +272,7 @@
     ++self.revision;
     for (const auto& member : this->knowledge.members.sample(DepartureFanout, {}, this->knowledge.random)) {
         DatagramWriter writer { this->knowledge, now, wire::MembershipKind::Gossip, 0 };
-        writer.addNews();
+        writer.addUrgentNews();
         this->send(member.membershipAddress, writer.bytes());
     }
 }
--- a/src/membership/MembershipTimers.cpp
+++ b/src/membership/MembershipTimers.cpp
@@ -104,7 +104,7 @@
     for (const auto& helper : members.sample(options.indirectProbes, target.instance.name, random)) {
         DatagramWriter writer { this->knowledge, now, wire::MembershipKind::PingRequest, this->probe->sequence };
         writer.setSubject(target);
-        writer.addNews();
+        writer.addUrgentNews();
         this->send(helper.membershipAddress, writer.bytes());
     }
 }
@@ -149,7 +149,7 @@
     this->nextGossip = now + options.gossipPeriod;
     for (const auto& member : this->knowledge.members.sample(options.gossipFanout, {}, this->knowledge.random)) {
         DatagramWriter writer { this->knowledge, now, wire::MembershipKind::Gossip, 0 };
-        writer.addNews();
+        writer.addUrgentNews();
         this->send(member.membershipAddress, writer.bytes());
     }
 }
--- a/standins/MembershipNetwork.h
+++ b/standins/MembershipNetwork.h
@@ -168,6 +168,7 @@
 
     ManualClock clock;
     MembershipOptions options;
+    std::chrono::steady_clock::duration timeInMemberships {}; // Spent in receive() and tick() of all nodes.
     double loss { 0 };
     Duration delay { std::chrono::milliseconds { 1 } };
     // Returns whether datagrams from one address to another are dropped.
@@ -213,7 +214,8 @@
                 continue;
             auto& node = *found->second;
             if (this->canRun(node))
-                this->perform(node, node.membership->receive(flight.bytes, this->clock.now()));
+                this->perform(
+                    node, this->timed([&] { return node.membership->receive(flight.bytes, this->clock.now()); }));
             else
                 waiting.push_back(std::move(flight));
         }
@@ -225,7 +227,15 @@
     {
         for (auto* node : this->order)
             if (this->canRun(*node) && node->membership->nextTick() <= this->clock.now())
-                this->perform(*node, node->membership->tick(this->clock.now()));
+                this->perform(*node, this->timed([&] { return node->membership->tick(this->clock.now()); }));
+    }
+
+    MembershipCommands timed(const std::function<MembershipCommands()>& call)
+    {
+        const auto start = std::chrono::steady_clock::now();
+        auto commands = call();
+        this->timeInMemberships += std::chrono::steady_clock::now() - start;
+        return commands;
     }
 
     void performOne(Node& from, SendDatagram& datagram)
