Steward the engines of owned cells and let the next owner know of hidden grants

Cause: the dispatcher asked engines for their load and did nothing about what nobody owns; with engines that cannot list, the death of gateway and owner together lost the only record of an allocation. What: OwnedCell keeps each target's life and a steward; TargetProber probes and cancels; announcements to a dispatcher that does not own the cell feed a standby steward that the cell takes over with its ownership; a grant on an engine that hides its allocations is told to the next owner in rendezvous order before the gateway hears of it (100 ms at most). Ruled out: telling the next owner of every grant; engines that list need none. Before: an orphaned allocation stayed.

--- a/src/configuration/FollowerRuntime.cpp
+++ b/src/configuration/FollowerRuntime.cpp
@@ -61,8 +61,8 @@
         else if (auto* fetch = std::get_if<FetchFromPeerCommand>(&command))
             asio::co_spawn(this->context, this->fetch(std::move(*fetch)), asio::detached);
         else
-            asio::co_spawn(this->context,
-                this->appendCheckpoint(std::move(std::get<AppendCheckpointCommand>(command))), asio::detached);
+            asio::co_spawn(this->context, this->appendCheckpoint(std::move(std::get<AppendCheckpointCommand>(command))),
+                asio::detached);
     }
     this->armTimer();
     const auto& state = this->follower.state();
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -11,7 +11,6 @@
 #include <boost/json.hpp>
 #include <glog/logging.h>
 
-#include "dispatch/FirstComeScheduler.h"
 #include "membership/Ownership.h"
 #include "rpc/Conversions.h"
 
@@ -25,7 +24,8 @@
 
 constexpr std::chrono::seconds LogWait { 5 };
 constexpr std::chrono::milliseconds LogRetryPause { 200 };
-constexpr std::chrono::milliseconds LoadTimeout { 500 };
+constexpr std::chrono::milliseconds SuccessorTimeout { 100 };
+constexpr std::chrono::seconds GrantNoticeLifetime { 5 };
 constexpr std::chrono::seconds MaximumViewWait { 5 };
 constexpr std::size_t LogPageRecords = 500;
 constexpr unsigned StatusOk = 200;
@@ -73,32 +73,6 @@
     return holding;
 }
 
-std::optional<LoadReport> loadFrom(std::string_view target, const std::string& body, TimePoint now)
-{
-    try {
-        const auto value = json::parse(body);
-        LoadReport report;
-        report.target = target;
-        report.measuredAt = now;
-        report.memoryTokens = json::value_to<std::uint64_t>(value.at("memory_tokens"));
-        report.usedTokens = json::value_to<std::uint64_t>(value.at("used_tokens"));
-        report.running = json::value_to<std::uint32_t>(value.at("running"));
-        report.waiting = json::value_to<std::uint32_t>(value.at("waiting"));
-        report.prefillTokensPerSecond = json::value_to<double>(value.at("prefill_tokens_per_second"));
-        const auto* allocations = value.as_object().if_contains("allocations");
-        if (!allocations)
-            return report;
-        report.allocations.emplace();
-        for (const auto& allocation : allocations->as_array())
-            report.allocations->push_back({ { json::value_to<std::string>(allocation.at("request_id")) },
-                json::value_to<std::uint64_t>(allocation.at("tokens")),
-                std::chrono::milliseconds { json::value_to<std::int64_t>(allocation.at("age_ms")) } });
-        return report;
-    } catch (const std::exception&) {
-        return std::nullopt;
-    }
-}
-
 // Waits for a time; a cancelled wait ends early.
 asio::awaitable<void> waitFor(asio::io_context& context, Duration time)
 {
@@ -117,6 +91,8 @@
     , configurationLog(configurationLog)
     , instanceList(instanceList)
     , client(client)
+    , rpc(context.get_executor())
+    , prober(context, clock, client, this->metrics, this->ownedCells, this->settings.loadPeriod)
     , changed(context, TimePoint::max())
 {
 }
@@ -127,7 +103,7 @@
 {
     asio::co_spawn(this->context, this->followConfiguration(), asio::detached);
     asio::co_spawn(this->context, this->followInstanceList(), asio::detached);
-    asio::co_spawn(this->context, this->followLoads(), asio::detached);
+    this->prober.start();
 }
 
 void Dispatcher::beginPlannedStop()
@@ -176,12 +152,15 @@
 {
     std::vector<Member> listed;
     std::ranges::transform(listing.instances, std::back_inserter(listed), memberFrom);
-    if (listed == this->members && listing.targets == this->targets)
+    if (listed == this->members && listing.targets == this->targets) {
+        this->tellStewards();
         return;
+    }
     this->members = std::move(listed);
     this->targets = std::move(listing.targets);
     this->cells = makeCells(this->targets);
     this->reassignCells();
+    this->tellStewards();
     this->noteChange();
 }
 
@@ -203,41 +182,17 @@
             continue;
         auto& cell = this->ownedCells[id];
         if (!cell) {
-            cell = std::make_shared<OwnedCell>(
-                this->context, this->clock, this->metrics, id, std::make_unique<FirstComeScheduler>());
+            CellSchedulerSettings schedulerSettings;
+            schedulerSettings.cell = id;
+            cell = std::make_shared<OwnedCell>(this->context, this->clock, this->metrics, id,
+                makeCellScheduler(schedulerSettings), std::move(this->standbyStewards[id]));
+            this->standbyStewards.erase(id);
             LOG(INFO) << "owns cell " << ownershipKey(id);
         }
         cell->setTargets(descriptions);
     }
 }
 
-asio::awaitable<void> Dispatcher::followLoads()
-{
-    while (true) {
-        for (const auto& [id, cell] : this->ownedCells) {
-            for (const auto& [name, target] : cell->targets()) {
-                auto reading = this->readLoad(target, id);
-                asio::co_spawn(this->context, std::move(reading), asio::detached);
-            }
-        }
-        co_await waitFor(this->context, this->settings.loadPeriod);
-    }
-}
-
-asio::awaitable<void> Dispatcher::readLoad(TargetDescription target, CellId cell)
-{
-    auto request = makeRequest(http::verb::get, "/v1/load", {});
-    auto answer = co_await this->client.call(target.address, std::move(request), LoadTimeout);
-    auto* owned = this->owned(cell);
-    if (!owned)
-        co_return;
-    const auto report = answer ? loadFrom(target.name, answer.value().body(), this->clock.now()) : std::nullopt;
-    if (report)
-        owned->reportLoad(*report);
-    else
-        this->metrics.counter("marigold_load_report_failures_total").increment();
-}
-
 asio::awaitable<std::optional<wire::Payload>> Dispatcher::handle(wire::Payload request)
 {
     wire::Payload answer;
@@ -277,6 +232,7 @@
     if (!command) {
         answer.__set_moved(true);
     } else if (const auto* grant = std::get_if<Grant>(&*command)) {
+        co_await this->tellSuccessor(cell, *grant, fromWire(request.owner));
         wire::GrantRecord record;
         for (const auto& part : grant->parts) {
             wire::GrantPartRecord wirePart;
@@ -390,11 +346,68 @@
 
 void Dispatcher::noteHoldings(const wire::HoldingsAnnouncement& announcement)
 {
-    auto* cell = this->owned(fromWire(announcement.cell));
-    if (!cell)
+    const auto now = this->clock.now();
+    const auto owner = fromWire(announcement.owner);
+    std::vector<Holding> holdings;
+    std::ranges::transform(announcement.holdings, std::back_inserter(holdings),
+        [&](const wire::HoldingRecord& record) { return holdingFrom(record, owner, now); });
+    const auto id = fromWire(announcement.cell);
+    if (auto* cell = this->owned(id)) {
+        cell->noteHoldings(owner, holdings);
+        return;
+    }
+    if (!this->cells.contains(id))
         return;
-    for (const auto& record : announcement.holdings)
-        cell->adopt(holdingFrom(record, fromWire(announcement.owner), this->clock.now()));
+    auto& steward = this->standbyStewards[id];
+    if (!announcement.isSingleGrant)
+        steward.noteHoldings(owner, holdings, now);
+    else if (!holdings.empty())
+        steward.noteGrant(holdings.front().id, holdings.front().parts, now + GrantNoticeLifetime, now);
+}
+
+// Lets the next owner of the cell know of a grant on engines that cannot list what they hold, before anybody acts on
+// it.
+asio::awaitable<void> Dispatcher::tellSuccessor(std::shared_ptr<OwnedCell> cell, Grant grant, InstanceId owner)
+{
+    const auto hides = [&](const GrantPart& part) {
+        return cell->hidesAllocations(part.target);
+    };
+    if (std::ranges::none_of(grant.parts, hides))
+        co_return;
+    const auto owners = ownersOf(cell->id(), this->members, 2);
+    if (owners.size() < 2)
+        co_return;
+    wire::HoldingRecord record;
+    record.requestId = grant.id.value;
+    std::ranges::transform(grant.parts, std::back_inserter(record.parts), [](const GrantPart& part) {
+        wire::GrantPartRecord wirePart;
+        wirePart.target = part.target;
+        wirePart.tokens = static_cast<std::int64_t>(part.tokens);
+        return wirePart;
+    });
+    wire::HoldingsAnnouncement announcement;
+    announcement.owner = toWire(owner);
+    announcement.cell = toWire(cell->id());
+    announcement.holdings.push_back(std::move(record));
+    announcement.isSingleGrant = true;
+    wire::Payload payload;
+    payload.__set_holdings(announcement);
+    auto address = owners[1]->dispatcherAddress;
+    const auto told = co_await this->rpc.call(std::move(address), std::move(payload), SuccessorTimeout);
+    if (!told)
+        this->metrics.counter("marigold_dispatcher_successor_notices_lost_total").increment();
+}
+
+void Dispatcher::tellStewards()
+{
+    std::vector<InstanceId> alive;
+    for (const auto& member : this->members) {
+        if (member.state != MemberState::Dead)
+            alive.push_back(member.instance);
+    }
+    for (const auto& [id, cell] : this->ownedCells)
+        cell->noteMembers(alive);
+    std::erase_if(this->standbyStewards, [&](const auto& each) { return !this->cells.contains(each.first); });
 }
 
 OwnedCell* Dispatcher::owned(const CellId& cell)
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -21,6 +21,8 @@
 #include "base/Metrics.h"
 #include "dispatch/CellMap.h"
 #include "dispatch/OwnedCell.h"
+#include "dispatch/TargetProber.h"
+#include "rpc/RpcClient.h"
 #include "rpc/RpcServer.h"
 
 namespace marigoldpaddle {
@@ -59,8 +61,8 @@
 
     boost::asio::awaitable<void> followConfiguration();
     boost::asio::awaitable<void> followInstanceList();
-    boost::asio::awaitable<void> followLoads();
-    boost::asio::awaitable<void> readLoad(TargetDescription target, CellId cell);
+    boost::asio::awaitable<void> tellSuccessor(std::shared_ptr<OwnedCell> cell, Grant grant, InstanceId owner);
+    void tellStewards();
     boost::asio::awaitable<wire::AcquireAnswer> acquire(wire::AcquireRequest request);
     boost::asio::awaitable<wire::ViewAnswer> view(wire::ViewRequest request);
     wire::ClaimAnswer claim(const wire::ClaimRequest& request);
@@ -86,7 +88,10 @@
     std::vector<Member> members;
     std::vector<TargetDescription> targets;
     CellMap cells;
-    std::map<CellId, std::shared_ptr<OwnedCell>> ownedCells;
+    OwnedCells ownedCells;
+    std::map<CellId, Steward> standbyStewards; // Of cells that others own, from what gateways and owners announce here.
+    RpcClient rpc;
+    TargetProber prober;
     std::map<std::string, Claim> claims;
     std::uint64_t version { 1 };
     boost::asio::steady_timer changed; // Cancelled whenever the view changes.
--- a/src/dispatch/OwnedCell.cpp
+++ b/src/dispatch/OwnedCell.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <glog/logging.h>
 
 namespace marigoldpaddle {
 
@@ -23,11 +24,12 @@
 };
 
 OwnedCell::OwnedCell(asio::io_context& context, const Clock& clock, MetricsRegistry& metrics, CellId id,
-    std::unique_ptr<CellScheduler> scheduler)
+    std::unique_ptr<CellScheduler> scheduler, Steward steward)
     : clock(clock)
     , metrics(metrics)
     , cell(std::move(id))
     , scheduler(std::move(scheduler))
+    , steward(std::move(steward))
     , timer(context)
 {
 }
@@ -72,19 +74,73 @@
 
 void OwnedCell::finish(const RequestId& id, std::uint64_t outputTokens)
 {
+    this->steward.noteFinished(id);
     this->carryOut(this->scheduler->finish(id, outputTokens, this->clock.now()));
 }
 
-void OwnedCell::adopt(const Holding& holding)
+void OwnedCell::noteHoldings(const InstanceId& owner, std::span<const Holding> holdings)
 {
-    this->carryOut(this->scheduler->adopt(holding, this->clock.now()));
+    this->steward.noteHoldings(owner, holdings, this->clock.now());
+    for (const auto& holding : holdings)
+        this->carryOut(this->scheduler->adopt(holding, this->clock.now()));
 }
 
-void OwnedCell::reportLoad(const LoadReport& report)
+void OwnedCell::noteMembers(std::span<const InstanceId> alive)
 {
+    this->steward.noteMembers(alive, this->clock.now());
+}
+
+void OwnedCell::noteDead(const InstanceId& instance)
+{
+    this->steward.noteDead(instance, this->clock.now());
+}
+
+void OwnedCell::noteReport(const LoadReport& report)
+{
+    const auto life = this->lives.find(report.target);
+    if (life == this->lives.end())
+        return;
+    life->second.hidesAllocations = !report.allocations;
+    this->observe(report.target, TargetEvent::Answered);
+    this->steward.noteReport(report, this->clock.now());
+    const auto label = "target=\"" + report.target + "\"";
+    const auto unaccounted = static_cast<double>(this->steward.unaccountedTokens(report.target));
+    this->metrics.gauge("marigold_steward_unaccounted_tokens", label).set(unaccounted);
     this->carryOut(this->scheduler->reportLoad(report, this->clock.now()));
 }
 
+void OwnedCell::noteMissed(std::string_view target)
+{
+    this->observe(std::string { target }, TargetEvent::Missed);
+}
+
+bool OwnedCell::noteLeaving(std::string_view target)
+{
+    const auto life = this->lives.find(target);
+    if (life == this->lives.end() || life->second.lifecycle.leavingSince() != TimePoint::max())
+        return false;
+    this->observe(life->first, TargetEvent::Leaving);
+    return true;
+}
+
+// Tells the scheduler whether a target takes work, whenever that changes.
+void OwnedCell::observe(const std::string& target, TargetEvent event)
+{
+    const auto life = this->lives.find(target);
+    if (life == this->lives.end() || !life->second.lifecycle.handle(event, this->clock.now()))
+        return;
+    const auto condition = life->second.lifecycle.condition();
+    LOG(INFO) << "target " << target << " is " << name(condition);
+    if (condition == TargetCondition::Gone) {
+        this->steward.forgetTarget(target);
+        this->carryOut(this->scheduler->removeTarget(target, this->clock.now()));
+        return;
+    }
+    auto description = this->descriptions.at(target);
+    description.isLeaving = !life->second.lifecycle.takesWork();
+    this->carryOut(this->scheduler->updateTarget(description, this->clock.now()));
+}
+
 void OwnedCell::setTargets(std::span<const TargetDescription> wanted)
 {
     const auto isWanted = [&](const std::string& name) {
@@ -93,15 +149,24 @@
     std::vector<std::string> removed;
     std::ranges::copy_if(this->descriptions | std::views::keys, std::back_inserter(removed), std::not_fn(isWanted));
     for (const auto& name : removed) {
+        this->observe(name, TargetEvent::Removed);
         this->descriptions.erase(name);
-        this->carryOut(this->scheduler->removeTarget(name, this->clock.now()));
+        this->lives.erase(name);
     }
     for (const auto& description : wanted) {
         auto& known = this->descriptions[description.name];
         if (known == description)
             continue;
+        const auto isNewRun = known.incarnation != description.incarnation || known.address != description.address;
         known = description;
-        this->carryOut(this->scheduler->updateTarget(description, this->clock.now()));
+        if (isNewRun) {
+            this->steward.forgetTarget(description.name);
+            this->lives[description.name] = Target {};
+            this->carryOut(this->scheduler->removeTarget(description.name, this->clock.now()));
+            this->carryOut(this->scheduler->updateTarget(description, this->clock.now()));
+        }
+        if (description.isLeaving)
+            this->observe(description.name, TargetEvent::Leaving);
     }
 }
 
@@ -110,6 +175,25 @@
     return this->descriptions;
 }
 
+std::vector<CancelAllocation> OwnedCell::takeCancels()
+{
+    auto cancels = this->steward.decide(this->clock.now());
+    this->metrics.counter("marigold_steward_cancels_total").increment(cancels.size());
+    return cancels;
+}
+
+void OwnedCell::noteCancelled(const CancelAllocation& cancelled)
+{
+    this->steward.noteCancelled(cancelled);
+    this->carryOut(this->scheduler->finish(cancelled.id, 0, this->clock.now()));
+}
+
+bool OwnedCell::hidesAllocations(std::string_view target) const
+{
+    const auto life = this->lives.find(target);
+    return life != this->lives.end() && life->second.hidesAllocations;
+}
+
 CellDigest OwnedCell::digest() const
 {
     auto digest = this->scheduler->digest(this->clock.now());
@@ -150,6 +234,8 @@
     auto waiting = found->second;
     this->waiting.erase(found);
     this->metrics.histogram("marigold_dispatcher_queue_seconds").record(this->clock.now() - waiting->since);
+    if (const auto* grant = std::get_if<Grant>(&command))
+        this->steward.noteGrant(grant->id, grant->parts, grant->expiry, this->clock.now());
     waiting->answer = command;
     waiting->done.cancel();
 }
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -79,6 +79,7 @@
     1: InstanceRef owner
     2: CellRef cell
     3: list<HoldingRecord> holdings
+    4: bool isSingleGrant // One grant that the owner of the cell has just given, for the next owner to know.
 }
 
 enum ClaimVerdict {
