Merge the membership runtime and the configuration follower

The stewards are told of members while the membership's view is fresh, and of deaths as they are found.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -1,7 +1,9 @@
 #include "dispatch/Dispatcher.h"
 
 #include <algorithm>
+#include <random>
 #include <ranges>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,27 +24,14 @@
 
 namespace {
 
-constexpr std::chrono::seconds LogWait { 5 };
-constexpr std::chrono::milliseconds LogRetryPause { 200 };
 constexpr std::chrono::milliseconds SuccessorTimeout { 100 };
 constexpr std::chrono::seconds GrantNoticeLifetime { 5 };
 constexpr std::chrono::seconds MaximumViewWait { 5 };
-constexpr std::size_t LogPageRecords = 500;
+constexpr std::chrono::seconds DigestPeriod { 2 };
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusUnavailable = 503;
 
-Member memberFrom(const InstanceDescription& instance)
-{
-    Member member;
-    member.instance = { instance.name, instance.incarnation };
-    member.availabilityZone = instance.availabilityZone;
-    member.membershipAddress = instance.membershipAddress;
-    member.dispatcherAddress = instance.dispatcherAddress;
-    member.state = instance.isLeaving ? MemberState::Leaving : MemberState::Alive;
-    return member;
-}
-
 PlacementRequest placementFrom(const wire::AcquireRequest& request, TimePoint now)
 {
     PlacementRequest placement;
@@ -88,10 +77,12 @@
     : context(context)
     , clock(clock)
     , settings(std::move(settings))
-    , configurationLog(configurationLog)
     , instanceList(instanceList)
-    , client(client)
-    , rpc(context.get_executor())
+    , peerClient(context.get_executor())
+    , configurationPeers(this->peerClient, this->settings.configuration.peerTimeout)
+    , configuration(context, clock, configurationLog, this->configurationPeers, this->metrics,
+          this->settings.configuration, [this] { this->noteChange(); })
+    , membership(context, clock, this->metrics)
     , prober(context, clock, client, this->metrics, this->ownedCells, this->settings.loadPeriod)
     , changed(context, TimePoint::max())
 {
@@ -99,9 +90,19 @@
 
 Dispatcher::~Dispatcher() = default;
 
-void Dispatcher::start()
+std::uint16_t Dispatcher::listenMembership(std::string_view address)
+{
+    return this->membership.bind(address);
+}
+
+void Dispatcher::start(std::string rpcAddress, std::string membershipAddress)
 {
-    asio::co_spawn(this->context, this->followConfiguration(), asio::detached);
+    Member self { this->settings.instance, this->settings.availabilityZone, std::move(membershipAddress),
+        std::move(rpcAddress), MemberState::Alive, 0, 0 };
+    this->membership.start(std::move(self), *this, std::random_device {}());
+    this->refreshMembers();
+    this->configuration.start();
+    asio::co_spawn(this->context, this->publishDigests(), asio::detached);
     asio::co_spawn(this->context, this->followInstanceList(), asio::detached);
     this->prober.start();
 }
@@ -113,29 +114,10 @@
     for (auto& [id, cell] : this->ownedCells)
         cell->handOver();
     this->ownedCells.clear();
+    this->membership.leave();
     this->noteChange();
 }
 
-asio::awaitable<void> Dispatcher::followConfiguration()
-{
-    while (true) {
-        auto page = co_await this->configurationLog.read(this->configuration.nextOffset(), LogPageRecords, LogWait);
-        if (!page) {
-            const auto label = "error=\"" + std::string { name(page.error()) } + "\"";
-            this->metrics.counter("marigold_configuration_read_failures_total", label).increment();
-            co_await waitFor(this->context, LogRetryPause);
-            continue;
-        }
-        const auto before = this->configuration.nameInForce();
-        for (const auto& record : page.value().records)
-            this->configuration.apply(record.offset, record.data);
-        if (this->configuration.nameInForce() != before)
-            LOG(INFO) << "preset in force: " << this->configuration.nameInForce();
-        if (!page.value().records.empty())
-            this->noteChange();
-    }
-}
-
 asio::awaitable<void> Dispatcher::followInstanceList()
 {
     while (true) {
@@ -150,20 +132,104 @@
 
 void Dispatcher::takeListing(InstanceListing listing)
 {
-    std::vector<Member> listed;
-    std::ranges::transform(listing.instances, std::back_inserter(listed), memberFrom);
-    if (listed == this->members && listing.targets == this->targets) {
-        this->tellStewards();
+    const auto isLeavingSelf = [this](const InstanceDescription& each) {
+        return each.isLeaving && each.name == this->settings.instance.name
+            && each.incarnation == this->settings.instance.incarnation;
+    };
+    if (std::ranges::any_of(listing.instances, isLeavingSelf))
+        this->membership.leave();
+    this->membership.updateListing(listing.instances);
+    for (const auto& target : listing.targets | std::views::filter(&TargetDescription::isLeaving))
+        this->membership.markTarget({ target.name, target.incarnation, true });
+    const auto before = std::exchange(this->targets, std::move(listing.targets));
+    this->isListRead = true;
+    this->applyMarks();
+    this->refreshMembers();
+    this->tellStewards();
+    if (this->targets == before)
         return;
-    }
-    this->members = std::move(listed);
-    this->targets = std::move(listing.targets);
     this->cells = makeCells(this->targets);
     this->reassignCells();
     this->tellStewards();
     this->noteChange();
 }
 
+void Dispatcher::refreshMembers()
+{
+    auto current = this->membership.membership().membersAndContacts(this->clock.now());
+    if (current == this->members)
+        return;
+    this->members = std::move(current);
+    this->reassignCells();
+    this->tellFollower();
+    this->noteChange();
+}
+
+void Dispatcher::applyMarks()
+{
+    for (const auto& mark : this->membership.membership().targetMarks())
+        for (auto& target : this->targets)
+            if (target.name == mark.target && target.incarnation <= mark.incarnation && mark.isLeaving)
+                target.isLeaving = true;
+}
+
+void Dispatcher::memberChanged(const Member& member)
+{
+    if (member.state == MemberState::Dead) {
+        for (const auto& [id, cell] : this->ownedCells)
+            cell->noteDead(member.instance);
+    }
+    this->refreshMembers();
+}
+
+void Dispatcher::targetMarked(const TargetLeavingMark&)
+{
+    const auto before = this->targets;
+    this->applyMarks();
+    if (this->targets == before)
+        return;
+    this->cells = makeCells(this->targets);
+    this->reassignCells();
+    this->noteChange();
+}
+
+void Dispatcher::configurationOffsetHeard(std::uint64_t offset, const Member& holder)
+{
+    this->configuration.peerReached(holder.dispatcherAddress, offset);
+}
+
+void Dispatcher::superseded(std::uint64_t)
+{
+    this->beginPlannedStop();
+}
+
+asio::awaitable<void> Dispatcher::publishDigests()
+{
+    while (true) {
+        for (const auto& [id, cell] : this->ownedCells)
+            this->membership.publish(cell->digest());
+        co_await waitFor(this->context, DigestPeriod);
+    }
+}
+
+void Dispatcher::tellFollower()
+{
+    const auto isMe = [&](const Member& each) {
+        return each.instance.name == this->settings.instance.name;
+    };
+    std::vector<std::string> peers;
+    for (const auto& each : this->members) {
+        if (!isMe(each) && each.state != MemberState::Dead)
+            peers.push_back(each.dispatcherAddress);
+    }
+    const auto me = std::ranges::find_if(this->members, isMe);
+    this->configuration.setPeers(std::move(peers), static_cast<std::size_t>(me - this->members.begin()));
+    for (const auto& each : this->members) {
+        if (!isMe(each))
+            this->configuration.peerReached(each.dispatcherAddress, each.configurationOffset);
+    }
+}
+
 void Dispatcher::reassignCells()
 {
     std::erase_if(this->ownedCells, [&](auto& entry) {
@@ -204,6 +270,9 @@
         answer.__set_viewAnswer(seen);
     } else if (request.__isset.claim) {
         answer.__set_claimAnswer(this->claim(request.claim));
+    } else if (request.__isset.configuration) {
+        const auto known = static_cast<std::uint64_t>(request.configuration.knownOffset);
+        answer.__set_configurationAnswer(wireFrom(this->configuration.updateSince(known)));
     } else {
         if (request.__isset.progress)
             this->noteProgress(request.progress);
@@ -222,7 +291,7 @@
 {
     wire::AcquireAnswer answer;
     auto found = this->ownedCells.find(fromWire(request.cell));
-    if (found == this->ownedCells.end()) {
+    if (found == this->ownedCells.end() || this->membership.isStale()) {
         answer.__set_moved(true);
         co_return answer;
     }
@@ -270,22 +339,32 @@
     co_return this->currentView(static_cast<std::uint64_t>(request.knownConfigurationOffset));
 }
 
-wire::ViewAnswer Dispatcher::currentView(std::uint64_t knownConfigurationOffset) const
+std::map<CellId, CellDigest> Dispatcher::knownDigests() const
+{
+    std::map<CellId, CellDigest> digests;
+    for (const auto& report : this->membership.membership().cellReports(this->clock.now()))
+        digests.emplace(report.digest.cell, report.digest);
+    for (const auto& [id, cell] : this->ownedCells)
+        digests.insert_or_assign(id, cell->digest());
+    return digests;
+}
+
+wire::ViewAnswer Dispatcher::currentView(std::uint64_t knownConfigurationOffset)
 {
     wire::ViewAnswer answer;
     answer.version = static_cast<std::int64_t>(this->version);
     std::ranges::transform(
         this->members, std::back_inserter(answer.members), [](const Member& each) { return toWire(each); });
+    const auto digests = this->knownDigests();
     for (const auto& [id, descriptions] : this->cells) {
         const auto* owner = ownerOf(id, this->members);
         if (!owner)
             continue;
-        const auto mine = this->ownedCells.find(id);
         CellDigest digest;
         digest.cell = id;
         digest.liveTargets = static_cast<std::uint32_t>(descriptions.size());
-        answer.cells.push_back(
-            toWire(mine == this->ownedCells.end() ? digest : mine->second->digest(), owner->instance));
+        const auto known = digests.find(id);
+        answer.cells.push_back(toWire(known == digests.end() ? digest : known->second, owner->instance));
     }
     for (const auto& target : this->targets) {
         if (target.kind != TargetKind::Service || target.isLeaving)
@@ -297,9 +376,11 @@
         record.availabilityZone = target.availabilityZone;
         answer.services.push_back(std::move(record));
     }
-    answer.configurationOffset = static_cast<std::int64_t>(this->configuration.nextOffset());
-    if (this->configuration.nextOffset() > knownConfigurationOffset)
-        answer.__set_configurationSnapshot(this->configuration.snapshot());
+    const auto update = this->configuration.updateSince(knownConfigurationOffset);
+    answer.configurationOffset = static_cast<std::int64_t>(update.offset);
+    answer.configurationRecords = wireRecordsFrom(update.records);
+    if (update.snapshot)
+        answer.__set_configurationSnapshot(*update.snapshot);
     return answer;
 }
 
@@ -393,13 +474,15 @@
     wire::Payload payload;
     payload.__set_holdings(announcement);
     auto address = owners[1]->dispatcherAddress;
-    const auto told = co_await this->rpc.call(std::move(address), std::move(payload), SuccessorTimeout);
+    const auto told = co_await this->peerClient.call(std::move(address), std::move(payload), SuccessorTimeout);
     if (!told)
         this->metrics.counter("marigold_dispatcher_successor_notices_lost_total").increment();
 }
 
 void Dispatcher::tellStewards()
 {
+    if (this->membership.isStale())
+        return;
     std::vector<InstanceId> alive;
     for (const auto& member : this->members) {
         if (member.state != MemberState::Dead)
@@ -425,12 +508,13 @@
 void Dispatcher::noteChange()
 {
     ++this->version;
+    this->membership.setConfigurationOffset(this->configuration.state().nextOffset());
     this->changed.cancel();
 }
 
 bool Dispatcher::isReady() const
 {
-    return !this->isStopping && this->configuration.presetInForce() && !this->members.empty();
+    return !this->isStopping && this->configuration.isReady() && this->isListRead;
 }
 
 asio::awaitable<void> Dispatcher::handle(HttpExchange& exchange)
@@ -439,14 +523,15 @@
     HttpResponse response = makeResponse(StatusNotFound, "text/plain", "no such path\n");
     if (target == "/healthz") {
         const auto body = json::serialize(json::object { { "instance", this->settings.instance.name },
-            { "preset", this->configuration.nameInForce() },
-            { "configuration_offset", this->configuration.nextOffset() } });
+            { "preset", this->configuration.state().nameInForce() },
+            { "configuration_offset", this->configuration.state().nextOffset() } });
         response = makeResponse(StatusOk, "application/json", body + "\n");
     } else if (target == "/readyz") {
         response = this->isReady() ? makeResponse(StatusOk, "text/plain", "ready\n")
                                    : makeResponse(StatusUnavailable, "text/plain", "not ready\n");
     } else if (target == "/metrics") {
-        this->metrics.gauge("marigold_configuration_offset").set(static_cast<double>(this->configuration.nextOffset()));
+        this->metrics.gauge("marigold_configuration_offset")
+            .set(static_cast<double>(this->configuration.state().nextOffset()));
         response = makeResponse(StatusOk, "text/plain; version=0.0.4", this->metrics.exposition());
     }
     co_await exchange.respond(std::move(response));
