--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -22,7 +22,9 @@
 #include "configuration/FollowerRuntime.h"
 #include "dispatch/CellMap.h"
 #include "dispatch/OwnedCell.h"
+#include "dispatch/TargetProber.h"
 #include "membership/MembershipRunner.h"
+#include "rpc/RpcClient.h"
 #include "rpc/RpcServer.h"
 
 namespace marigoldpaddle {
@@ -65,8 +67,8 @@
     };
 
     boost::asio::awaitable<void> followInstanceList();
-    boost::asio::awaitable<void> followLoads();
-    boost::asio::awaitable<void> readLoad(TargetDescription target, CellId cell);
+    boost::asio::awaitable<void> tellSuccessor(std::shared_ptr<OwnedCell> cell, Grant grant, InstanceId owner);
+    void tellStewards();
     boost::asio::awaitable<wire::AcquireAnswer> acquire(wire::AcquireRequest request);
     boost::asio::awaitable<wire::ViewAnswer> view(wire::ViewRequest request);
     wire::ClaimAnswer claim(const wire::ClaimRequest& request);
@@ -97,7 +99,6 @@
     const Clock& clock;
     DispatcherSettings settings;
     InstanceList& instanceList;
-    HttpClient& client;
     MetricsRegistry metrics;
     RpcClient peerClient;
     RpcConfigurationPeers configurationPeers;
@@ -107,7 +108,9 @@
     std::vector<TargetDescription> targets; // As listed, but leaving if marked so.
     bool isListRead { false };
     CellMap cells;
-    std::map<CellId, std::shared_ptr<OwnedCell>> ownedCells;
+    OwnedCells ownedCells;
+    std::map<CellId, Steward> standbyStewards; // Of cells that others own, from what gateways and owners announce here.
+    TargetProber prober;
     std::map<std::string, Claim> claims;
     std::uint64_t version { 1 };
     boost::asio::steady_timer changed; // Cancelled whenever the view changes.
