--- a/standins/MembershipNetwork.h
+++ b/standins/MembershipNetwork.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <algorithm>
+#include <chrono>
 #include <cstdlib>
+#include <ctime>
 #include <functional>
 #include <map>
 #include <memory>
@@ -168,7 +170,7 @@
 
     ManualClock clock;
     MembershipOptions options;
-    std::chrono::steady_clock::duration timeInMemberships {}; // Spent in receive() and tick() of all nodes.
+    std::chrono::nanoseconds timeInMemberships {}; // Processor time of receive() and tick() of all nodes.
     double loss { 0 };
     Duration delay { std::chrono::milliseconds { 1 } };
     // Returns whether datagrams from one address to another are dropped.
@@ -232,12 +234,20 @@
 
     MembershipCommands timed(const std::function<MembershipCommands()>& call)
     {
-        const auto start = std::chrono::steady_clock::now();
+        const auto start = processorTime();
         auto commands = call();
-        this->timeInMemberships += std::chrono::steady_clock::now() - start;
+        this->timeInMemberships += processorTime() - start;
         return commands;
     }
 
+    // Processor time of this thread, so that a busy machine does not count.
+    static std::chrono::nanoseconds processorTime()
+    {
+        timespec time {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+        return std::chrono::seconds { time.tv_sec } + std::chrono::nanoseconds { time.tv_nsec };
+    }
+
     void performOne(Node& from, SendDatagram& datagram)
     {
         std::uniform_real_distribution<double> chance { 0, 1 };
