--- a/include/marigoldpaddle/ClaimLedger.h
+++ b/include/marigoldpaddle/ClaimLedger.h
@@ -181,6 +181,7 @@
 
     // Whether everything that was ever said about the key and still matters is known. A key must not be judged before.
     bool isComplete(const ClaimDigest& key) const;
+    bool isShardComplete(std::uint32_t shard) const;
     bool isComplete() const;
 
     // Returns a lower bound of the time since the claim was appended.
--- a/src/claims/ClaimCoordinator.cpp
+++ b/src/claims/ClaimCoordinator.cpp
@@ -38,6 +38,7 @@
 {
     this->claims = std::move(ledger);
     this->checkpointParts.clear();
+    this->sawMissingCheckpoint = false;
     for (std::uint32_t shard = 0; shard < ClaimLedger::Shards; ++shard) {
         const auto untilDue = this->options.refreshPeriod * (shard + 1) / ClaimLedger::Shards;
         this->checkpointedAt[shard] = now + untilDue - this->options.refreshPeriod;
@@ -151,8 +152,11 @@
 void ClaimCoordinator::finish(ClaimTicket ticket, wire::ClaimAnswer answer, TimePoint now, ClaimReplies& replies)
 {
     const auto found = this->asks.find(ticket);
-    const auto key = found->second.claim.key;
-    this->deadlines.erase({ found->second.deadline, ticket });
+    const auto& ask = found->second;
+    const auto key = ask.claim.key;
+    const auto isOnItsWay = ask.mayLand || ask.stage == Stage::OnItsWay;
+    answer.mayLand = answer.verdict != wire::ClaimVerdict::Won && isOnItsWay;
+    this->deadlines.erase({ ask.deadline, ticket });
     this->asks.erase(found);
     replies.claims.push_back({ ticket, std::move(answer) });
 
@@ -169,10 +173,8 @@
 
 void ClaimCoordinator::finishUnavailable(ClaimTicket ticket, TimePoint now, ClaimReplies& replies)
 {
-    const auto& ask = this->asks.at(ticket);
-    auto answer = answerOf(wire::ClaimVerdict::Unavailable, std::max(RepeatRetryAfter, this->downUntil - now));
-    answer.mayLand = ask.mayLand || ask.stage == Stage::OnItsWay;
-    this->finish(ticket, std::move(answer), now, replies);
+    const auto retryAfter = std::max(RepeatRetryAfter, this->downUntil - now);
+    this->finish(ticket, answerOf(wire::ClaimVerdict::Unavailable, retryAfter), now, replies);
 }
 
 void ClaimCoordinator::finishCompleted(
@@ -220,12 +222,15 @@
     for (const auto& record : page.records) {
         const auto changes = this->claims.apply(record.offset, record.data, now);
         touched.insert(changes.keys.begin(), changes.keys.end());
-        if (changes.checkpointedShard)
-            this->checkpointedAt.at(*changes.checkpointedShard) = now;
+        if (!changes.checkpointedShard)
+            continue;
+        this->checkpointedAt.at(*changes.checkpointedShard) = now;
+        if (!this->claims.isShardComplete(*changes.checkpointedShard))
+            this->sawMissingCheckpoint = true;
     }
+    this->resolveOutstanding(page.next, now, replies);
     for (const auto& key : touched)
         this->judgeKey(key, now, replies);
-    this->resolveOutstanding(page.next, now, replies);
     return replies;
 }
 
@@ -480,6 +485,11 @@
     this->rank = std::min(rank, MaximumRank);
 }
 
+bool ClaimCoordinator::isReloadDue() const
+{
+    return this->sawMissingCheckpoint;
+}
+
 const ClaimLedger& ClaimCoordinator::ledger() const
 {
     return this->claims;
--- a/src/claims/ClaimCoordinator.h
+++ b/src/claims/ClaimCoordinator.h
@@ -96,6 +96,9 @@
     // in when it does not.
     void setRank(std::size_t rank);
 
+    // Whether the log now holds a checkpoint of a shard that the ledger lacks, so that loading it again is worthwhile.
+    bool isReloadDue() const;
+
     const ClaimLedger& ledger() const;
     std::size_t pending() const;
     bool isDown(TimePoint now) const;
@@ -169,6 +172,7 @@
     TimePoint downUntil {};
     Duration backoff {};
     bool isReadFailing { false };
+    bool sawMissingCheckpoint { false };
     TimePoint livenessAt {};
 };
 
--- a/src/claims/ClaimLedger.cpp
+++ b/src/claims/ClaimLedger.cpp
@@ -270,6 +270,11 @@
     return this->shardFor(key).isComplete;
 }
 
+bool ClaimLedger::isShardComplete(std::uint32_t shard) const
+{
+    return this->shards.at(shard).isComplete;
+}
+
 bool ClaimLedger::isComplete() const
 {
     return std::ranges::all_of(this->shards, &Shard::isComplete);
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -110,8 +110,8 @@
     4: i64 omittedBodyBytes
 }
 
-// `mayLand` comes with Unavailable: the claim may still appear in the log, so that its gateway has to settle it with
-// `notSent` once it has marked the attempt dead.
+// `mayLand` comes with any verdict but Won: the claim may still appear in the log, so that its gateway has to settle it
+// with `notSent`. A gateway that gets no answer, or a late Won, does the same once it has marked the attempt dead.
 struct ClaimAnswer {
     1: ClaimVerdict verdict
     2: optional CallOutcome outcome
