--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -206,6 +206,9 @@
     5: i64 freeTokens
     6: i64 largestSpanTokens
     7: i64 expectedWaitMs
+    8: i64 ageMs
+    9: i64 sequence
+    10: string ownerAddress
 }
 
 enum MemberState {
@@ -222,6 +225,7 @@
     4: string dispatcherAddress
     5: MemberState state
     6: i64 configurationOffset
+    7: i64 revision
 }
 
 struct TargetMark {
@@ -245,6 +249,14 @@
     4: string availabilityZone
 }
 
+// One record of the configuration stream.
+struct ConfigurationRecord {
+    1: i64 offset
+    2: binary data
+}
+
+// The configuration comes as the records from `knownConfigurationOffset` on, or where these are no longer kept, as a
+// snapshot.
 struct ViewAnswer {
     1: i64 version
     2: list<MemberRecord> members
@@ -253,6 +265,23 @@
     5: i64 configurationOffset
     6: optional binary configurationSnapshot
     7: list<TargetMark> leavingTargets
+    8: list<ConfigurationRecord> configurationRecords
+}
+
+// A dispatcher to a peer: what do you have of the configuration from this offset on?
+struct ConfigurationRequest {
+    1: i64 knownOffset
+}
+
+// `offset` is the revision of the sender. Holds the records from the offset asked for on, or where these are no longer
+// kept, a snapshot. The age is that of the newest checkpoint in the log; absent if the sender does not know it.
+struct ConfigurationAnswer {
+    1: i64 offset
+    2: list<ConfigurationRecord> records
+    3: optional binary snapshot
+    4: optional i64 checkpointAsOf
+    5: optional i64 checkpointAgeMs
+    6: bool current
 }
 
 struct Acknowledgement {
@@ -270,6 +299,8 @@
     8: ViewRequest view
     9: ViewAnswer viewAnswer
     10: Acknowledgement acknowledgement
+    11: ConfigurationRequest configuration
+    12: ConfigurationAnswer configurationAnswer
 }
 
 // `callId` is chosen by the caller and comes back with the answer; 0 marks a one-way message.
@@ -282,9 +313,17 @@
     Ping = 1
     Acknowledge = 2
     PingRequest = 3
+    Gossip = 4
+}
+
+// What one availability zone knows of another: a few instances to talk to, and how old that knowledge is.
+struct ZoneDigestRecord {
+    1: string availabilityZone
+    2: i64 ageMs
+    3: list<MemberRecord> contacts
 }
 
-// SWIM probe, its answer, or a request to probe somebody else; updates ride along.
+// SWIM probe, its answer, a request to probe somebody else, or news alone; updates ride along.
 struct MembershipMessage {
     1: MembershipKind kind
     2: i64 sequence
@@ -293,4 +332,7 @@
     5: optional MemberRecord subject
     6: list<TargetMark> targetMarks
     7: i64 configurationOffset
+    8: list<CellDigestRecord> cells
+    9: list<ZoneDigestRecord> zones
+    10: bool joining
 }
