Put the claims runtime into the dispatcher

Replaces the in-memory table. Claims go through the platform's claim stream; instances share its appends (240 of 300 a second, by the number of live ones) and the first by name writes checkpoints and ticks. A holder counts as gone when no listed instance can be it. New setting [claims] log_retention_ms.

--- a/src/claims/ClaimCoordinator.cpp
+++ b/src/claims/ClaimCoordinator.cpp
@@ -26,10 +26,18 @@
 
 }
 
+std::uint64_t checkpointSeedOf(const InstanceId& instance)
+{
+    constexpr unsigned CheckpointBits = 24;
+    const auto digest = claimDigest({ instance.name, std::to_string(instance.incarnation) });
+    return ClaimDigestHash {}(digest) << CheckpointBits;
+}
+
 ClaimCoordinator::ClaimCoordinator(const ClaimCoordinatorOptions& options, const HolderLiveness& liveness)
     : options(options)
     , liveness(liveness)
     , settlements(options.settlementLimit)
+    , appendInterval(1 / options.appendsPerSecond)
     , appendTokens(options.appendBurst)
 {
 }
@@ -441,7 +449,7 @@
     if (this->isAppending || !this->hasWork(now))
         return next;
     const auto isTokenMissing = this->appendTokensAt(now) < 1;
-    const auto tokenAt = isTokenMissing ? this->tokensAt + this->options.appendInterval : now;
+    const auto tokenAt = isTokenMissing ? this->tokensAt + duration_cast<Duration>(this->appendInterval) : now;
     next = std::min(next, std::max(this->downUntil, tokenAt));
     return next;
 }
@@ -465,8 +473,7 @@
 
 double ClaimCoordinator::appendTokensAt(TimePoint now) const
 {
-    const auto interval = std::chrono::duration<double> { this->options.appendInterval };
-    const auto gained = std::chrono::duration<double> { now - this->tokensAt } / interval;
+    const auto gained = std::chrono::duration<double> { now - this->tokensAt } / this->appendInterval;
     return std::min(this->options.appendBurst, this->appendTokens + gained);
 }
 
@@ -480,9 +487,11 @@
     return true;
 }
 
-void ClaimCoordinator::setRank(std::size_t rank)
+void ClaimCoordinator::setRank(std::size_t rank, std::size_t instances)
 {
     this->rank = std::min(rank, MaximumRank);
+    const auto sharing = static_cast<double>(std::max<std::size_t>(instances, 1));
+    this->appendInterval = std::chrono::duration<double> { sharing / this->options.appendsPerSecond };
 }
 
 bool ClaimCoordinator::isReloadDue() const
--- a/src/claims/ClaimCoordinator.h
+++ b/src/claims/ClaimCoordinator.h
@@ -33,7 +33,7 @@
     std::size_t entryLimit { 1'000'000 }; // Keys that the ledger may hold.
     std::size_t batchItems { 1024 };
     std::size_t batchBytes { 256 * 1024 }; // Outcomes and checkpoint parts of one record.
-    Duration appendInterval { std::chrono::milliseconds { 27 } }; // Eight instances share 300 appends a second.
+    double appendsPerSecond { 240 }; // Shared by all instances; the rest of the log's appends is for other streams.
     double appendBurst { 4 };
     Duration tickPeriod { std::chrono::seconds { 30 } };
     Duration settleGrace { std::chrono::seconds { 5 } }; // For a settlement after the end of the allowed time.
@@ -46,6 +46,9 @@
 
 using ClaimTicket = std::uint64_t; // Names one waiting call within this process.
 
+// Returns a number for the checkpoints of one process; it counts on from there.
+std::uint64_t checkpointSeedOf(const InstanceId& instance);
+
 struct ClaimReply {
     ClaimTicket ticket { 0 };
     wire::ClaimAnswer answer;
@@ -92,9 +95,9 @@
     // Returns the earliest time at which `tick` or `nextAppend` may have something to do.
     TimePoint nextTick(TimePoint now) const;
 
-    // Sets this instance's place among the live ones, from 0. The first writes checkpoints and ticks; the others step
-    // in when it does not.
-    void setRank(std::size_t rank);
+    // Sets this instance's place among the live ones, from 0, and their number. The first writes checkpoints and ticks;
+    // the others step in when it does not. All share the log's appends.
+    void setRank(std::size_t rank, std::size_t instances);
 
     // Whether the log now holds a checkpoint of a shard that the ledger lacks, so that loading it again is worthwhile.
     bool isReloadDue() const;
@@ -167,6 +170,7 @@
     std::uint64_t checkpointsMade { 0 };
     std::size_t rank { 0 };
     bool isAppending { false };
+    std::chrono::duration<double> appendInterval;
     double appendTokens { 0 };
     TimePoint tokensAt {};
     TimePoint downUntil {};
--- a/src/claims/ClaimService.cpp
+++ b/src/claims/ClaimService.cpp
@@ -112,9 +112,9 @@
     asio::co_spawn(this->executor, [this]() -> asio::awaitable<void> { co_await this->pace(); }, asio::detached);
 }
 
-void ClaimService::setRank(std::size_t rank)
+void ClaimService::setRank(std::size_t rank, std::size_t instances)
 {
-    this->coordinator.setRank(rank);
+    this->coordinator.setRank(rank, instances);
 }
 
 asio::awaitable<wire::ClaimAnswer> ClaimService::claim(wire::ClaimRequest request)
--- a/src/claims/ClaimService.h
+++ b/src/claims/ClaimService.h
@@ -36,7 +36,7 @@
     boost::asio::awaitable<wire::Acknowledgement> settle(wire::ClaimSettlement settlement);
 
     // See ClaimCoordinator::setRank.
-    void setRank(std::size_t rank);
+    void setRank(std::size_t rank, std::size_t instances);
 
 private:
     // A call that waits for the coordinator's reply.
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -99,6 +99,14 @@
     }
 }
 
+ClaimCoordinatorOptions claimOptions(const DispatcherSettings& settings)
+{
+    ClaimCoordinatorOptions options;
+    options.refreshPeriod = settings.claimRetention * 2 / 5; // The last of the ranks steps in at four fifths.
+    options.checkpointSeed = checkpointSeedOf(settings.instance);
+    return options;
+}
+
 // Waits for a time; a cancelled wait ends early.
 asio::awaitable<void> waitFor(asio::io_context& context, Duration time)
 {
@@ -110,13 +118,14 @@
 }
 
 Dispatcher::Dispatcher(asio::io_context& context, const Clock& clock, DispatcherSettings settings,
-    PlatformLog& configurationLog, InstanceList& instanceList, HttpClient& client)
+    PlatformLog& configurationLog, PlatformLog& claimLog, InstanceList& instanceList, HttpClient& client)
     : context(context)
     , clock(clock)
     , settings(std::move(settings))
     , configurationLog(configurationLog)
     , instanceList(instanceList)
     , client(client)
+    , claims(context.get_executor(), clock, claimLog, *this, claimOptions(this->settings), this->metrics)
     , changed(context, TimePoint::max())
 {
 }
@@ -125,6 +134,7 @@
 
 void Dispatcher::start()
 {
+    this->claims.start();
     asio::co_spawn(this->context, this->followConfiguration(), asio::detached);
     asio::co_spawn(this->context, this->followInstanceList(), asio::detached);
     asio::co_spawn(this->context, this->followLoads(), asio::detached);
@@ -182,6 +192,7 @@
     this->targets = std::move(listing.targets);
     this->cells = makeCells(this->targets);
     this->reassignCells();
+    this->rankClaims();
     this->noteChange();
 }
 
@@ -248,14 +259,16 @@
         auto seen = co_await this->view(std::move(request.view));
         answer.__set_viewAnswer(seen);
     } else if (request.__isset.claim) {
-        answer.__set_claimAnswer(this->claim(request.claim));
+        auto decided = co_await this->claims.claim(std::move(request.claim));
+        answer.__set_claimAnswer(decided);
+    } else if (request.__isset.settle) {
+        auto settled = co_await this->claims.settle(std::move(request.settle));
+        answer.__set_acknowledgement(settled);
     } else {
         if (request.__isset.progress)
             this->noteProgress(request.progress);
         if (request.__isset.holdings)
             this->noteHoldings(request.holdings);
-        if (request.__isset.settle)
-            this->settle(request.settle);
         wire::Acknowledgement acknowledgement;
         acknowledgement.accepted = true;
         answer.__set_acknowledgement(acknowledgement);
@@ -347,31 +360,22 @@
     return answer;
 }
 
-wire::ClaimAnswer Dispatcher::claim(const wire::ClaimRequest& request)
+// An instance that is not listed any more, or was replaced, counts as gone: its claims are then unknown, never free.
+bool Dispatcher::isGone(const InstanceId& holder) const
 {
-    const auto key = request.workspace + "/" + request.serviceName + "/" + request.key;
-    const auto [claim, isNew] = this->claims.try_emplace(key, Claim { request.requestId, request.bodyDigest, {} });
-    wire::ClaimAnswer answer;
-    answer.verdict = wire::ClaimVerdict::Won;
-    if (isNew || claim->second.requestId == request.requestId)
-        return answer;
-    if (claim->second.bodyDigest != request.bodyDigest) {
-        answer.verdict = wire::ClaimVerdict::Mismatch;
-    } else if (claim->second.outcome) {
-        answer.verdict = wire::ClaimVerdict::Repeated;
-        answer.__set_outcome(*claim->second.outcome);
-    } else {
-        answer.verdict = wire::ClaimVerdict::InProgress;
-        answer.retryAfterMs = 1000;
-    }
-    return answer;
+    const auto mayLive = [&](const Member& member) {
+        return member.instance.name == holder.name && member.instance.incarnation <= holder.incarnation
+            && member.state != MemberState::Dead;
+    };
+    return !this->members.empty() && std::ranges::none_of(this->members, mayLive);
 }
 
-void Dispatcher::settle(const wire::ClaimSettlement& settlement)
+void Dispatcher::rankClaims()
 {
-    const auto found = this->claims.find(settlement.workspace + "/" + settlement.serviceName + "/" + settlement.key);
-    if (found != this->claims.end() && found->second.requestId == settlement.requestId && settlement.__isset.outcome)
-        found->second.outcome = settlement.outcome;
+    const auto rank = std::ranges::count_if(this->members,
+        [this](const Member& member) { return canOwn(member) && member.instance.name < this->settings.instance.name; });
+    const auto live = std::ranges::count_if(this->members, canOwn);
+    this->claims.setRank(static_cast<std::size_t>(rank), static_cast<std::size_t>(live));
 }
 
 void Dispatcher::noteProgress(const wire::ProgressNotice& notice)
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -19,6 +19,7 @@
 #include "base/HttpClient.h"
 #include "base/HttpServer.h"
 #include "base/Metrics.h"
+#include "claims/ClaimService.h"
 #include "dispatch/CellMap.h"
 #include "dispatch/OwnedCell.h"
 #include "rpc/RpcServer.h"
@@ -30,14 +31,15 @@
     std::string availabilityZone;
     Duration listPeriod { std::chrono::milliseconds { 500 } };
     Duration loadPeriod { std::chrono::milliseconds { 500 } };
+    Duration claimRetention { std::chrono::hours { 1 } }; // How long the platform keeps records of the claim stream.
 };
 
 // The process that schedules the cells it owns. Answers gateways by RPC and operators by HTTP.
-class Dispatcher final : public RpcHandler, public HttpHandler {
+class Dispatcher final : public RpcHandler, public HttpHandler, private HolderLiveness {
 public:
     // Everything that is passed by reference must outlive the dispatcher.
     Dispatcher(boost::asio::io_context& context, const Clock& clock, DispatcherSettings settings,
-        PlatformLog& configurationLog, InstanceList& instanceList, HttpClient& client);
+        PlatformLog& configurationLog, PlatformLog& claimLog, InstanceList& instanceList, HttpClient& client);
     ~Dispatcher() override;
 
     // Starts following the log, the instance list and the targets.
@@ -51,20 +53,14 @@
     HttpResponse describeFault(HttpFault fault) override;
 
 private:
-    struct Claim {
-        std::string requestId;
-        std::string bodyDigest;
-        std::optional<wire::CallOutcome> outcome;
-    };
-
     boost::asio::awaitable<void> followConfiguration();
     boost::asio::awaitable<void> followInstanceList();
     boost::asio::awaitable<void> followLoads();
     boost::asio::awaitable<void> readLoad(TargetDescription target, CellId cell);
     boost::asio::awaitable<wire::AcquireAnswer> acquire(wire::AcquireRequest request);
     boost::asio::awaitable<wire::ViewAnswer> view(wire::ViewRequest request);
-    wire::ClaimAnswer claim(const wire::ClaimRequest& request);
-    void settle(const wire::ClaimSettlement& settlement);
+    bool isGone(const InstanceId& holder) const override;
+    void rankClaims();
     void noteProgress(const wire::ProgressNotice& notice);
     void noteHoldings(const wire::HoldingsAnnouncement& announcement);
     void takeListing(InstanceListing listing);
@@ -87,7 +83,7 @@
     std::vector<TargetDescription> targets;
     CellMap cells;
     std::map<CellId, std::shared_ptr<OwnedCell>> ownedCells;
-    std::map<std::string, Claim> claims;
+    ClaimService claims;
     std::uint64_t version { 1 };
     boost::asio::steady_timer changed; // Cancelled whenever the view changes.
     bool isStopping { false };
--- a/src/programs/DispatcherMain.cpp
+++ b/src/programs/DispatcherMain.cpp
@@ -24,6 +24,8 @@
     { "listen", "ports", SettingKind::Text, 0, 0, "-", "file for the bound ports; - for the standard output" },
     { "platform", "address", SettingKind::Address, 0, 0, std::nullopt, "address of the log service and instance list" },
     { "platform", "timeout_ms", SettingKind::Milliseconds, 10, 60'000, "2000", "time for an answer of the platform" },
+    { "claims", "log_retention_ms", SettingKind::Milliseconds, 60'000, 2'592'000'000, "3600000",
+        "how long the platform keeps records of the claim stream" },
     { "stop", "grace_ms", SettingKind::Milliseconds, 0, 600'000, "1000",
         "time between handing over and exit on a planned stop" },
 };
@@ -45,11 +47,13 @@
     const auto& platform = values.text("platform", "address");
     const auto timeout = values.milliseconds("platform", "timeout_ms");
     HttpPlatformLog log { client, platform, "configuration", timeout };
+    HttpPlatformLog claimLog { client, platform, "claims", timeout };
     HttpInstanceList list { client, platform, timeout };
     DispatcherSettings settings;
     settings.instance = { values.text("instance", "name"), incarnationFrom(values) };
     settings.availabilityZone = values.text("instance", "zone");
-    Dispatcher dispatcher { context, clock, std::move(settings), log, list, client };
+    settings.claimRetention = values.milliseconds("claims", "log_retention_ms");
+    Dispatcher dispatcher { context, clock, std::move(settings), log, claimLog, list, client };
     HttpServer httpServer { context, dispatcher };
     RpcServer rpcServer { context, dispatcher };
     const std::pair<std::string, std::uint16_t> ports[] {
--- a/test/ClaimsHarness.h
+++ b/test/ClaimsHarness.h
@@ -117,9 +117,9 @@
         auto& owner = this->owners[number];
         owner = Owner {};
         owner.incarnation = ++this->lastIncarnation;
-        this->options.checkpointSeed = owner.incarnation << 32U;
+        this->options.checkpointSeed = checkpointSeedOf({ "owner", owner.incarnation });
         owner.coordinator = std::make_unique<ClaimCoordinator>(this->options, *this);
-        owner.coordinator->setRank(number);
+        owner.coordinator->setRank(number, this->owners.size());
         this->load(owner);
     }
 
