Probe a cell's targets as soon as it is owned, and let the first report replace the guess

Cause: in the demo one short prompt of six waited 1.6 s. The 1,000,000-token span had been granted before its engines' first report, at the guessed prefill rate of 10,000 tokens/s; its slack then looked used up and it went in at the priority of short prompts. Later reports were blended into the guess at 30%. Ruled out: the engines (200,000 tokens/s, priorities honoured), the reserve for short prompts (350,000 tokens were free). The new unit test fails without the change in TargetForecast and passes with it.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -258,7 +258,8 @@
         if (!owner || owner->instance.name != this->settings.instance.name)
             continue;
         auto& cell = this->ownedCells[id];
-        if (!cell) {
+        const auto isNew = !cell;
+        if (isNew) {
             CellSchedulerSettings schedulerSettings;
             schedulerSettings.cell = id;
             cell = std::make_shared<OwnedCell>(this->context, this->clock, this->metrics, id,
@@ -267,6 +268,8 @@
             LOG(INFO) << "owns cell " << ownershipKey(id);
         }
         cell->setTargets(descriptions);
+        if (isNew)
+            this->prober.probeNow(cell);
     }
 }
 
--- a/src/dispatch/TargetForecast.cpp
+++ b/src/dispatch/TargetForecast.cpp
@@ -77,8 +77,11 @@
 {
     if (report.memoryTokens > 0)
         this->target.memoryTokens = report.memoryTokens;
-    if (report.prefillTokensPerSecond > MinimumRate)
-        this->rate += RateCorrection * (report.prefillTokensPerSecond - this->rate);
+    if (report.prefillTokensPerSecond > MinimumRate) {
+        const auto weight = this->didReportRate ? RateCorrection : 1.0;
+        this->rate += weight * (report.prefillTokensPerSecond - this->rate);
+        this->didReportRate = true;
+    }
     auto explained = this->mostGrantedAround(report.measuredAt);
     this->unaccounted = report.usedTokens > explained ? report.usedTokens - explained : 0;
 }
--- a/src/dispatch/TargetForecast.h
+++ b/src/dispatch/TargetForecast.h
@@ -62,6 +62,7 @@
 
     TargetDescription target;
     double rate { 0 };
+    bool didReportRate { false }; // Until then the rate is a guess, which the first report replaces.
     TimePoint asOf {};
     std::uint64_t granted { 0 };
     std::uint64_t grantedShort { 0 };
--- a/src/dispatch/TargetProber.cpp
+++ b/src/dispatch/TargetProber.cpp
@@ -69,15 +69,20 @@
     asio::co_spawn(this->context, this->run(), asio::detached);
 }
 
+void TargetProber::probeNow(const std::shared_ptr<OwnedCell>& cell)
+{
+    for (const auto& [name, target] : cell->targets()) {
+        auto probing = this->probe(target, cell);
+        asio::co_spawn(this->context, std::move(probing), asio::detached);
+    }
+}
+
 asio::awaitable<void> TargetProber::run()
 {
     asio::steady_timer timer { this->context };
     while (true) {
         for (const auto& [id, cell] : this->cells) {
-            for (const auto& [name, target] : cell->targets()) {
-                auto probing = this->probe(target, cell);
-                asio::co_spawn(this->context, std::move(probing), asio::detached);
-            }
+            this->probeNow(cell);
             for (const auto& allocation : cell->takeCancels()) {
                 const auto target = cell->targets().find(allocation.target);
                 if (target == cell->targets().end())
--- a/src/dispatch/TargetProber.h
+++ b/src/dispatch/TargetProber.h
@@ -32,6 +32,9 @@
     // Runs until the io_context stops.
     void start();
 
+    // Asks the targets of a cell now, so that a new owner need not schedule by guesses until the next period.
+    void probeNow(const std::shared_ptr<OwnedCell>& cell);
+
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> probe(TargetDescription target, std::shared_ptr<OwnedCell> cell);
--- a/test/CellScheduler_test.cpp
+++ b/test/CellScheduler_test.cpp
@@ -32,6 +32,21 @@
     EXPECT_GT(longGrant.priority, shortGrant.priority);
 }
 
+TEST_F(CellSchedulerTest, FirstReportReplacesTheGuessedPrefillRate)
+{
+    this->addTarget("engine-1", 4'000'000);
+    LoadReport report;
+    report.target = "engine-1";
+    report.measuredAt = this->now();
+    report.memoryTokens = 4'000'000;
+    report.prefillTokensPerSecond = 1'000'000;
+    this->scheduler->reportLoad(report, this->now());
+    const auto commands = this->submit("archive", 1'000'000, std::chrono::seconds { 15 });
+    ASSERT_THAT(grantsOf(commands), testing::ElementsAre("archive"));
+    EXPECT_GT(std::get<Grant>(commands.front()).priority, 0)
+        << "a prompt with slack to spare must not go before short ones";
+}
+
 TEST_F(CellSchedulerTest, PromptWithCachedPrefixGoesToTheTargetThatHoldsIt)
 {
     this->addTarget("engine-1", 400'000);
