--- a/standins/MembershipNetwork.h
+++ b/standins/MembershipNetwork.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <algorithm>
+#include <chrono>
 #include <cstdlib>
+#include <ctime>
 #include <functional>
 #include <map>
 #include <memory>
@@ -168,6 +170,7 @@
 
     ManualClock clock;
     MembershipOptions options;
+    std::chrono::nanoseconds timeInMemberships {}; // Processor time of receive() and tick() of all nodes.
     double loss { 0 };
     Duration delay { std::chrono::milliseconds { 1 } };
     // Returns whether datagrams from one address to another are dropped.
@@ -213,7 +216,8 @@
                 continue;
             auto& node = *found->second;
             if (this->canRun(node))
-                this->perform(node, node.membership->receive(flight.bytes, this->clock.now()));
+                this->perform(
+                    node, this->timed([&] { return node.membership->receive(flight.bytes, this->clock.now()); }));
             else
                 waiting.push_back(std::move(flight));
         }
@@ -225,7 +229,23 @@
     {
         for (auto* node : this->order)
             if (this->canRun(*node) && node->membership->nextTick() <= this->clock.now())
-                this->perform(*node, node->membership->tick(this->clock.now()));
+                this->perform(*node, this->timed([&] { return node->membership->tick(this->clock.now()); }));
+    }
+
+    MembershipCommands timed(const std::function<MembershipCommands()>& call)
+    {
+        const auto start = processorTime();
+        auto commands = call();
+        this->timeInMemberships += processorTime() - start;
+        return commands;
+    }
+
+    // Processor time of this thread, so that a busy machine does not count.
+    static std::chrono::nanoseconds processorTime()
+    {
+        timespec time {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+        return std::chrono::seconds { time.tv_sec } + std::chrono::nanoseconds { time.tv_nsec };
     }
 
     void performOne(Node& from, SendDatagram& datagram)
