--- a/src/dispatch/SlackCostSchedulerQueue.cpp
+++ b/src/dispatch/SlackCostSchedulerQueue.cpp
@@ -103,7 +103,7 @@
 // Gives up on whatever can no longer finish in time.
 void SlackCostScheduler::refuseLate(TimePoint now, SchedulerCommands& commands)
 {
-    while (!this->byLatestStart.empty() && this->byLatestStart.begin()->first < now) {
+    while (!this->byLatestStart.empty() && this->byLatestStart.begin()->first <= now) {
         auto id = this->byLatestStart.begin()->second->request.id;
         this->refuse(id, RefusalReason::Overloaded, commands);
     }
--- a/test/CellScheduler_test.cpp
+++ b/test/CellScheduler_test.cpp
@@ -79,6 +79,21 @@
     EXPECT_EQ(this->scheduler->digest(this->now()).queued, 0U);
 }
 
+TEST_F(CellSchedulerTest, TickAtTheTimeItAskedForMakesProgress)
+{
+    this->addTarget("engine-1", 400'000);
+    this->submit("running", 300'000, 600s);
+    this->submit("waiting", 200'000, 60s);
+    auto last = this->now();
+    for (int ticks = 0; this->scheduler->digest(last).queued > 0; ++ticks) {
+        ASSERT_LT(ticks, 100'000);
+        auto next = this->scheduler->nextTick();
+        ASSERT_GT(next, last);
+        last = next;
+        this->scheduler->tick(last);
+    }
+}
+
 TEST_F(CellSchedulerTest, CellWithoutTargetsRefusesWithNoTarget)
 {
     EXPECT_THAT(this->refusalsOf(this->submit("a", 1'000)), ElementsAre(RefusalReason::NoTarget));
