Keep the totals of a cell's targets instead of deriving them per candidate

Cause: each candidate target asked for the width of a span and the mean prefill rate, and each of these copied and sorted the capacities of all targets. Ruled out: the prefix look-up, which is reached only by targets with room.

--- a/src/dispatch/SlackCostScheduler.cpp
+++ b/src/dispatch/SlackCostScheduler.cpp
@@ -114,6 +114,7 @@
         for (auto& each : this->classes)
             each.drain.served(initialDrain * std::chrono::duration<double>(each.drain.memory()).count());
     }
+    this->refreshTotals();
     this->dispatch(now, commands);
     return commands;
 }
@@ -123,6 +124,7 @@
     SchedulerCommands commands;
     this->advance(now);
     this->forgetTarget(name);
+    this->refreshTotals();
     this->dispatch(now, commands);
     return commands;
 }
@@ -135,6 +137,7 @@
         return commands;
     this->advance(now);
     found->second.report(report);
+    this->refreshTotals();
     this->dispatch(now, commands);
     return commands;
 }
@@ -198,7 +201,7 @@
 {
     CellDigest digest;
     digest.cell = this->settings.cell;
-    digest.liveTargets = static_cast<std::uint32_t>(this->usableTargets());
+    digest.liveTargets = static_cast<std::uint32_t>(this->totals.usable);
     digest.queued = static_cast<std::uint32_t>(this->queued.size());
     digest.largestSpanTokens = this->longestSpan();
     Duration shortest = std::chrono::hours { 1 };
--- a/src/dispatch/SlackCostScheduler.h
+++ b/src/dispatch/SlackCostScheduler.h
@@ -62,6 +62,14 @@
         std::size_t priority { 0 };
         Duration firstToken {};
     };
+    // What is derived from all usable targets.
+    struct Totals {
+        std::size_t usable { 0 };
+        std::vector<double> capacities; // Tokens that a span may use of each, largest first.
+        double prefillRate { 0 }; // Tokens per second.
+        double shortTokens { 0 };
+        std::size_t carryingLong { 0 }; // Targets with a long prefill.
+    };
     // Memory kept for a request that could not be placed for long.
     struct Reservation {
         RequestId id;
@@ -108,8 +116,7 @@
     void forget(GrantedRequest& granted);
     void forgetExpired(TimePoint now);
     void forgetTarget(std::string_view name);
-    std::size_t usableTargets() const;
-    double totalPrefillRate() const; // Tokens per second, of all usable targets.
+    void refreshTotals();
     double meanPrefillRate() const;
 
     static constexpr std::chrono::seconds ForgetAfterDeadline { 2 };
@@ -125,6 +132,7 @@
     std::optional<Reservation> reservation;
     DrainRate shortDemand; // Tokens of the first class that arrive per second.
     double shortMemory { 0 }; // Smoothed memory tokens in use by the first class, over all targets.
+    Totals totals;
     Duration tokenGap {};
     TimePoint now {};
     std::uint64_t nextSequence { 0 };
--- a/src/dispatch/SlackCostSchedulerPlacement.cpp
+++ b/src/dispatch/SlackCostSchedulerPlacement.cpp
@@ -18,7 +18,7 @@
 
 void SlackCostScheduler::dispatch(TimePoint now, SchedulerCommands& commands)
 {
-    if (this->usableTargets() == 0) {
+    if (this->totals.usable == 0) {
         this->refuseAll(RefusalReason::NoTarget, commands);
         return;
     }
@@ -117,7 +117,7 @@
 std::uint64_t SlackCostScheduler::shortReserve(const TargetForecast& target) const
 {
     auto capacity = static_cast<double>(target.capacity());
-    auto wanted = ShortReserveMargin * this->shortMemory / static_cast<double>(this->usableTargets());
+    auto wanted = ShortReserveMargin * this->shortMemory / static_cast<double>(this->totals.usable);
     auto bounded = std::clamp(
         wanted, capacity * this->settings.minimumShortReserve, capacity * this->settings.maximumShortReserve);
     auto used = static_cast<double>(target.shortTokens());
@@ -150,12 +150,7 @@
 // Returns the fewest targets whose memory holds the tokens; 0 if all of them do not.
 std::size_t SlackCostScheduler::spanWidth(std::uint64_t tokens) const
 {
-    auto usableShare = 1 - this->settings.minimumShortReserve;
-    std::vector<double> capacities;
-    for (const auto& [name, target] : this->targets)
-        if (target.isUsable())
-            capacities.push_back(usableShare * static_cast<double>(target.capacity()));
-    std::ranges::sort(capacities, std::ranges::greater {});
+    const auto& capacities = this->totals.capacities;
     for (std::size_t width = 1; width <= capacities.size(); ++width)
         if (static_cast<double>(width) * capacities[width - 1] >= static_cast<double>(tokens))
             return width;
@@ -170,12 +165,7 @@
 // Returns the most tokens that a request may need.
 std::uint64_t SlackCostScheduler::longestSpan() const
 {
-    auto usableShare = 1 - this->settings.minimumShortReserve;
-    std::vector<double> capacities;
-    for (const auto& [name, target] : this->targets)
-        if (target.isUsable())
-            capacities.push_back(usableShare * static_cast<double>(target.capacity()));
-    std::ranges::sort(capacities, std::ranges::greater {});
+    const auto& capacities = this->totals.capacities;
     double longest = 0;
     for (std::size_t width = 1; width <= capacities.size(); ++width)
         longest = std::max(longest, static_cast<double>(width) * capacities[width - 1]);
@@ -187,13 +177,9 @@
 {
     if (target.longPrefills() > 0)
         return true;
-    auto carries = [](const auto& each) {
-        return each.second.longPrefills() > 0;
-    };
-    auto carrying = static_cast<double>(std::ranges::count_if(this->targets, carries));
-    auto shortShare = std::min(1.0, this->shortDemand.tokensPerSecond() / this->totalPrefillRate());
-    auto allowed = std::ceil(static_cast<double>(this->usableTargets()) * (1 - shortShare));
-    return carrying < std::max(1.0, allowed);
+    auto shortShare = std::min(1.0, this->shortDemand.tokensPerSecond() / this->totals.prefillRate);
+    auto allowed = std::ceil(static_cast<double>(this->totals.usable) * (1 - shortShare));
+    return static_cast<double>(this->totals.carryingLong) < std::max(1.0, allowed);
 }
 
 void SlackCostScheduler::grant(
@@ -219,6 +205,7 @@
     auto& kept = this->grantedRequests.emplace(request.id.value, std::move(granted)).first->second;
     this->byForgetAt.emplace(kept.forgetAt, request.id.value);
     this->count(kept);
+    this->refreshTotals();
     commands.push_back(std::move(grant));
     auto& each = this->classes[entry.promptClass];
     each.drain.served(entry.work);
@@ -317,20 +304,21 @@
         this->reservation.reset();
 }
 
-std::size_t SlackCostScheduler::usableTargets() const
+void SlackCostScheduler::refreshTotals()
 {
-    auto isUsable = [](const auto& each) {
-        return each.second.isUsable();
-    };
-    return static_cast<std::size_t>(std::ranges::count_if(this->targets, isUsable));
-}
-
-double SlackCostScheduler::totalPrefillRate() const
-{
-    double total = 0;
-    for (const auto& [name, target] : this->targets)
-        total += target.isUsable() ? target.prefillRate() : 0;
-    return total;
+    auto usableShare = 1 - this->settings.minimumShortReserve;
+    this->totals = Totals { 0, std::move(this->totals.capacities) };
+    this->totals.capacities.clear();
+    for (const auto& [name, target] : this->targets) {
+        this->totals.shortTokens += static_cast<double>(target.shortTokens());
+        this->totals.carryingLong += target.longPrefills() > 0 ? 1 : 0;
+        if (!target.isUsable())
+            continue;
+        ++this->totals.usable;
+        this->totals.capacities.push_back(usableShare * static_cast<double>(target.capacity()));
+        this->totals.prefillRate += target.prefillRate();
+    }
+    std::ranges::sort(this->totals.capacities, std::ranges::greater {});
 }
 
 }
--- a/src/dispatch/SlackCostSchedulerQueue.cpp
+++ b/src/dispatch/SlackCostSchedulerQueue.cpp
@@ -74,7 +74,7 @@
 std::optional<RefusalReason> SlackCostScheduler::reasonToRefuse(const QueuedRequest& entry, TimePoint now) const
 {
     const auto& request = entry.request;
-    if (this->usableTargets() == 0)
+    if (this->totals.usable == 0)
         return RefusalReason::NoTarget;
     if (request.promptTokens + request.maximumOutputTokens > this->longestSpan())
         return RefusalReason::PromptTooLong;
@@ -160,13 +160,11 @@
 {
     auto elapsed = std::chrono::duration<double>(std::max(now - this->now, Duration::zero())).count();
     this->now = std::max(this->now, now);
-    double shortTokens = 0;
-    for (auto& [name, target] : this->targets) {
+    for (auto& [name, target] : this->targets)
         target.advance(this->now);
-        shortTokens += static_cast<double>(target.shortTokens());
-    }
+    this->refreshTotals();
     auto weight = std::min(1.0, elapsed / ShortMemorySmoothing.count());
-    this->shortMemory += weight * (shortTokens - this->shortMemory);
+    this->shortMemory += weight * (this->totals.shortTokens - this->shortMemory);
     for (auto& [queue, drain, refusedWork] : this->classes) {
         drain.advance(this->now, queue.size() > 0);
         refusedWork = std::max(0.0, refusedWork - elapsed * drain.tokensPerSecond());
@@ -176,8 +174,8 @@
 
 double SlackCostScheduler::meanPrefillRate() const
 {
-    auto usable = this->usableTargets();
-    return usable == 0 ? this->settings.prefillTokensPerSecond : this->totalPrefillRate() / static_cast<double>(usable);
+    auto usable = this->totals.usable;
+    return usable == 0 ? this->settings.prefillTokensPerSecond : this->totals.prefillRate / static_cast<double>(usable);
 }
 
 }
