--- a/include/marigoldpaddle/ClaimLedger.h
+++ b/include/marigoldpaddle/ClaimLedger.h
@@ -109,6 +109,7 @@
     std::vector<ClaimCheckpointEntry> entries;
     std::vector<ClaimRelease> releases;
     std::uint64_t id { 0 }; // Common to the parts; different for every writer and checkpoint.
+    std::uint64_t claimsUpTo { 0 }; // See ClaimLedger: no claim of the shard landed at or after this offset.
     std::uint64_t foundAt { 0 }; // Where its reader found the last part; not encoded.
 };
 
@@ -121,6 +122,7 @@
     std::vector<ClaimSettled> outcomes;
     std::vector<Claim> claims;
     std::optional<ClaimCheckpoint> checkpoint;
+    std::vector<std::uint32_t> resets; // Shards whose claims are lost and, by their age, over.
 };
 
 // What a record changed.
@@ -214,6 +216,7 @@
         std::deque<ClaimRelease> releaseOrder; // What `releases` holds, oldest first.
         std::uint64_t startsAt { 0 }; // Records below this offset are part of the checkpoint that it started from.
         std::uint64_t checkpointAt { 0 }; // Where that checkpoint was found.
+        std::uint64_t claimsUpTo { 0 }; // No claim landed at or after this offset.
         bool isComplete { true };
     };
 
@@ -227,10 +230,12 @@
     static void addRelease(Shard& shard, const ClaimRelease& release);
     void applyOutcome(ClaimSettled settled);
     void applyClaim(std::uint64_t offset, std::uint64_t readUpTo, const Claim& claim);
+    void applyReset(std::uint64_t offset, std::uint64_t readUpTo, std::uint32_t number);
     Shard& shardFor(const ClaimDigest& key);
     const Shard& shardFor(const ClaimDigest& key) const;
     Entry* findHeldBy(const ClaimReference& reference);
     void erase(const ClaimReference& reference);
+    void dropContents(Entry& entry);
     void setOutcome(Entry& entry, std::optional<CallOutcome> outcome);
     const InstanceId* retainHolder(const InstanceId& holder);
     void dropHolder(Entry& entry);
--- a/src/claims/ClaimBatch.cpp
+++ b/src/claims/ClaimBatch.cpp
@@ -82,6 +82,13 @@
         return static_cast<std::uint64_t>(value);
     }
 
+    std::uint32_t shard(std::int32_t number)
+    {
+        if (number < 0 || number >= static_cast<std::int32_t>(ClaimLedger::Shards))
+            this->isValid = false;
+        return static_cast<std::uint32_t>(number);
+    }
+
     ClaimReference reference(const wire::ClaimReferenceRecord& record)
     {
         return { this->digest(record.key), this->digest(record.request) };
@@ -111,12 +118,13 @@
     ClaimCheckpoint checkpoint(const wire::ClaimCheckpointRecord& record)
     {
         ClaimCheckpoint checkpoint;
-        checkpoint.shard = static_cast<std::uint32_t>(record.shard);
+        checkpoint.shard = this->shard(record.shard);
         checkpoint.asOf = this->offset(record.asOf);
         checkpoint.id = static_cast<std::uint64_t>(record.id);
+        checkpoint.claimsUpTo = this->offset(record.claimsUpTo);
         checkpoint.part = static_cast<std::uint32_t>(record.part);
         checkpoint.parts = static_cast<std::uint32_t>(record.parts);
-        if (checkpoint.shard >= ClaimLedger::Shards || checkpoint.part >= checkpoint.parts)
+        if (checkpoint.part >= checkpoint.parts)
             this->isValid = false;
         for (const auto& entry : record.entries)
             checkpoint.entries.push_back(this->checkpointEntry(entry));
@@ -208,6 +216,7 @@
     record.shard = static_cast<std::int32_t>(checkpoint.shard);
     record.asOf = static_cast<std::int64_t>(checkpoint.asOf);
     record.id = static_cast<std::int64_t>(checkpoint.id);
+    record.claimsUpTo = static_cast<std::int64_t>(checkpoint.claimsUpTo);
     record.part = static_cast<std::int32_t>(checkpoint.part);
     record.parts = static_cast<std::int32_t>(checkpoint.parts);
     std::ranges::transform(
@@ -237,6 +246,8 @@
         batch.claims.push_back(reader.claim(claim));
     if (record.__isset.checkpoint)
         batch.checkpoint = reader.checkpoint(record.checkpoint);
+    for (const auto shard : record.resets)
+        batch.resets.push_back(reader.shard(shard));
     return batch;
 }
 
@@ -312,6 +323,7 @@
     std::ranges::transform(batch.claims, std::back_inserter(record.claims), convert);
     if (batch.checkpoint)
         record.__set_checkpoint(toWire(*batch.checkpoint));
+    record.resets.assign(batch.resets.begin(), batch.resets.end());
     const auto bytes = encode(record);
     return toBase64(checksum(bytes) + bytes);
 }
--- a/src/claims/ClaimCoordinator.cpp
+++ b/src/claims/ClaimCoordinator.cpp
@@ -1,6 +1,7 @@
 #include "claims/ClaimCoordinator.h"
 
 #include <algorithm>
+#include <ranges>
 
 #include "claims/ClaimConversions.h"
 
@@ -13,6 +14,8 @@
 
 constexpr Duration LivenessPeriod = milliseconds { 250 };
 constexpr Duration RepeatRetryAfter = std::chrono::seconds { 1 };
+constexpr Duration ResetRetryPause = std::chrono::seconds { 10 };
+constexpr int ClockRateMargin = 1000; // As in ClaimLedger.
 constexpr std::size_t MaximumRank = 4;
 
 wire::ClaimAnswer answerOf(wire::ClaimVerdict::type verdict, Duration retryAfter = {})
@@ -47,6 +50,7 @@
     this->claims = std::move(ledger);
     this->checkpointParts.clear();
     this->sawMissingCheckpoint = false;
+    this->claimSeenAt.fill(now);
     for (std::uint32_t shard = 0; shard < ClaimLedger::Shards; ++shard) {
         const auto untilDue = this->options.refreshPeriod * (shard + 1) / ClaimLedger::Shards;
         this->checkpointedAt[shard] = now + untilDue - this->options.refreshPeriod;
@@ -68,6 +72,7 @@
     }
     Ask ask;
     ask.claim = claim;
+    ask.claim.window = std::min(claim.window, duration_cast<milliseconds>(this->options.maximumWindow));
     ask.deadline = deadline;
     this->asks.emplace(ticket, std::move(ask));
     this->ticketsByKey[claim.key].push_back(ticket);
@@ -230,6 +235,8 @@
     for (const auto& record : page.records) {
         const auto changes = this->claims.apply(record.offset, record.data, now);
         touched.insert(changes.keys.begin(), changes.keys.end());
+        for (const auto& key : changes.keys)
+            this->claimSeenAt[ClaimLedger::shardOf(key)] = now;
         if (!changes.checkpointedShard)
             continue;
         this->checkpointedAt.at(*changes.checkpointedShard) = now;
@@ -319,6 +326,7 @@
     this->isAppending = true;
     this->addSettlements(batch);
     this->addClaims(batch, now);
+    this->addResets(batch, now);
     this->addCheckpoint(batch, now);
     return encodeBatch(batch);
 }
@@ -370,6 +378,23 @@
     this->outstanding.back().checkpointedShard = batch.checkpoint->shard;
 }
 
+void ClaimCoordinator::addResets(ClaimBatch& batch, TimePoint now)
+{
+    for (std::uint32_t shard = 0; shard < ClaimLedger::Shards; ++shard) {
+        if (!this->isResetDue(shard, now))
+            continue;
+        batch.resets.push_back(shard);
+        this->claimSeenAt[shard] += ResetRetryPause;
+    }
+}
+
+// After the longest window nothing that was lost can matter any more.
+bool ClaimCoordinator::isResetDue(std::uint32_t shard, TimePoint now) const
+{
+    const auto wait = this->options.maximumWindow + this->options.maximumWindow / ClockRateMargin;
+    return !this->claims.isShardComplete(shard) && now - this->claimSeenAt[shard] > wait;
+}
+
 bool ClaimCoordinator::isCheckpointDue(TimePoint now) const
 {
     const auto writtenAt = this->checkpointedAt[this->stalestShard()];
@@ -457,7 +482,9 @@
 bool ClaimCoordinator::hasWork(TimePoint now) const
 {
     return !this->queue.empty() || this->settlements.isWaiting() || !this->checkpointParts.empty()
-        || !this->overdue.empty() || this->isTickDue(now) || this->isCheckpointDue(now);
+        || !this->overdue.empty() || this->isTickDue(now) || this->isCheckpointDue(now)
+        || std::ranges::any_of(std::views::iota(0U, ClaimLedger::Shards),
+            [&](std::uint32_t shard) { return this->isResetDue(shard, now); });
 }
 
 bool ClaimCoordinator::isTickDue(TimePoint now) const
--- a/src/claims/ClaimCoordinator.h
+++ b/src/claims/ClaimCoordinator.h
@@ -37,6 +37,7 @@
     double appendBurst { 4 };
     Duration tickPeriod { std::chrono::seconds { 30 } };
     Duration settleGrace { std::chrono::seconds { 5 } }; // For a settlement after the end of the allowed time.
+    Duration maximumWindow { std::chrono::hours { 24 * 7 } }; // Keys are remembered for no longer than this.
     Duration refreshPeriod { std::chrono::minutes { 30 } }; // Every shard is checkpointed once in this time.
     std::size_t waitersPerKey { 2048 }; // Calls that wait for the outcome of one key.
     std::uint64_t checkpointSeed { 0 }; // Different for every process that writes checkpoints.
@@ -148,6 +149,8 @@
     bool isTickDue(TimePoint now) const;
     bool hasWork(TimePoint now) const;
     bool isCheckpointDue(TimePoint now) const;
+    void addResets(ClaimBatch& batch, TimePoint now);
+    bool isResetDue(std::uint32_t shard, TimePoint now) const;
     std::uint32_t stalestShard() const;
     bool isRecorded(const ClaimSettlementItem& item) const;
     void resolveSettlements(const Outstanding& append, ClaimReplies& replies);
@@ -167,6 +170,7 @@
     std::deque<ClaimCheckpoint> checkpointParts;
     std::deque<ClaimReference> overdue;
     std::array<TimePoint, ClaimLedger::Shards> checkpointedAt {};
+    std::array<TimePoint, ClaimLedger::Shards> claimSeenAt {}; // When a shard's last claim was read.
     std::uint64_t checkpointsMade { 0 };
     std::size_t rank { 0 };
     bool isAppending { false };
--- a/src/claims/ClaimLedger.cpp
+++ b/src/claims/ClaimLedger.cpp
@@ -59,6 +59,7 @@
     auto& shard = this->shards.at(checkpoint.shard);
     shard.startsAt = checkpoint.asOf;
     shard.checkpointAt = checkpoint.foundAt;
+    shard.claimsUpTo = checkpoint.claimsUpTo;
     shard.isComplete = true;
     for (auto& saved : checkpoint.entries) {
         const auto [position, isNew] = shard.entries.try_emplace(saved.claim.key);
@@ -114,6 +115,8 @@
         if (applies(claim.key))
             this->applyClaim(offset, batch.readUpTo, claim);
     }
+    for (const auto shard : batch.resets)
+        this->applyReset(offset, batch.readUpTo, shard);
     if (batch.checkpoint)
         this->startAging(offset, *batch.checkpoint);
     if (batch.checkpoint && batch.checkpoint->part + 1 == batch.checkpoint->parts)
@@ -186,6 +189,7 @@
 
 void ClaimLedger::applyClaim(std::uint64_t offset, std::uint64_t readUpTo, const Claim& claim)
 {
+    this->shardFor(claim.key).claimsUpTo = offset + 1;
     const auto isTooLate = readUpTo > offset || offset - readUpTo > ClaimReach;
     if (isTooLate || this->isReleased({ claim.key, claim.request }))
         return;
@@ -210,17 +214,41 @@
     return found != entries.end() && found->second.request == reference.request ? &found->second : nullptr;
 }
 
+// Empties a shard whose records were trimmed before any checkpoint of it. Its writer has waited for longer than any
+// window since it began to read, and saw no claim of the shard in that time; a claim that it had not seen voids the
+// reset, alike for every reader that can tell.
+void ClaimLedger::applyReset(std::uint64_t offset, std::uint64_t readUpTo, std::uint32_t number)
+{
+    auto& shard = this->shards.at(number);
+    const auto knowsClaims = shard.isComplete || shard.startsAt <= readUpTo;
+    if (!knowsClaims || shard.claimsUpTo > readUpTo)
+        return;
+    for (auto& [key, entry] : shard.entries)
+        this->dropContents(entry);
+    this->entryCount -= shard.entries.size();
+    shard.entries.clear();
+    shard.releases.clear();
+    shard.releaseOrder.clear();
+    shard.startsAt = offset + 1;
+    shard.isComplete = true;
+}
+
 void ClaimLedger::erase(const ClaimReference& reference)
 {
     auto& entries = this->shardFor(reference.key).entries;
     const auto found = entries.find(reference.key);
-    this->dropHolder(found->second);
-    if (found->second.outcome)
-        this->outcomeBytesHeld -= found->second.outcome->body.size();
+    this->dropContents(found->second);
     entries.erase(found);
     --this->entryCount;
 }
 
+void ClaimLedger::dropContents(Entry& entry)
+{
+    this->dropHolder(entry);
+    if (entry.outcome)
+        this->outcomeBytesHeld -= entry.outcome->body.size();
+}
+
 void ClaimLedger::setOutcome(Entry& entry, std::optional<CallOutcome> outcome)
 {
     this->dropHolder(entry);
@@ -335,6 +363,7 @@
         part.shard = number;
         part.asOf = this->next;
         part.id = id;
+        part.claimsUpTo = shard.claimsUpTo;
     };
     addPart();
     std::size_t bytes = 0;
--- a/test/ClaimsHarness.h
+++ b/test/ClaimsHarness.h
@@ -98,8 +98,9 @@
         std::optional<PlatformResult<std::uint64_t>> appendAnswer;
     };
 
-    ClaimsHarness()
+    explicit ClaimsHarness(Duration maximumWindow = std::chrono::hours { 24 })
     {
+        this->options.maximumWindow = maximumWindow;
         this->options.tickPeriod = std::chrono::seconds { 1 };
         this->options.refreshPeriod = std::chrono::seconds { 12 };
         for (std::size_t number = 0; number < this->owners.size(); ++number)
--- a/test/FaultsClaims_test.cpp
+++ b/test/FaultsClaims_test.cpp
@@ -183,6 +183,15 @@
     }
 }
 
+// Seed 6, pair 114: a repeat that is told unknown while its own claim is on its way must give the key back.
+TEST(FaultsClaimsPairsTest, RepeatWhoseClaimLandsAfterItsAnswerReleasesTheKey)
+{
+    OrderUnderFaults order;
+    order.strikeAt({ OrderStep::ClaimAppended, OrderFault::GatewayFreezes });
+    order.strikeAt({ OrderStep::BeforeClaim, OrderFault::LogSlow });
+    order.play();
+}
+
 // Situations beyond the matrix.
 class FaultsClaimsOutageTest : public testing::Test {
 protected:
@@ -275,4 +284,24 @@
     this->harness.check();
 }
 
+TEST_F(FaultsClaimsOutageTest, ClaimsThatWereTrimmedUnreadAreRefusedUntilTheLongestWindowIsOver)
+{
+    ClaimsHarness lost { 10min };
+    lost.call("order", "body", "gateway-1", 0);
+    lost.run(10s);
+    lost.log.firstKept = lost.log.records.size();
+    lost.restartOwner(0);
+    lost.restartOwner(1);
+    const auto& soon = lost.call("order", "body", "gateway-2", 0);
+    lost.run(10min);
+    EXPECT_EQ(soon.result, "no") << "the key may have been used";
+    EXPECT_EQ(lost.service.runsByKey["order"], 1);
+    lost.run(30s);
+    const auto& later = lost.call("order", "body", "gateway-2", 0);
+    const auto& other = lost.call("other", "body", "gateway-3", 1);
+    lost.run(10s);
+    EXPECT_EQ(later.result, "ran");
+    EXPECT_EQ(other.result, "ran");
+}
+
 }
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -185,9 +185,10 @@
     5: list<ClaimCheckpointEntryRecord> entries
     6: list<ClaimReleaseRecord> releases
     7: i64 id
+    8: i64 claimsUpTo
 }
 
-// Applied in this order: expiries, releases, outcomes, claims, checkpoint.
+// Applied in this order: tick, expiries, releases, outcomes, claims, resets, checkpoint.
 struct ClaimBatchRecord {
     1: i64 readUpTo
     2: optional ClaimTickRecord tick
@@ -196,6 +197,7 @@
     5: list<ClaimOutcomeRecord> outcomes
     6: list<ClaimEntryRecord> claims
     7: optional ClaimCheckpointRecord checkpoint
+    8: list<i32> resets
 }
 
 struct CellDigestRecord {
