--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -20,8 +20,12 @@
 #include "base/HttpServer.h"
 #include "base/Metrics.h"
 #include "claims/ClaimService.h"
+#include "configuration/FollowerRuntime.h"
 #include "dispatch/CellMap.h"
 #include "dispatch/OwnedCell.h"
+#include "dispatch/TargetProber.h"
+#include "membership/MembershipRunner.h"
+#include "rpc/RpcClient.h"
 #include "rpc/RpcServer.h"
 
 namespace marigoldpaddle {
@@ -31,21 +35,26 @@
     std::string availabilityZone;
     Duration listPeriod { std::chrono::milliseconds { 500 } };
     Duration loadPeriod { std::chrono::milliseconds { 500 } };
+    FollowerSettings configuration;
     Duration claimRetention { std::chrono::hours { 1 } }; // How long the platform keeps records of the claim stream.
 };
 
 // The process that schedules the cells it owns. Answers gateways by RPC and operators by HTTP.
-class Dispatcher final : public RpcHandler, public HttpHandler, private HolderLiveness {
+class Dispatcher final : public RpcHandler, public HttpHandler, private MembershipObserver, private HolderLiveness {
 public:
     // Everything that is passed by reference must outlive the dispatcher.
     Dispatcher(boost::asio::io_context& context, const Clock& clock, DispatcherSettings settings,
         PlatformLog& configurationLog, PlatformLog& claimLog, InstanceList& instanceList, HttpClient& client);
     ~Dispatcher() override;
 
-    // Starts following the log, the instance list and the targets.
-    void start();
+    // Binds the membership to "IP:port", port 0 for any, and returns the bound port. To be called before start().
+    std::uint16_t listenMembership(std::string_view address);
 
-    // Hands every cell over and takes no new requests.
+    // Starts the membership and following the log, the instance list and the targets. The addresses are those at which
+    // others reach this dispatcher.
+    void start(std::string rpcAddress, std::string membershipAddress);
+
+    // Hands every cell over, takes no new requests and tells the other instances.
     void beginPlannedStop();
 
     boost::asio::awaitable<std::optional<wire::Payload>> handle(wire::Payload request) override;
@@ -53,20 +62,31 @@
     HttpResponse describeFault(HttpFault fault) override;
 
 private:
-    boost::asio::awaitable<void> followConfiguration();
     boost::asio::awaitable<void> followInstanceList();
-    boost::asio::awaitable<void> followLoads();
-    boost::asio::awaitable<void> readLoad(TargetDescription target, CellId cell);
+    boost::asio::awaitable<void> tellSuccessor(std::shared_ptr<OwnedCell> cell, Grant grant, InstanceId owner);
+    void tellStewards();
     boost::asio::awaitable<wire::AcquireAnswer> acquire(wire::AcquireRequest request);
     boost::asio::awaitable<wire::ViewAnswer> view(wire::ViewRequest request);
     bool isGone(const InstanceId& holder) const override;
     void rankClaims();
     void noteProgress(const wire::ProgressNotice& notice);
     void noteHoldings(const wire::HoldingsAnnouncement& announcement);
+    // The membership's news.
+    void memberChanged(const Member& member) override;
+    void targetMarked(const TargetLeavingMark& mark) override;
+    void configurationOffsetHeard(std::uint64_t offset, const Member& holder) override;
+    void superseded(std::uint64_t incarnation) override;
+
+    boost::asio::awaitable<void> publishDigests();
     void takeListing(InstanceListing listing);
+    void refreshMembers();
+    void applyMarks();
     void reassignCells();
     void noteChange();
-    wire::ViewAnswer currentView(std::uint64_t knownConfigurationOffset) const;
+    // The digests of the own cells, and those heard of others.
+    std::map<CellId, CellDigest> knownDigests() const;
+    wire::ViewAnswer currentView(std::uint64_t knownConfigurationOffset);
+    void tellFollower();
     OwnedCell* owned(const CellId& cell);
     std::string addressOf(std::string_view target) const;
     bool isReady() const;
@@ -74,15 +94,19 @@
     boost::asio::io_context& context;
     const Clock& clock;
     DispatcherSettings settings;
-    PlatformLog& configurationLog;
     InstanceList& instanceList;
-    HttpClient& client;
     MetricsRegistry metrics;
-    ConfigurationState configuration;
-    std::vector<Member> members;
-    std::vector<TargetDescription> targets;
+    RpcClient peerClient;
+    RpcConfigurationPeers configurationPeers;
+    FollowerRuntime configuration;
+    MembershipRunner membership;
+    std::vector<Member> members; // Of the own zone, and the contacts of others.
+    std::vector<TargetDescription> targets; // As listed, but leaving if marked so.
+    bool isListRead { false };
     CellMap cells;
-    std::map<CellId, std::shared_ptr<OwnedCell>> ownedCells;
+    OwnedCells ownedCells;
+    std::map<CellId, Steward> standbyStewards; // Of cells that others own, from what gateways and owners announce here.
+    TargetProber prober;
     ClaimService claims;
     std::uint64_t version { 1 };
     boost::asio::steady_timer changed; // Cancelled whenever the view changes.
