--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include <boost/asio/io_context.hpp>
+#include <glog/logging.h>
 
 #include "membership/MembershipRunner.h"
 #include "standins/MembershipNetwork.h"
@@ -69,6 +70,10 @@
         this->sentPerSecond = (after.sent - before.sent) / nodeSeconds;
         this->receivedPerSecond = (after.received - before.received) / nodeSeconds;
         this->corePercent = 100 * secondsOf(this->network.timeInMemberships - busyBefore) / nodeSeconds;
+        for (const auto* node : this->network.all())
+            for (const auto& report : node->membership->cellReports(this->network.clock.now()))
+                if (report.digest.cell.availabilityZone == node->membership->self().availabilityZone)
+                    this->digestAges.push_back(secondsOf(this->network.clock.now() - report.measuredAt));
     }
 
     // Kills one node in each zone that has three or more, and notes when all others of the zone knew.
@@ -120,6 +125,7 @@
     double corePercent { 0 };
     double heapPerNode { 0 };
     std::vector<double> detections;
+    std::vector<double> digestAges; // Of the own zone's cells, at every node.
 
 private:
     static std::string nameOf(int number)
@@ -189,9 +195,32 @@
     std::uint64_t offset { 0 };
 };
 
+double quantileOf(std::vector<double> values, double quantile)
+{
+    if (values.empty())
+        return 0;
+    std::ranges::sort(values);
+    return values[static_cast<std::size_t>(quantile * static_cast<double>(values.size() - 1))];
+}
+
+// Returns the size of a probe that carries nothing.
+std::size_t bareDatagramBytes()
+{
+    ManualClock clock;
+    Membership membership { { { "instance-17", 1'796'347'705'035 }, "zone-3", "10.20.30.40:17001", "10.20.30.40:17002",
+                                MemberState::Alive, 0, 0 },
+        {}, std::mt19937_64 { 1 }, clock.now() };
+    const InstanceDescription other { "instance-18", "zone-3", "10.20.30.41:17002", "10.20.30.41:17001", 1, false };
+    membership.updateListing(std::span { &other, 1 }, clock.now());
+    for (const auto& command : membership.tick(clock.now()))
+        if (const auto* datagram = std::get_if<SendDatagram>(&command))
+            return datagram->bytes.size();
+    return 0;
+}
+
 void printSize(const Size& size, int seeds)
 {
-    std::vector<double> detections;
+    std::vector<double> detections, ages;
     double sent = 0, received = 0, core = 0, heap = 0;
     std::pair<double, double> atOne {}, atFive {};
     std::uint64_t frozenDeaths = 0;
@@ -209,13 +238,12 @@
         atOne = { atOne.first + one.first / seeds, atOne.second + one.second / seeds };
         atFive = { atFive.first + five.first / seeds, atFive.second + five.second / seeds };
         std::ranges::copy(trial.detections, std::back_inserter(detections));
+        std::ranges::copy(trial.digestAges, std::back_inserter(ages));
     }
-    std::ranges::sort(detections);
-    const auto median = detections.empty() ? 0 : detections[detections.size() / 2];
-    const auto worst = detections.empty() ? 0 : detections.back();
-    std::printf("%6d %5d %5d %9.0f %9.0f %9.4f %8.0f %7.2f %7.2f %8.2f %7.2f %8.2f %7.2f %7lu\n", size.nodes,
-        size.zones, seeds, sent, received, core, heap / 1024, median, worst, atOne.first, atOne.second, atFive.first,
-        atFive.second, static_cast<unsigned long>(frozenDeaths));
+    std::printf("%6d %5d %5d %9.0f %9.0f %9.4f %8.0f %7.2f %7.2f %8.2f %7.2f %8.2f %7.2f %7lu %7.1f %7.1f\n",
+        size.nodes, size.zones, seeds, sent, received, core, heap / 1024, quantileOf(detections, 0.5),
+        quantileOf(detections, 1), atOne.first, atOne.second, atFive.first, atFive.second,
+        static_cast<unsigned long>(frozenDeaths), quantileOf(ages, 0.5), quantileOf(ages, 0.95));
     std::fflush(stdout);
 }
 
@@ -267,6 +295,7 @@
 
 int main(int count, char** arguments)
 {
+    FLAGS_minloglevel = google::GLOG_WARNING;
     const std::vector<std::string> words { arguments + 1, arguments + count };
     const auto valueOf = [&](std::string_view option, int fallback) {
         const auto found = std::ranges::find(words, option);
@@ -276,6 +305,7 @@
         { 200, 1 } };
     if (valueOf("--nodes", 0) > 0)
         sizes = { { valueOf("--nodes", 0), valueOf("--zones", 1) } };
+    std::printf("a probe that carries nothing: %zu bytes\n", bareDatagramBytes());
     std::printf(
         "membership, in memory: cost of each node under the target's load; bounds 12,288 B/s and 1.8%% of a core\n");
     std::printf(
--- a/src/membership/MembershipCore.h
+++ b/src/membership/MembershipCore.h
@@ -72,7 +72,6 @@
     void reconnect(TimePoint now);
     void bridge(TimePoint now);
     bool hasUrgentNews() const;
-    bool isBridgeTo(const std::string& zone) const;
     bool isJoining(TimePoint now) const;
 
     // Messages.
--- a/src/membership/MembershipTimers.cpp
+++ b/src/membership/MembershipTimers.cpp
@@ -177,8 +177,15 @@
 
 void Membership::Core::bridge(TimePoint now)
 {
+    std::vector<Member> own { this->knowledge.self };
+    for (const auto* entry : this->knowledge.members.entries())
+        own.push_back(entry->member);
+    const auto isBridgeTo = [&](const std::string& zone) {
+        const auto bridges = rendezvousOrder("bridge to " + zone, own, this->knowledge.options.bridgesPerZone);
+        return std::ranges::find(bridges, &own.front()) != bridges.end();
+    };
     for (const auto& zone : this->knowledge.zones.names()) {
-        if (!this->isBridgeTo(zone))
+        if (!isBridgeTo(zone))
             continue;
         const auto contact = this->knowledge.zones.chooseContact(zone, now, this->knowledge.random);
         if (contact)
@@ -186,15 +193,6 @@
     }
 }
 
-bool Membership::Core::isBridgeTo(const std::string& zone) const
-{
-    std::vector<Member> own { this->knowledge.self };
-    for (const auto* entry : this->knowledge.members.entries())
-        own.push_back(entry->member);
-    const auto bridges = rendezvousOrder("bridge to " + zone, own, this->knowledge.options.bridgesPerZone);
-    return std::ranges::find(bridges, &own.front()) != bridges.end();
-}
-
 bool Membership::Core::hasUrgentNews() const
 {
     const auto isAny
