--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -25,6 +25,7 @@
 
 constexpr std::chrono::milliseconds LoadTimeout { 500 };
 constexpr std::chrono::seconds MaximumViewWait { 5 };
+constexpr std::chrono::seconds GatewaySilence { 15 }; // After which a gateway is no longer counted as following.
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusUnavailable = 503;
@@ -250,7 +251,7 @@
         answer.__set_claimAnswer(this->claim(request.claim));
     } else if (request.__isset.configuration) {
         const auto known = static_cast<std::uint64_t>(request.configuration.knownOffset);
-        answer.__set_configurationAnswer(wireFrom(this->configuration.updateSince(known)));
+        answer.__set_configurationAnswer(this->configurationSince(known));
     } else {
         if (request.__isset.progress)
             this->noteProgress(request.progress);
@@ -303,6 +304,8 @@
 asio::awaitable<wire::ViewAnswer> Dispatcher::view(wire::ViewRequest request)
 {
     const auto knownVersion = static_cast<std::uint64_t>(request.knownVersion);
+    const auto knownOffset = static_cast<std::uint64_t>(request.knownConfigurationOffset);
+    this->gatewayOffsets.insert_or_assign(request.requester.name, GatewayOffset { knownOffset, this->clock.now() });
     const auto until = std::min(pointInTime(request.waitMs, this->clock.now()), this->clock.now() + MaximumViewWait);
     boost::system::error_code ignored;
     while (this->version == knownVersion && this->clock.now() < until) {
@@ -313,7 +316,19 @@
         });
         co_await this->changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    co_return this->currentView(static_cast<std::uint64_t>(request.knownConfigurationOffset));
+    co_return this->currentView(knownOffset);
+}
+
+wire::ConfigurationAnswer Dispatcher::configurationSince(std::uint64_t knownOffset)
+{
+    auto answer = wireFrom(this->configuration.updateSince(knownOffset));
+    answer.presetInForce = this->configuration.state().nameInForce();
+    const auto forgetBefore = this->clock.now() - GatewaySilence;
+    std::erase_if(this->gatewayOffsets, [&](const auto& each) { return each.second.at < forgetBefore; });
+    const auto offsets = this->gatewayOffsets | std::views::values | std::views::transform(&GatewayOffset::offset);
+    if (!offsets.empty())
+        answer.__set_gatewayOffset(static_cast<std::int64_t>(std::ranges::min(offsets)));
+    return answer;
 }
 
 wire::ViewAnswer Dispatcher::currentView(std::uint64_t knownConfigurationOffset)
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -59,6 +59,12 @@
         std::optional<wire::CallOutcome> outcome;
     };
 
+    // What a gateway said it has of the configuration.
+    struct GatewayOffset {
+        std::uint64_t offset { 0 };
+        TimePoint at {};
+    };
+
     boost::asio::awaitable<void> followInstanceList();
     boost::asio::awaitable<void> followLoads();
     boost::asio::awaitable<void> readLoad(TargetDescription target, CellId cell);
@@ -73,6 +79,7 @@
     void noteChange();
     wire::ViewAnswer currentView(std::uint64_t knownConfigurationOffset);
     void tellFollower();
+    wire::ConfigurationAnswer configurationSince(std::uint64_t knownOffset);
     OwnedCell* owned(const CellId& cell);
     std::string addressOf(std::string_view target) const;
     bool isReady() const;
@@ -93,6 +100,7 @@
     std::map<std::string, Claim> claims;
     std::uint64_t version { 1 };
     boost::asio::steady_timer changed; // Cancelled whenever the view changes.
+    std::map<std::string, GatewayOffset> gatewayOffsets; // By the name of the gateway's instance.
     bool isStopping { false };
 };
 
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -203,6 +203,8 @@
     4: optional i64 checkpointAsOf
     5: optional i64 checkpointAgeMs
     6: bool current
+    7: string presetInForce
+    8: optional i64 gatewayOffset // The lowest that a gateway said it has, of those that follow the sender.
 }
 
 struct Acknowledgement {
