--- a/src/configuration/ChangePublication.cpp
+++ b/src/configuration/ChangePublication.cpp
@@ -38,8 +38,10 @@
 
 PublicationStep ChangePublication::start(TimePoint now)
 {
-    if (this->record.size() > ConfigurationLimits::RecordBytes)
-        return this->giveUp("the change is larger than a record may be");
+    if (!decodeChange(this->record))
+        return this->giveUp(
+            "the change cannot be written as a record: names have 1 to 200 bytes, values at most 64 KiB, "
+            "a change at most 4 MiB, all of it UTF-8");
     return this->append(now);
 }
 
--- a/src/programs/ControlOptions.cpp
+++ b/src/programs/ControlOptions.cpp
@@ -12,8 +12,7 @@
 
 namespace {
 
-constexpr std::string_view Help
-    = R"(Usage: marigoldctl [OPTION]... COMMAND [ARGUMENT]...
+constexpr std::string_view Help = R"(Usage: marigoldctl [OPTION]... COMMAND [ARGUMENT]...
 Checks presets kept in files, publishes them on the platform's log, and chooses the one in force.
 
 Commands:
@@ -57,9 +56,9 @@
     bool needsPlatform { true };
 };
 
-constexpr CommandForm Commands[] = { { "validate", 1, 1, false }, { "diff", 1, 1 }, { "apply", 1, 1 }, { "use", 1, 1 },
-    { "delete", 1, 1 }, { "show", 1, 2 }, { "list", 0, 0 }, { "history", 0, 0 }, { "status", 0, 0 },
-    { "targets", 0, 0 } };
+constexpr CommandForm Commands[]
+    = { { "validate", 1, 1, false }, { "diff", 1, 1 }, { "apply", 1, 1 }, { "use", 1, 1 }, { "delete", 1, 1 },
+          { "show", 1, 2 }, { "list", 0, 0 }, { "history", 0, 0 }, { "status", 0, 0 }, { "targets", 0, 0 } };
 
 constexpr option LongOptions[] = { { "platform", required_argument, nullptr, 'p' },
     { "based-on", required_argument, nullptr, 'b' }, { "limit", required_argument, nullptr, 'n' },
@@ -81,7 +80,8 @@
 std::string checkAddress(std::string_view address)
 {
     const SettingsSections sections { { "options", { { "platform", std::string { address } } } } };
-    return checkSettings(sections, AddressSpecifications, "").empty() ? "" : "--platform must be IP:PORT, port 0 to 65535";
+    return checkSettings(sections, AddressSpecifications, "").empty() ? ""
+                                                                      : "--platform must be IP:PORT, port 0 to 65535";
 }
 
 // Takes the value of one option. Returns what is wrong with it, or nothing.
--- a/src/programs/ControlViews.cpp
+++ b/src/programs/ControlViews.cpp
@@ -80,18 +80,17 @@
         const auto changes = differenceOf(current, wanted);
         if (changes.empty())
             continue;
-        entries.push_back(
-            json::object { { "preset", name }, { "changes", differenceToJson(current, changes) } });
+        entries.push_back(json::object { { "preset", name }, { "changes", differenceToJson(current, changes) } });
         if (!this->options.isJson)
-            std::ranges::for_each(describeDifference(name, current, changes),
-                [this](const auto& line) { this->out << line << '\n'; });
+            std::ranges::for_each(
+                describeDifference(name, current, changes), [this](const auto& line) { this->out << line << '\n'; });
     }
     const auto isDifferent = !entries.empty();
     if (this->options.isJson)
         this->print(json::object { { "revision", this->state.nextOffset() }, { "differences", std::move(entries) } });
     else
-        this->out << (isDifferent ? "compared with" : "no difference from") << " revision "
-                  << this->state.nextOffset() << '\n';
+        this->out << (isDifferent ? "compared with" : "no difference from") << " revision " << this->state.nextOffset()
+                  << '\n';
     return isDifferent ? ControlExit::Different : ControlExit::Success;
 }
 
@@ -116,8 +115,8 @@
                 { "values", internal::sectionToJson(values) } });
     }
     if (this->options.isJson)
-        this->print(json::object { { "preset", preset }, { "revision", this->state.nextOffset() },
-            { "sections", std::move(object) } });
+        this->print(json::object {
+            { "preset", preset }, { "revision", this->state.nextOffset() }, { "sections", std::move(object) } });
     return ControlExit::Success;
 }
 
--- a/src/programs/PresetDiff.cpp
+++ b/src/programs/PresetDiff.cpp
@@ -21,8 +21,8 @@
     return bytes;
 }
 
-void describeKeys(const std::string& place, const PresetSection& before, const PresetSection& after,
-    std::vector<std::string>& lines)
+void describeKeys(
+    const std::string& place, const PresetSection& before, const PresetSection& after, std::vector<std::string>& lines)
 {
     for (const auto& [key, value] : after) {
         const auto old = before.find(key);
--- a/src/programs/PresetFiles.cpp
+++ b/src/programs/PresetFiles.cpp
@@ -9,6 +9,7 @@
 
 #include "base/Settings.h"
 #include "configuration/PresetSchema.h"
+#include "programs/PresetDiff.h"
 
 namespace marigoldpaddle {
 
@@ -72,8 +73,8 @@
 }
 
 // Checks what holds between the sections of a preset.
-void checkWhole(std::string_view name, const PresetSections& sections, std::string_view place,
-    std::vector<std::string>& faults)
+void checkWhole(
+    std::string_view name, const PresetSections& sections, std::string_view place, std::vector<std::string>& faults)
 {
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void> {
@@ -82,10 +83,18 @@
         },
         [&](const PresetProblem& problem) { faults.push_back(problem.message); },
         [&] { faults.push_back(std::string { place } + ": is no valid preset"); });
+    const auto parts = splitChanges(differenceOf({}, sections));
+    const auto isRecordable = std::ranges::all_of(parts, [&](const auto& part) {
+        const ConfigurationChange change { "check", ConfigurationChangeKind::Edit, std::string { name }, 0, part };
+        return static_cast<bool>(decodeChange(encodeChange(change)));
+    });
+    if (!isRecordable)
+        faults.push_back(std::string { place }
+            + ": cannot be published: names must have 1 to 200 bytes, values at most 65536, all of it UTF-8");
 }
 
-void addPreset(PresetFiles& all, std::string name, const filesystem::path& place,
-    const std::vector<filesystem::path>& files)
+void addPreset(
+    PresetFiles& all, std::string name, const filesystem::path& place, const std::vector<filesystem::path>& files)
 {
     const auto faultsBefore = all.faults.size();
     auto sections = readGroup(files, all.faults);
