Take requests through filters, under the request lifecycle

The thin gateway asked once, sent once and gave up at the first fault; it told callers a fixed 'ran'. Now parse, authenticate, estimate, admit, claim, acquire and relay are filters, and RequestLifecycle decides on every fault. Each attempt has a name of its own towards dispatchers and engines, so that a late grant or cancel cannot meet a later attempt. Deadline and caller end the lifecycle before the run is cancelled. HttpClient asks a gate between connecting and the first byte. Cancels, notices and settlements go on in the background until answered, and a planned stop waits for them. Holdings are announced every 500 ms and at each change of a cell's owner.

An acquire call returned a variant through Asio's operator||, which flattens variants: every grant was read as a lost owner (no_owner, in the first run of the tests). It now leaves its answer in an optional.

--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -119,12 +119,14 @@
 HttpClient::~HttpClient() = default;
 
 asio::awaitable<HttpResult<HttpCall>> HttpClient::start(
-    std::string address, HttpRequest request, Duration timeout, ConnectionReuse reuse)
+    std::string address, HttpRequest request, Duration timeout, ConnectionReuse reuse, SendGate* gate)
 {
     auto connected = co_await this->connect(address, reuse);
     if (!connected)
         co_return connected.error();
     auto connection = std::move(connected).value();
+    if (gate && !gate->mayWrite())
+        co_return HttpError::ConnectFailed;
     request.set(http::field::host, address);
     request.keep_alive(true);
     connection->stream.expires_after(timeout);
--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -24,6 +24,14 @@
     Forbidden, // For calls that may not be repeated: a pooled connection may turn out dead after the write.
 };
 
+// Is asked between connecting and writing the first byte, whatever time the connecting took.
+class SendGate {
+public:
+    virtual ~SendGate() = default;
+
+    virtual bool mayWrite() = 0;
+};
+
 class HttpClient;
 
 // One request that was sent, and its answer as it arrives. Its connection goes back to the pool only after the whole
@@ -56,9 +64,9 @@
     explicit HttpClient(boost::asio::any_io_executor executor, HttpClientLimits limits = {});
     ~HttpClient();
 
-    // Sends a request and waits up to `timeout` for the header of its answer.
-    boost::asio::awaitable<HttpResult<HttpCall>> start(
-        std::string address, HttpRequest request, Duration timeout, ConnectionReuse reuse = ConnectionReuse::Allowed);
+    // Sends a request and waits up to `timeout` for the header of its answer. ConnectFailed when `gate` forbids it.
+    boost::asio::awaitable<HttpResult<HttpCall>> start(std::string address, HttpRequest request, Duration timeout,
+        ConnectionReuse reuse = ConnectionReuse::Allowed, SendGate* gate = nullptr);
 
     // Sends a request and reads its whole answer, within `timeout` each for header and body.
     boost::asio::awaitable<HttpResult<HttpResponse>> call(
--- a/src/gateway/CompletionRequest.cpp
+++ b/src/gateway/CompletionRequest.cpp
@@ -113,14 +113,15 @@
     return json::serialize(body);
 }
 
-std::string completionEvent(const CompletionRequest& request, std::string_view id, std::string_view text)
+void appendCompletionEvent(
+    std::string& out, const CompletionRequest& request, std::string_view id, std::string_view text)
 {
     json::object choice { { "index", 0 } };
     if (request.isChat)
         choice["delta"] = json::object { { "content", text } };
     else
         choice["text"] = text;
-    return eventOf(request, id, std::move(choice));
+    out += eventOf(request, id, std::move(choice));
 }
 
 std::string finalCompletionEvent(const CompletionRequest& request, std::string_view id)
--- a/src/gateway/CompletionRequest.h
+++ b/src/gateway/CompletionRequest.h
@@ -35,7 +35,8 @@
 // Writes the OpenAI-compatible answers.
 std::string wholeCompletion(
     const CompletionRequest& request, std::string_view id, std::string_view text, std::uint64_t tokens);
-std::string completionEvent(const CompletionRequest& request, std::string_view id, std::string_view text);
+void appendCompletionEvent(
+    std::string& out, const CompletionRequest& request, std::string_view id, std::string_view text);
 std::string finalCompletionEvent(const CompletionRequest& request, std::string_view id);
 
 }
--- /dev/null
+++ b/src/gateway/Digest.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace marigoldpaddle {
+
+// Returns the SHA-256 digest of a text in lower-case hex.
+std::string sha256Hex(std::string_view text);
+
+}
--- a/src/gateway/GatewayView.cpp
+++ b/src/gateway/GatewayView.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -41,6 +42,7 @@
     , metrics(metrics)
     , instance(std::move(instance))
     , ownDispatcher(std::move(dispatcherAddress))
+    , changed(context, TimePoint::max())
 {
 }
 
@@ -99,6 +101,7 @@
     std::ranges::transform(answer.cells, std::back_inserter(this->knownCells), cellFrom);
     this->knownServices.clear();
     std::ranges::transform(answer.services, std::back_inserter(this->knownServices), serviceFrom);
+    this->changed.cancel();
     if (!answer.__isset.configurationSnapshot)
         return;
     const auto before = this->configuration.nameInForce();
@@ -133,6 +136,36 @@
     return this->knownMembers;
 }
 
+const CellView* GatewayView::cell(const CellId& id) const
+{
+    const auto found
+        = std::ranges::find_if(this->knownCells, [&](const CellView& each) { return each.digest.cell == id; });
+    return found == this->knownCells.end() ? nullptr : &*found;
+}
+
+asio::awaitable<void> GatewayView::waitForChange(Duration time)
+{
+    using namespace asio::experimental::awaitable_operators;
+    asio::steady_timer timer { this->context, time };
+    boost::system::error_code ignored;
+    co_await (this->changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored))
+        || timer.async_wait(asio::use_awaitable));
+}
+
+asio::awaitable<void> GatewayView::waitForOtherOwner(CellId id, InstanceId owner)
+{
+    boost::system::error_code failure;
+    while (true) {
+        const auto* known = this->cell(id);
+        if (known && known->owner != owner)
+            co_return;
+        co_await this->changed.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+        const auto state = co_await asio::this_coro::cancellation_state;
+        if (state.cancelled() != asio::cancellation_type::none)
+            co_return;
+    }
+}
+
 std::string GatewayView::dispatcherAddressOf(const InstanceId& instance) const
 {
     const auto found = std::ranges::find_if(
--- a/src/gateway/GatewayView.h
+++ b/src/gateway/GatewayView.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <marigoldpaddle/CellScheduler.h>
 #include <marigoldpaddle/ConfigurationState.h>
@@ -21,6 +22,7 @@
 struct GatewaySettings {
     InstanceId instance;
     std::string availabilityZone;
+    std::uint64_t randomSeed { 1 };
 };
 
 // A cell, what is known of its load, and who schedules it.
@@ -55,6 +57,15 @@
     const std::vector<ServiceTarget>& services() const;
     const std::vector<Member>& members() const;
 
+    // Null when the cell is not known.
+    const CellView* cell(const CellId& id) const;
+
+    // Returns after the view has changed or `time` has passed.
+    boost::asio::awaitable<void> waitForChange(Duration time);
+
+    // Returns once another than `owner` is known to own the cell.
+    boost::asio::awaitable<void> waitForOtherOwner(CellId cell, InstanceId owner);
+
     // The RPC address of an instance's dispatcher; empty when it is not known.
     std::string dispatcherAddressOf(const InstanceId& instance) const;
 
@@ -76,6 +87,7 @@
     std::vector<Member> knownMembers;
     std::vector<CellView> knownCells;
     std::vector<ServiceTarget> knownServices;
+    boost::asio::steady_timer changed; // Cancelled whenever the view changes.
 };
 
 }
--- a/src/programs/GatewayMain.cpp
+++ b/src/programs/GatewayMain.cpp
@@ -1,4 +1,5 @@
 #include <chrono>
+#include <random>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -64,6 +65,7 @@
     boost::asio::steady_timer timer { context, grace };
     co_await timer.async_wait(boost::asio::use_awaitable);
     co_await server.drain();
+    co_await gateway.finishBackgroundTasks();
     context.stop();
 }
 
@@ -77,12 +79,14 @@
     GatewaySettings settings;
     settings.instance = { values.text("instance", "name"), incarnationFrom(values) };
     settings.availabilityZone = values.text("instance", "zone");
+    settings.randomSeed = std::random_device {}();
     GatewayView view { context, rpc, metrics, settings.instance, values.text("dispatcher", "address") };
     Gateway gateway { context, clock, settings, view, rpc, client, metrics };
     HttpServer server { context, gateway, limitsFrom(values) };
     const std::pair<std::string, std::uint16_t> ports[] { { "http", server.listen(values.text("listen", "http")) } };
     writePorts(values.text("listen", "ports"), ports);
     view.start();
+    gateway.start();
     boost::asio::signal_set signals { context, SIGTERM, SIGINT };
     signals.async_wait([&](const boost::system::error_code&, int) {
         auto stopping = stopGracefully(context, gateway, server, values.milliseconds("stop", "grace_ms"));
--- /dev/null
+++ b/test/Gateway_test.cpp
@@ -0,0 +1,266 @@
+#include "GatewayWorld.h"
+
+#include <gmock/gmock.h>
+
+#include "standins/AnswerGenerator.h"
+
+using namespace marigoldpaddle;
+using marigoldpaddle::testing::GatewayWorld;
+using ::testing::HasSubstr;
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view Question = "Which bell is closest to A flat?";
+constexpr std::uint64_t Tokens = 40;
+
+std::string textOf(const HttpResponse& answer)
+{
+    return json::value_to<std::string>(json::parse(answer.body()).at("choices").at(0).at("text"));
+}
+
+// Joins the texts of a stream of events, up to its end mark.
+std::string streamedText(std::string_view body)
+{
+    std::string text;
+    constexpr std::string_view Prefix = "data: ";
+    for (auto end = body.find("\n\n"); end != std::string_view::npos; end = body.find("\n\n")) {
+        const auto data = body.substr(Prefix.size(), end - Prefix.size());
+        body.remove_prefix(end + 2);
+        if (data == "[DONE]")
+            return text;
+        text += json::value_to<std::string>(json::parse({ data.data(), data.size() }).at("choices").at(0).at("text"));
+    }
+    return text + " (no end mark)";
+}
+
+class GatewayTest : public ::testing::Test {
+protected:
+    // Sends one request and returns its answer, once everything it held is given back.
+    HttpResponse answerTo(HttpRequest request)
+    {
+        HttpResponse answer;
+        const auto didEnd = this->world.run(
+            [&]() -> asio::awaitable<void> { answer = co_await this->world.send(std::move(request)); });
+        EXPECT_TRUE(didEnd);
+        this->expectNothingHeld();
+        return answer;
+    }
+
+    void expectNothingHeld()
+    {
+        EXPECT_EQ(this->world.usedEngineTokens(), 0u) << "engine memory is still held";
+        EXPECT_EQ(this->world.dispatcher.openPlacements(), 0u) << "placements are still open";
+    }
+
+    static void expectRefusal(const HttpResponse& answer, unsigned status, std::string_view reason)
+    {
+        EXPECT_EQ(answer.result_int(), status) << answer.body();
+        EXPECT_EQ(answer["Content-Type"], "application/problem+json");
+        EXPECT_THAT(answer.body(), HasSubstr("\"reason\":\"" + std::string { reason } + "\""));
+        EXPECT_THAT(answer.body(), HasSubstr("\"ran\":\"no\""));
+    }
+
+    GatewayWorld world;
+    std::string whole = standins::wholeAnswer(Question, Tokens);
+};
+
+TEST_F(GatewayTest, PromptAskedForWholeGetsItsWholeAnswer)
+{
+    const auto answer = this->answerTo(this->world.prompt(Question, Tokens, false));
+    ASSERT_EQ(answer.result_int(), 200u) << answer.body();
+    EXPECT_EQ(textOf(answer), this->whole);
+}
+
+TEST_F(GatewayTest, PromptAskedForAsStreamGetsEveryTokenAndAnEndMark)
+{
+    const auto answer = this->answerTo(this->world.prompt(Question, Tokens, true));
+    EXPECT_EQ(streamedText(answer.body()), this->whole);
+}
+
+TEST_F(GatewayTest, PromptOverASpanFreesItsReservationsAtTheEnd)
+{
+    this->world.dispatcher.partsPerGrant = 2;
+    const auto answer = this->answerTo(this->world.prompt(Question, Tokens, true));
+    EXPECT_EQ(streamedText(answer.body()), this->whole);
+}
+
+TEST_F(GatewayTest, RefusalOfTheOwnerGoesOutWithItsReasonAndRetryAfter)
+{
+    this->world.dispatcher.refusal.emplace();
+    this->world.dispatcher.refusal->reason = "overloaded";
+    this->world.dispatcher.refusal->retryAfterMs = 2500;
+    const auto answer = this->answerTo(this->world.prompt(Question, Tokens, true));
+    expectRefusal(answer, 503, "overloaded");
+    EXPECT_EQ(answer["Retry-After"], "3");
+    EXPECT_EQ(this->world.refusals("overloaded"), 1u);
+}
+
+TEST_F(GatewayTest, KeylessOrderIsPassedOnAndItsAnswerComesBack)
+{
+    const auto answer = this->answerTo(this->world.post("/services/orders/restock", "{\"cream\":3}"));
+    EXPECT_EQ(answer.result_int(), 201u) << answer.body();
+}
+
+TEST_F(GatewayTest, KeyedOrderIsSettledWithItsOutcome)
+{
+    auto order = this->world.post("/services/orders/restock", "{\"cream\":3}");
+    order.set("Idempotency-Key", "k1");
+    const auto answer = this->answerTo(std::move(order));
+    EXPECT_EQ(answer.result_int(), 201u) << answer.body();
+    ASSERT_EQ(this->world.dispatcher.settlements.size(), 1u);
+    EXPECT_EQ(this->world.dispatcher.settlements[0].outcome.status, 201);
+}
+
+TEST_F(GatewayTest, RepeatOfAKeyedOrderGetsTheStoredAnswerAndIsNotSent)
+{
+    auto& claim = this->world.dispatcher.claimAnswer;
+    claim.verdict = wire::ClaimVerdict::Repeated;
+    wire::CallOutcome outcome;
+    outcome.status = 202;
+    outcome.contentType = "text/plain";
+    outcome.body = "stored";
+    claim.__set_outcome(outcome);
+    this->world.dispatcher.services.clear();
+    auto order = this->world.post("/services/orders/restock", "{\"cream\":3}");
+    order.set("Idempotency-Key", "k1");
+    const auto answer = this->answerTo(std::move(order));
+    EXPECT_EQ(answer.result_int(), 202u);
+    EXPECT_EQ(answer.body(), "stored");
+    EXPECT_TRUE(this->world.dispatcher.settlements.empty());
+}
+
+struct BadInput {
+    std::string name;
+    std::string path;
+    std::string body;
+    std::string field;
+    std::string value;
+    unsigned status;
+    std::string reason;
+};
+
+class GatewayBadInputTest : public GatewayTest, public ::testing::WithParamInterface<BadInput> { };
+
+TEST_P(GatewayBadInputTest, IsRefusedWithItsReasonAndHoldsNothing)
+{
+    const auto& input = this->GetParam();
+    auto request = this->world.post(input.path, input.body);
+    if (!input.field.empty())
+        request.set(input.field, input.value);
+    expectRefusal(this->answerTo(std::move(request)), input.status, input.reason);
+    EXPECT_EQ(this->world.refusals(input.reason), 1u);
+}
+
+const std::string GoodBody = R"({"model":"m","prompt":"a"})";
+
+INSTANTIATE_TEST_SUITE_P(, GatewayBadInputTest,
+    ::testing::Values(BadInput { "BrokenJson", "/v1/completions", "{\"model\":", "", "", 400, "malformed_request" },
+        BadInput { "NoPrompt", "/v1/completions", R"({"model":"m"})", "", "", 400, "malformed_request" },
+        BadInput { "ChatWithoutMessages", "/v1/chat/completions", GoodBody, "", "", 400, "malformed_request" },
+        BadInput { "UnknownModel", "/v1/completions", R"({"model":"x","prompt":"a"})", "", "", 404, "unknown_model" },
+        BadInput { "UnknownService", "/services/bells/x", "", "", "", 404, "unknown_service" },
+        BadInput { "WrongKey", "/v1/completions", GoodBody, "Authorization", "Bearer no", 401, "unauthenticated" },
+        BadInput {
+            "NegativeTime", "/v1/completions", GoodBody, "X-Allowed-Time-Ms", "-5", 400, "invalid_allowed_time" },
+        BadInput { "AbsurdTime", "/v1/completions", GoodBody, "X-Allowed-Time-Ms", "99999999999999999999", 400,
+            "invalid_allowed_time" },
+        BadInput {
+            "OversizedBody", "/v1/completions", std::string(2 * 1024 * 1024, 'x'), "", "", 413, "request_too_large" }),
+    [](const auto& row) { return row.param.name; });
+
+class FaultsGatewayTest : public GatewayTest { };
+
+TEST_F(FaultsGatewayTest, StreamCutInTheMiddleIsResumedOnTheSameEngine)
+{
+    HttpResponse answer;
+    ASSERT_TRUE(this->world.run([&]() -> asio::awaitable<void> {
+        co_await this->world.setFaults(0, R"({"cut_after_tokens":7})");
+        answer = co_await this->world.send(this->world.prompt(Question, Tokens, true));
+    }));
+    EXPECT_EQ(streamedText(answer.body()), this->whole);
+    EXPECT_EQ(this->world.retries("stream_resumed"), 1u);
+    this->expectNothingHeld();
+}
+
+TEST_F(FaultsGatewayTest, EngineThatDiesInTheMiddleIsReplacedByAnotherWithTheTokensAppended)
+{
+    HttpResponse answer;
+    ASSERT_TRUE(this->world.run([&]() -> asio::awaitable<void> {
+        auto started = co_await this->world.client.start(
+            this->world.address, this->world.prompt(Question, Tokens, true), std::chrono::seconds { 5 });
+        auto body = co_await started.value().readSome(std::chrono::seconds { 5 });
+        this->world.engines[0].server.reset();
+        co_await this->world.setFaults(0, R"({"cut_after_tokens":1,"frozen":true})");
+        auto rest = co_await started.value().readAll(std::chrono::seconds { 15 });
+        answer.body() = body.value() + rest.value();
+    }));
+    EXPECT_EQ(streamedText(answer.body()), this->whole);
+}
+
+TEST_F(FaultsGatewayTest, EngineThatCannotBeReachedIsExcludedAndAnotherAsked)
+{
+    this->world.dispatcher.engines[0].second = "127.0.0.1:1";
+    const auto answer = this->answerTo(this->world.prompt(Question, Tokens, true));
+    EXPECT_EQ(streamedText(answer.body()), this->whole);
+    EXPECT_EQ(this->world.retries("connect_failed"), 1u);
+    EXPECT_THAT(this->world.dispatcher.exclusions.back(), ::testing::ElementsAre("engine-1"));
+}
+
+TEST_F(FaultsGatewayTest, FrozenEngineEndsThePromptAtItsDeadlineWithUnknown)
+{
+    HttpResponse answer;
+    ASSERT_TRUE(this->world.run([&]() -> asio::awaitable<void> {
+        for (std::size_t engine = 0; engine < 3; ++engine)
+            co_await this->world.setFaults(engine, R"({"frozen":true})");
+        auto request = this->world.prompt(Question, Tokens, true);
+        request.set("X-Allowed-Time-Ms", "300");
+        answer = co_await this->world.send(std::move(request));
+        for (std::size_t engine = 0; engine < 3; ++engine)
+            co_await this->world.setFaults(engine, R"({"frozen":false})");
+    }));
+    EXPECT_EQ(answer.result_int(), 504u);
+    EXPECT_THAT(answer.body(), HasSubstr("\"ran\":\"unknown\""));
+    EXPECT_TRUE(answer.count("Retry-After"));
+}
+
+TEST_F(FaultsGatewayTest, CallerThatLeavesInTheMiddleFreesTheEngine)
+{
+    ASSERT_TRUE(this->world.run([&]() -> asio::awaitable<void> {
+        {
+            auto started = co_await this->world.client.start(
+                this->world.address, this->world.prompt(Question, 100'000, true), std::chrono::seconds { 5 });
+            co_await started.value().readSome(std::chrono::seconds { 5 });
+            EXPECT_GT(this->world.usedEngineTokens(), 0u);
+        }
+        while (this->world.refusals("caller_gone") == 0)
+            co_await this->world.pause(std::chrono::milliseconds { 1 });
+    }));
+    this->expectNothingHeld();
+}
+
+TEST_F(FaultsGatewayTest, OrderWhoseAnswerIsLostIsNotRepeatedAndIsSettledAsUnknown)
+{
+    HttpResponse answer;
+    HttpResponse counts;
+    ASSERT_TRUE(this->world.run([&]() -> asio::awaitable<void> {
+        auto faults = makeRequest(boost::beast::http::verb::post, "/faults", R"({"drop_answers":1})");
+        co_await this->world.client.call(this->world.service.address, std::move(faults), std::chrono::seconds { 1 });
+        auto order = this->world.post("/services/orders/restock", "{\"cream\":3}");
+        order.set("Idempotency-Key", "k1");
+        answer = co_await this->world.send(std::move(order));
+        auto query = makeRequest(boost::beast::http::verb::get, "/counts", {});
+        auto counted = co_await this->world.client.call(
+            this->world.service.address, std::move(query), std::chrono::seconds { 1 });
+        counts = std::move(counted).value();
+    }));
+    EXPECT_EQ(answer.result_int(), 502u);
+    EXPECT_THAT(answer.body(), HasSubstr("\"ran\":\"unknown\""));
+    EXPECT_THAT(counts.body(), HasSubstr("\"k1\":1"));
+    ASSERT_EQ(this->world.dispatcher.settlements.size(), 1u);
+    EXPECT_TRUE(this->world.dispatcher.settlements[0].unknown);
+}
+
+}
