--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -1,7 +1,9 @@
 #include "dispatch/Dispatcher.h"
 
 #include <algorithm>
+#include <random>
 #include <ranges>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -11,7 +13,6 @@
 #include <boost/json.hpp>
 #include <glog/logging.h>
 
-#include "dispatch/FirstComeScheduler.h"
 #include "membership/Ownership.h"
 #include "rpc/Conversions.h"
 
@@ -23,26 +24,14 @@
 
 namespace {
 
-constexpr std::chrono::seconds LogWait { 5 };
-constexpr std::chrono::milliseconds LogRetryPause { 200 };
-constexpr std::chrono::milliseconds LoadTimeout { 500 };
+constexpr std::chrono::milliseconds SuccessorTimeout { 100 };
+constexpr std::chrono::seconds GrantNoticeLifetime { 5 };
 constexpr std::chrono::seconds MaximumViewWait { 5 };
-constexpr std::size_t LogPageRecords = 500;
+constexpr std::chrono::seconds DigestPeriod { 2 };
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusUnavailable = 503;
 
-Member memberFrom(const InstanceDescription& instance)
-{
-    Member member;
-    member.instance = { instance.name, instance.incarnation };
-    member.availabilityZone = instance.availabilityZone;
-    member.membershipAddress = instance.membershipAddress;
-    member.dispatcherAddress = instance.dispatcherAddress;
-    member.state = instance.isLeaving ? MemberState::Leaving : MemberState::Alive;
-    return member;
-}
-
 PlacementRequest placementFrom(const wire::AcquireRequest& request, TimePoint now)
 {
     PlacementRequest placement;
@@ -73,32 +62,6 @@
     return holding;
 }
 
-std::optional<LoadReport> loadFrom(std::string_view target, const std::string& body, TimePoint now)
-{
-    try {
-        const auto value = json::parse(body);
-        LoadReport report;
-        report.target = target;
-        report.measuredAt = now;
-        report.memoryTokens = json::value_to<std::uint64_t>(value.at("memory_tokens"));
-        report.usedTokens = json::value_to<std::uint64_t>(value.at("used_tokens"));
-        report.running = json::value_to<std::uint32_t>(value.at("running"));
-        report.waiting = json::value_to<std::uint32_t>(value.at("waiting"));
-        report.prefillTokensPerSecond = json::value_to<double>(value.at("prefill_tokens_per_second"));
-        const auto* allocations = value.as_object().if_contains("allocations");
-        if (!allocations)
-            return report;
-        report.allocations.emplace();
-        for (const auto& allocation : allocations->as_array())
-            report.allocations->push_back({ { json::value_to<std::string>(allocation.at("request_id")) },
-                json::value_to<std::uint64_t>(allocation.at("tokens")),
-                std::chrono::milliseconds { json::value_to<std::int64_t>(allocation.at("age_ms")) } });
-        return report;
-    } catch (const std::exception&) {
-        return std::nullopt;
-    }
-}
-
 // Waits for a time; a cancelled wait ends early.
 asio::awaitable<void> waitFor(asio::io_context& context, Duration time)
 {
@@ -114,20 +77,34 @@
     : context(context)
     , clock(clock)
     , settings(std::move(settings))
-    , configurationLog(configurationLog)
     , instanceList(instanceList)
-    , client(client)
+    , peerClient(context.get_executor())
+    , configurationPeers(this->peerClient, this->settings.configuration.peerTimeout)
+    , configuration(context, clock, configurationLog, this->configurationPeers, this->metrics,
+          this->settings.configuration, [this] { this->noteChange(); })
+    , membership(context, clock, this->metrics)
+    , prober(context, clock, client, this->metrics, this->ownedCells, this->settings.loadPeriod)
     , changed(context, TimePoint::max())
 {
 }
 
 Dispatcher::~Dispatcher() = default;
 
-void Dispatcher::start()
+std::uint16_t Dispatcher::listenMembership(std::string_view address)
 {
-    asio::co_spawn(this->context, this->followConfiguration(), asio::detached);
+    return this->membership.bind(address);
+}
+
+void Dispatcher::start(std::string rpcAddress, std::string membershipAddress)
+{
+    Member self { this->settings.instance, this->settings.availabilityZone, std::move(membershipAddress),
+        std::move(rpcAddress), MemberState::Alive, 0, 0 };
+    this->membership.start(std::move(self), *this, std::random_device {}());
+    this->refreshMembers();
+    this->configuration.start();
+    asio::co_spawn(this->context, this->publishDigests(), asio::detached);
     asio::co_spawn(this->context, this->followInstanceList(), asio::detached);
-    asio::co_spawn(this->context, this->followLoads(), asio::detached);
+    this->prober.start();
 }
 
 void Dispatcher::beginPlannedStop()
@@ -137,29 +114,10 @@
     for (auto& [id, cell] : this->ownedCells)
         cell->handOver();
     this->ownedCells.clear();
+    this->membership.leave();
     this->noteChange();
 }
 
-asio::awaitable<void> Dispatcher::followConfiguration()
-{
-    while (true) {
-        auto page = co_await this->configurationLog.read(this->configuration.nextOffset(), LogPageRecords, LogWait);
-        if (!page) {
-            const auto label = "error=\"" + std::string { name(page.error()) } + "\"";
-            this->metrics.counter("marigold_configuration_read_failures_total", label).increment();
-            co_await waitFor(this->context, LogRetryPause);
-            continue;
-        }
-        const auto before = this->configuration.nameInForce();
-        for (const auto& record : page.value().records)
-            this->configuration.apply(record.offset, record.data);
-        if (this->configuration.nameInForce() != before)
-            LOG(INFO) << "preset in force: " << this->configuration.nameInForce();
-        if (!page.value().records.empty())
-            this->noteChange();
-    }
-}
-
 asio::awaitable<void> Dispatcher::followInstanceList()
 {
     while (true) {
@@ -174,17 +132,104 @@
 
 void Dispatcher::takeListing(InstanceListing listing)
 {
-    std::vector<Member> listed;
-    std::ranges::transform(listing.instances, std::back_inserter(listed), memberFrom);
-    if (listed == this->members && listing.targets == this->targets)
+    const auto isLeavingSelf = [this](const InstanceDescription& each) {
+        return each.isLeaving && each.name == this->settings.instance.name
+            && each.incarnation == this->settings.instance.incarnation;
+    };
+    if (std::ranges::any_of(listing.instances, isLeavingSelf))
+        this->membership.leave();
+    this->membership.updateListing(listing.instances);
+    for (const auto& target : listing.targets | std::views::filter(&TargetDescription::isLeaving))
+        this->membership.markTarget({ target.name, target.incarnation, true });
+    const auto before = std::exchange(this->targets, std::move(listing.targets));
+    this->isListRead = true;
+    this->applyMarks();
+    this->refreshMembers();
+    this->tellStewards();
+    if (this->targets == before)
+        return;
+    this->cells = makeCells(this->targets);
+    this->reassignCells();
+    this->tellStewards();
+    this->noteChange();
+}
+
+void Dispatcher::refreshMembers()
+{
+    auto current = this->membership.membership().membersAndContacts(this->clock.now());
+    if (current == this->members)
+        return;
+    this->members = std::move(current);
+    this->reassignCells();
+    this->tellFollower();
+    this->noteChange();
+}
+
+void Dispatcher::applyMarks()
+{
+    for (const auto& mark : this->membership.membership().targetMarks())
+        for (auto& target : this->targets)
+            if (target.name == mark.target && target.incarnation <= mark.incarnation && mark.isLeaving)
+                target.isLeaving = true;
+}
+
+void Dispatcher::memberChanged(const Member& member)
+{
+    if (member.state == MemberState::Dead) {
+        for (const auto& [id, cell] : this->ownedCells)
+            cell->noteDead(member.instance);
+    }
+    this->refreshMembers();
+}
+
+void Dispatcher::targetMarked(const TargetLeavingMark&)
+{
+    const auto before = this->targets;
+    this->applyMarks();
+    if (this->targets == before)
         return;
-    this->members = std::move(listed);
-    this->targets = std::move(listing.targets);
     this->cells = makeCells(this->targets);
     this->reassignCells();
     this->noteChange();
 }
 
+void Dispatcher::configurationOffsetHeard(std::uint64_t offset, const Member& holder)
+{
+    this->configuration.peerReached(holder.dispatcherAddress, offset);
+}
+
+void Dispatcher::superseded(std::uint64_t)
+{
+    this->beginPlannedStop();
+}
+
+asio::awaitable<void> Dispatcher::publishDigests()
+{
+    while (true) {
+        for (const auto& [id, cell] : this->ownedCells)
+            this->membership.publish(cell->digest());
+        co_await waitFor(this->context, DigestPeriod);
+    }
+}
+
+void Dispatcher::tellFollower()
+{
+    const auto isMe = [&](const Member& each) {
+        return each.instance.name == this->settings.instance.name;
+    };
+    std::vector<std::string> peers;
+    for (const auto& each : this->members) {
+        if (!isMe(each) && each.state != MemberState::Dead)
+            peers.push_back(each.dispatcherAddress);
+    }
+    const auto me = std::ranges::find_if(this->members, isMe);
+    this->configuration.setPeers(std::move(peers), static_cast<std::size_t>(me - this->members.begin()));
+    for (const auto& each : this->members) {
+        if (!isMe(each))
+            this->configuration.peerReached(each.dispatcherAddress, each.configurationOffset);
+    }
+}
+
 void Dispatcher::reassignCells()
 {
     std::erase_if(this->ownedCells, [&](auto& entry) {
@@ -203,41 +248,17 @@
             continue;
         auto& cell = this->ownedCells[id];
         if (!cell) {
-            cell = std::make_shared<OwnedCell>(
-                this->context, this->clock, this->metrics, id, std::make_unique<FirstComeScheduler>());
+            CellSchedulerSettings schedulerSettings;
+            schedulerSettings.cell = id;
+            cell = std::make_shared<OwnedCell>(this->context, this->clock, this->metrics, id,
+                makeCellScheduler(schedulerSettings), std::move(this->standbyStewards[id]));
+            this->standbyStewards.erase(id);
             LOG(INFO) << "owns cell " << ownershipKey(id);
         }
         cell->setTargets(descriptions);
     }
 }
 
-asio::awaitable<void> Dispatcher::followLoads()
-{
-    while (true) {
-        for (const auto& [id, cell] : this->ownedCells) {
-            for (const auto& [name, target] : cell->targets()) {
-                auto reading = this->readLoad(target, id);
-                asio::co_spawn(this->context, std::move(reading), asio::detached);
-            }
-        }
-        co_await waitFor(this->context, this->settings.loadPeriod);
-    }
-}
-
-asio::awaitable<void> Dispatcher::readLoad(TargetDescription target, CellId cell)
-{
-    auto request = makeRequest(http::verb::get, "/v1/load", {});
-    auto answer = co_await this->client.call(target.address, std::move(request), LoadTimeout);
-    auto* owned = this->owned(cell);
-    if (!owned)
-        co_return;
-    const auto report = answer ? loadFrom(target.name, answer.value().body(), this->clock.now()) : std::nullopt;
-    if (report)
-        owned->reportLoad(*report);
-    else
-        this->metrics.counter("marigold_load_report_failures_total").increment();
-}
-
 asio::awaitable<std::optional<wire::Payload>> Dispatcher::handle(wire::Payload request)
 {
     wire::Payload answer;
@@ -249,6 +270,9 @@
         answer.__set_viewAnswer(seen);
     } else if (request.__isset.claim) {
         answer.__set_claimAnswer(this->claim(request.claim));
+    } else if (request.__isset.configuration) {
+        const auto known = static_cast<std::uint64_t>(request.configuration.knownOffset);
+        answer.__set_configurationAnswer(wireFrom(this->configuration.updateSince(known)));
     } else {
         if (request.__isset.progress)
             this->noteProgress(request.progress);
@@ -267,7 +291,7 @@
 {
     wire::AcquireAnswer answer;
     auto found = this->ownedCells.find(fromWire(request.cell));
-    if (found == this->ownedCells.end()) {
+    if (found == this->ownedCells.end() || this->membership.isStale()) {
         answer.__set_moved(true);
         co_return answer;
     }
@@ -277,6 +301,7 @@
     if (!command) {
         answer.__set_moved(true);
     } else if (const auto* grant = std::get_if<Grant>(&*command)) {
+        co_await this->tellSuccessor(cell, *grant, fromWire(request.owner));
         wire::GrantRecord record;
         for (const auto& part : grant->parts) {
             wire::GrantPartRecord wirePart;
@@ -314,22 +339,32 @@
     co_return this->currentView(static_cast<std::uint64_t>(request.knownConfigurationOffset));
 }
 
-wire::ViewAnswer Dispatcher::currentView(std::uint64_t knownConfigurationOffset) const
+std::map<CellId, CellDigest> Dispatcher::knownDigests() const
+{
+    std::map<CellId, CellDigest> digests;
+    for (const auto& report : this->membership.membership().cellReports(this->clock.now()))
+        digests.emplace(report.digest.cell, report.digest);
+    for (const auto& [id, cell] : this->ownedCells)
+        digests.insert_or_assign(id, cell->digest());
+    return digests;
+}
+
+wire::ViewAnswer Dispatcher::currentView(std::uint64_t knownConfigurationOffset)
 {
     wire::ViewAnswer answer;
     answer.version = static_cast<std::int64_t>(this->version);
     std::ranges::transform(
         this->members, std::back_inserter(answer.members), [](const Member& each) { return toWire(each); });
+    const auto digests = this->knownDigests();
     for (const auto& [id, descriptions] : this->cells) {
         const auto* owner = ownerOf(id, this->members);
         if (!owner)
             continue;
-        const auto mine = this->ownedCells.find(id);
         CellDigest digest;
         digest.cell = id;
         digest.liveTargets = static_cast<std::uint32_t>(descriptions.size());
-        answer.cells.push_back(
-            toWire(mine == this->ownedCells.end() ? digest : mine->second->digest(), owner->instance));
+        const auto known = digests.find(id);
+        answer.cells.push_back(toWire(known == digests.end() ? digest : known->second, owner->instance));
     }
     for (const auto& target : this->targets) {
         if (target.kind != TargetKind::Service || target.isLeaving)
@@ -341,9 +376,11 @@
         record.availabilityZone = target.availabilityZone;
         answer.services.push_back(std::move(record));
     }
-    answer.configurationOffset = static_cast<std::int64_t>(this->configuration.nextOffset());
-    if (this->configuration.nextOffset() > knownConfigurationOffset)
-        answer.__set_configurationSnapshot(this->configuration.snapshot());
+    const auto update = this->configuration.updateSince(knownConfigurationOffset);
+    answer.configurationOffset = static_cast<std::int64_t>(update.offset);
+    answer.configurationRecords = wireRecordsFrom(update.records);
+    if (update.snapshot)
+        answer.__set_configurationSnapshot(*update.snapshot);
     return answer;
 }
 
@@ -390,11 +427,70 @@
 
 void Dispatcher::noteHoldings(const wire::HoldingsAnnouncement& announcement)
 {
-    auto* cell = this->owned(fromWire(announcement.cell));
-    if (!cell)
+    const auto now = this->clock.now();
+    const auto owner = fromWire(announcement.owner);
+    std::vector<Holding> holdings;
+    std::ranges::transform(announcement.holdings, std::back_inserter(holdings),
+        [&](const wire::HoldingRecord& record) { return holdingFrom(record, owner, now); });
+    const auto id = fromWire(announcement.cell);
+    if (auto* cell = this->owned(id)) {
+        cell->noteHoldings(owner, holdings);
+        return;
+    }
+    if (!this->cells.contains(id))
         return;
-    for (const auto& record : announcement.holdings)
-        cell->adopt(holdingFrom(record, fromWire(announcement.owner), this->clock.now()));
+    auto& steward = this->standbyStewards[id];
+    if (!announcement.isSingleGrant)
+        steward.noteHoldings(owner, holdings, now);
+    else if (!holdings.empty())
+        steward.noteGrant(holdings.front().id, holdings.front().parts, now + GrantNoticeLifetime, now);
+}
+
+// Lets the next owner of the cell know of a grant on engines that cannot list what they hold, before anybody acts on
+// it.
+asio::awaitable<void> Dispatcher::tellSuccessor(std::shared_ptr<OwnedCell> cell, Grant grant, InstanceId owner)
+{
+    const auto hides = [&](const GrantPart& part) {
+        return cell->hidesAllocations(part.target);
+    };
+    if (std::ranges::none_of(grant.parts, hides))
+        co_return;
+    const auto owners = ownersOf(cell->id(), this->members, 2);
+    if (owners.size() < 2)
+        co_return;
+    wire::HoldingRecord record;
+    record.requestId = grant.id.value;
+    std::ranges::transform(grant.parts, std::back_inserter(record.parts), [](const GrantPart& part) {
+        wire::GrantPartRecord wirePart;
+        wirePart.target = part.target;
+        wirePart.tokens = static_cast<std::int64_t>(part.tokens);
+        return wirePart;
+    });
+    wire::HoldingsAnnouncement announcement;
+    announcement.owner = toWire(owner);
+    announcement.cell = toWire(cell->id());
+    announcement.holdings.push_back(std::move(record));
+    announcement.isSingleGrant = true;
+    wire::Payload payload;
+    payload.__set_holdings(announcement);
+    auto address = owners[1]->dispatcherAddress;
+    const auto told = co_await this->peerClient.call(std::move(address), std::move(payload), SuccessorTimeout);
+    if (!told)
+        this->metrics.counter("marigold_dispatcher_successor_notices_lost_total").increment();
+}
+
+void Dispatcher::tellStewards()
+{
+    if (this->membership.isStale())
+        return;
+    std::vector<InstanceId> alive;
+    for (const auto& member : this->members) {
+        if (member.state != MemberState::Dead)
+            alive.push_back(member.instance);
+    }
+    for (const auto& [id, cell] : this->ownedCells)
+        cell->noteMembers(alive);
+    std::erase_if(this->standbyStewards, [&](const auto& each) { return !this->cells.contains(each.first); });
 }
 
 OwnedCell* Dispatcher::owned(const CellId& cell)
@@ -412,12 +508,13 @@
 void Dispatcher::noteChange()
 {
     ++this->version;
+    this->membership.setConfigurationOffset(this->configuration.state().nextOffset());
     this->changed.cancel();
 }
 
 bool Dispatcher::isReady() const
 {
-    return !this->isStopping && this->configuration.presetInForce() && !this->members.empty();
+    return !this->isStopping && this->configuration.isReady() && this->isListRead;
 }
 
 asio::awaitable<void> Dispatcher::handle(HttpExchange& exchange)
@@ -426,14 +523,15 @@
     HttpResponse response = makeResponse(StatusNotFound, "text/plain", "no such path\n");
     if (target == "/healthz") {
         const auto body = json::serialize(json::object { { "instance", this->settings.instance.name },
-            { "preset", this->configuration.nameInForce() },
-            { "configuration_offset", this->configuration.nextOffset() } });
+            { "preset", this->configuration.state().nameInForce() },
+            { "configuration_offset", this->configuration.state().nextOffset() } });
         response = makeResponse(StatusOk, "application/json", body + "\n");
     } else if (target == "/readyz") {
         response = this->isReady() ? makeResponse(StatusOk, "text/plain", "ready\n")
                                    : makeResponse(StatusUnavailable, "text/plain", "not ready\n");
     } else if (target == "/metrics") {
-        this->metrics.gauge("marigold_configuration_offset").set(static_cast<double>(this->configuration.nextOffset()));
+        this->metrics.gauge("marigold_configuration_offset")
+            .set(static_cast<double>(this->configuration.state().nextOffset()));
         response = makeResponse(StatusOk, "text/plain; version=0.0.4", this->metrics.exposition());
     }
     co_await exchange.respond(std::move(response));
