Order digests by their sequence, whoever published them

The owner is no longer on the wire within a zone, and comparing estimated times would take the same digest for a newer one after rounding on the way.

--- a/src/membership/RidingNews.cpp
+++ b/src/membership/RidingNews.cpp
@@ -73,9 +73,8 @@
             return false;
     } else {
         const auto& known = found->second;
-        const auto isNewer
-            = report.owner == known.owner ? report.sequence > known.sequence : report.measuredAt > known.measuredAt;
-        if (!isNewer)
+        const auto isOfNewOwner = report.measuredAt > known.measuredAt + OwnerChangeSpacing;
+        if (report.sequence <= known.sequence && !isOfNewOwner)
             return false;
     }
     this->reports[key] = report;
