--- a/include/marigoldpaddle/CellScheduler.h
+++ b/include/marigoldpaddle/CellScheduler.h
@@ -23,6 +23,7 @@
     std::uint64_t promptTokens { 0 };
     std::uint64_t maximumOutputTokens { 0 };
     TimePoint deadline {};
+    std::vector<std::string> excludedTargets; // Failed earlier attempts; ignored when no other target is left.
     std::vector<std::uint64_t> prefixBlocks; // XXH3 of the prompt's prefix at each block boundary, shortest first.
     std::uint64_t prefixBlockTokens { 256 }; // Tokens between two boundaries.
 };
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -43,6 +43,7 @@
     placement.promptTokens = static_cast<std::uint64_t>(std::max<std::int64_t>(request.promptTokens, 0));
     placement.maximumOutputTokens = static_cast<std::uint64_t>(std::max<std::int64_t>(request.maximumOutputTokens, 0));
     placement.deadline = pointInTime(request.remainingMs, now);
+    placement.excludedTargets = request.excludedTargets;
     placement.prefixBlocks.assign(request.prefixBlocks.begin(), request.prefixBlocks.end());
     return placement;
 }
@@ -434,6 +435,8 @@
     auto* cell = this->owned(fromWire(notice.cell));
     if (!cell)
         return;
+    for (const auto& target : notice.failedTargets)
+        cell->noteMissed(target);
     const RequestId id { notice.requestId };
     if (notice.firstToken)
         cell->firstToken(id);
--- a/src/dispatch/SlackCostScheduler.cpp
+++ b/src/dispatch/SlackCostScheduler.cpp
@@ -37,7 +37,7 @@
     if (this->queued.contains(request.id.value) || this->grantedRequests.contains(request.id.value))
         return commands;
     this->advance(now);
-    auto& entry = this->enqueue(request, now);
+    auto& entry = this->enqueue(this->withUsefulExclusions(request), now);
     if (auto reason = this->reasonToRefuse(entry, now)) {
         this->refuse(request.id, *reason, commands);
         return commands;
@@ -48,6 +48,19 @@
     return commands;
 }
 
+// Excluding every target would leave the request without any: then a second try on one that failed is better.
+PlacementRequest SlackCostScheduler::withUsefulExclusions(const PlacementRequest& request) const
+{
+    auto admitted = request;
+    auto isLeft = [&](const auto& each) {
+        return each.second.isUsable()
+            && std::ranges::find(request.excludedTargets, each.first) == request.excludedTargets.end();
+    };
+    if (std::ranges::none_of(this->targets, isLeft))
+        admitted.excludedTargets.clear();
+    return admitted;
+}
+
 SchedulerCommands SlackCostScheduler::withdraw(const RequestId& id, TimePoint now)
 {
     SchedulerCommands commands;
--- a/src/dispatch/SlackCostScheduler.h
+++ b/src/dispatch/SlackCostScheduler.h
@@ -36,6 +36,7 @@
     std::vector<PlacementRequest> drainQueue() override;
 
 private:
+    PlacementRequest withUsefulExclusions(const PlacementRequest& request) const;
     // One prompt class: its queue and how fast it is served.
     struct ClassQueue {
         FairQueue queue;
--- a/src/dispatch/SlackCostSchedulerPlacement.cpp
+++ b/src/dispatch/SlackCostSchedulerPlacement.cpp
@@ -107,6 +107,9 @@
 {
     if (!target.isUsable() || target.streams() >= this->settings.maximumStreams)
         return false;
+    const auto& excluded = entry.request.excludedTargets;
+    if (std::ranges::find(excluded, target.description().name) != excluded.end())
+        return false;
     auto reserve = entry.promptClass == 0 ? 0 : this->shortReserve(target);
     if (this->unreservedTokens(target, entry, now) < tokens + reserve)
         return false;
--- a/test/CellScheduler_test.cpp
+++ b/test/CellScheduler_test.cpp
@@ -47,6 +47,20 @@
         << "a prompt with slack to spare must not go before short ones";
 }
 
+TEST_F(CellSchedulerTest, TargetThatFailedAnEarlierAttemptIsAvoidedUnlessItIsTheOnlyOne)
+{
+    this->addTarget("engine-1", 100'000);
+    auto repeated = this->request("repeated", 1'000);
+    repeated.excludedTargets = { "engine-1" };
+    EXPECT_THAT(grantsOf(this->scheduler->submit(repeated, this->now())), testing::ElementsAre("repeated"));
+    this->addTarget("engine-2", 1'000);
+    auto avoiding = this->request("avoiding", 500);
+    avoiding.excludedTargets = { "engine-1" };
+    const auto commands = this->scheduler->submit(avoiding, this->now());
+    ASSERT_THAT(grantsOf(commands), testing::ElementsAre("avoiding"));
+    EXPECT_EQ(std::get<Grant>(commands.front()).parts.front().target, "engine-2");
+}
+
 TEST_F(CellSchedulerTest, PromptWithCachedPrefixGoesToTheTargetThatHoldsIt)
 {
     this->addTarget("engine-1", 400'000);
