Take a granted request out of its queue once, not twice

Cause: grant removed the entry through FairQueue::serve and again through takeOut, so the queue's count and work fell below zero, the drain rate stood still and nothing was ever shed.

With it, since their figures were taken on the broken count: - the limit on how many targets carry a long prefill is gone: the engine's priorities already protect short prompts.

ShedRequestsComeFromTheWorkspaceMostOverShare assumed that two queued requests make a share uneven; it now holds the flood against a busy cell and checks every id, reason and Retry-After.

--- a/src/dispatch/DrainRate.cpp
+++ b/src/dispatch/DrainRate.cpp
@@ -32,9 +32,14 @@
     this->rate += tokens / this->memorySeconds;
 }
 
+void DrainRate::setMinimum(double tokensPerSecond)
+{
+    this->minimum = std::max(tokensPerSecond, MinimumRate);
+}
+
 double DrainRate::tokensPerSecond() const
 {
-    return std::max(this->rate, MinimumRate);
+    return std::max(this->rate, this->minimum);
 }
 
 Duration DrainRate::memory() const
--- a/src/dispatch/DrainRate.h
+++ b/src/dispatch/DrainRate.h
@@ -14,12 +14,16 @@
     void advance(TimePoint now, bool isWaiting);
     void served(double tokens);
 
+    // Sets the rate, in tokens per second, that is assumed at least.
+    void setMinimum(double tokensPerSecond);
+
     double tokensPerSecond() const;
     Duration memory() const;
     Duration timeFor(double tokens) const;
 
 private:
     double rate { 0 };
+    double minimum { 1 };
     double memorySeconds { 1 };
     TimePoint asOf {};
 };
--- a/src/dispatch/FairQueue.cpp
+++ b/src/dispatch/FairQueue.cpp
@@ -36,14 +36,13 @@
     this->forgetIdle();
 }
 
-void FairQueue::serve(QueuedRequest& entry)
+void FairQueue::charge(const QueuedRequest& entry)
 {
     auto& workspace = this->workspaceOf(entry.request);
     this->unindex(workspace);
     this->virtualTime = std::max(this->virtualTime, workspace.served);
     workspace.served += entry.work / workspace.weight;
     this->index(workspace);
-    this->remove(entry);
 }
 
 std::vector<QueuedRequest*> FairQueue::heads(std::size_t limit) const
--- a/src/dispatch/FairQueue.h
+++ b/src/dispatch/FairQueue.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include <marigoldpaddle/CellScheduler.h>
@@ -30,8 +31,8 @@
     void insert(QueuedRequest& entry);
     void remove(QueuedRequest& entry);
 
-    // Removes an entry and charges its work to its workspace.
-    void serve(QueuedRequest& entry);
+    // Charges the work of a waiting entry to its workspace, before the entry is served and removed.
+    void charge(const QueuedRequest& entry);
 
     // Returns the first requests of up to `limit` workspaces, least served workspace first.
     std::vector<QueuedRequest*> heads(std::size_t limit) const;
@@ -62,7 +63,15 @@
         double work { 0 };
         std::set<QueuedRequest*, Order> entries;
     };
-    using WorkspaceIndex = std::set<std::pair<double, Workspace*>>;
+    struct ByValueThenName {
+        using Key = std::pair<double, Workspace*>;
+
+        bool operator()(const Key& left, const Key& right) const
+        {
+            return std::tie(left.first, left.second->name) < std::tie(right.first, right.second->name);
+        }
+    };
+    using WorkspaceIndex = std::set<std::pair<double, Workspace*>, ByValueThenName>;
 
     Workspace& workspaceOf(const PlacementRequest& request);
     void unindex(Workspace& workspace);
--- a/src/dispatch/SlackCostScheduler.cpp
+++ b/src/dispatch/SlackCostScheduler.cpp
@@ -23,7 +23,6 @@
 
 SlackCostScheduler::SlackCostScheduler(const CellSchedulerSettings& settings)
     : settings(settings)
-    , shortDemand(0, ShortDrainMemory)
     , tokenGap(settings.tokenGap)
 {
     this->settings.classBounds.resize(std::min(settings.classBounds.size(), PriorityCount - 1));
@@ -189,7 +188,7 @@
         next = this->byForgetAt.begin()->first;
     if (this->queued.empty())
         return next;
-    next = std::min(next, this->byLatestStart.begin()->first);
+    next = std::min(next, std::get<TimePoint>(*this->byLatestStart.begin()));
     Duration untilRoom = LongestTick;
     for (const auto& [name, target] : this->targets)
         if (target.isUsable())
--- a/src/dispatch/SlackCostScheduler.h
+++ b/src/dispatch/SlackCostScheduler.h
@@ -68,7 +68,6 @@
         std::vector<double> capacities; // Tokens that a span may use of each, largest first.
         double prefillRate { 0 }; // Tokens per second.
         double shortTokens { 0 };
-        std::size_t carryingLong { 0 }; // Targets with a long prefill.
     };
     // Memory kept for a request that could not be placed for long.
     struct Reservation {
@@ -103,7 +102,6 @@
     std::uint64_t unreservedTokens(const TargetForecast& target, const QueuedRequest& entry, TimePoint now) const;
     std::size_t priorityOf(const QueuedRequest& entry, TimePoint now) const;
     std::size_t spanWidth(std::uint64_t tokens) const;
-    bool mayCarryLong(const TargetForecast& target) const;
     std::uint64_t longestSpan() const;
     void grant(QueuedRequest& entry, const Placement& placement, TimePoint now, SchedulerCommands& commands);
     void dispatchReserved(TimePoint now, SchedulerCommands& commands);
@@ -125,12 +123,12 @@
     std::map<std::string, TargetForecast, std::less<>> targets;
     std::vector<ClassQueue> classes;
     std::unordered_map<std::string, std::unique_ptr<QueuedRequest>> queued; // By request id.
-    std::set<std::pair<TimePoint, QueuedRequest*>> byLatestStart;
-    std::set<std::pair<TimePoint, QueuedRequest*>> byReserveAt; // All but those of the first class.
+    using TimeIndex = std::set<std::tuple<TimePoint, std::uint64_t, QueuedRequest*>>; // With the entry's sequence.
+    TimeIndex byLatestStart;
+    TimeIndex byReserveAt; // All but those of the first class.
     std::unordered_map<std::string, GrantedRequest> grantedRequests; // By request id.
     std::set<std::pair<TimePoint, std::string>> byForgetAt;
     std::optional<Reservation> reservation;
-    DrainRate shortDemand; // Tokens of the first class that arrive per second.
     double shortMemory { 0 }; // Smoothed memory tokens in use by the first class, over all targets.
     Totals totals;
     Duration tokenGap {};
--- a/src/dispatch/SlackCostSchedulerPlacement.cpp
+++ b/src/dispatch/SlackCostSchedulerPlacement.cpp
@@ -2,7 +2,6 @@
 #include "dispatch/SlackCostScheduler.h"
 
 #include <algorithm>
-#include <cmath>
 #include <numeric>
 #include <ranges>
 
@@ -108,9 +107,7 @@
     if (!target.isUsable() || target.streams() >= this->settings.maximumStreams)
         return false;
     auto reserve = entry.promptClass == 0 ? 0 : this->shortReserve(target);
-    if (this->unreservedTokens(target, entry, now) < tokens + reserve)
-        return false;
-    return entry.promptClass == 0 || this->mayCarryLong(target);
+    return this->unreservedTokens(target, entry, now) >= tokens + reserve;
 }
 
 // Keeps free what short prompts are using on average, and a margin, beyond what they already hold on the target.
@@ -172,16 +169,6 @@
     return static_cast<std::uint64_t>(longest);
 }
 
-// Long prefills are kept to as many targets as the demand of short prompts leaves idle, at least to one.
-bool SlackCostScheduler::mayCarryLong(const TargetForecast& target) const
-{
-    if (target.longPrefills() > 0)
-        return true;
-    auto shortShare = std::min(1.0, this->shortDemand.tokensPerSecond() / this->totals.prefillRate);
-    auto allowed = std::ceil(static_cast<double>(this->totals.usable) * (1 - shortShare));
-    return static_cast<double>(this->totals.carryingLong) < std::max(1.0, allowed);
-}
-
 void SlackCostScheduler::grant(
     QueuedRequest& entry, const Placement& placement, TimePoint now, SchedulerCommands& commands)
 {
@@ -209,18 +196,16 @@
     commands.push_back(std::move(grant));
     auto& each = this->classes[entry.promptClass];
     each.drain.served(entry.work);
-    if (entry.promptClass == 0)
-        this->shortDemand.served(prefill);
-    each.queue.serve(entry);
+    each.queue.charge(entry);
     this->takeOut(RequestId { request.id });
 }
 
 // Keeps memory for the long request that has waited for its share of slack, on the targets that have room first.
 void SlackCostScheduler::reserveForAged(TimePoint now)
 {
-    if (this->reservation || this->byReserveAt.empty() || this->byReserveAt.begin()->first > now)
+    if (this->reservation || this->byReserveAt.empty() || std::get<TimePoint>(*this->byReserveAt.begin()) > now)
         return;
-    const auto& entry = *this->byReserveAt.begin()->second;
+    const auto& entry = *std::get<QueuedRequest*>(*this->byReserveAt.begin());
     auto width = this->spanWidth(entry.request.promptTokens + entry.request.maximumOutputTokens);
     auto tokens = this->partTokens(entry.request, std::max<std::size_t>(width, 1));
     std::vector<std::pair<TimePoint, std::string>> byRelease;
@@ -311,7 +296,6 @@
     this->totals.capacities.clear();
     for (const auto& [name, target] : this->targets) {
         this->totals.shortTokens += static_cast<double>(target.shortTokens());
-        this->totals.carryingLong += target.longPrefills() > 0 ? 1 : 0;
         if (!target.isUsable())
             continue;
         ++this->totals.usable;
--- a/src/dispatch/SlackCostSchedulerQueue.cpp
+++ b/src/dispatch/SlackCostSchedulerQueue.cpp
@@ -10,6 +10,7 @@
 constexpr std::size_t MaximumPrefixBlocks = 32; // Kept of each queued request.
 constexpr std::chrono::milliseconds MinimumRetryAfter { 250 };
 constexpr std::chrono::seconds NoTargetRetryAfter { 2 };
+constexpr double MinimumDrainShare = 0.05; // Of the targets' prefill rate, for each class.
 constexpr double DurationMargin = 1.1;
 constexpr double ReservationAge = 0.15; // Share of its slack that a long request waits before memory is kept for it.
 constexpr std::chrono::duration<double> ShortMemorySmoothing { 5 };
@@ -50,9 +51,9 @@
     entry->sequence = this->nextSequence++;
     auto& kept = *this->queued.emplace(request.id.value, std::move(entry)).first->second;
     this->classes[kept.promptClass].queue.insert(kept);
-    this->byLatestStart.emplace(kept.latestStart, &kept);
+    this->byLatestStart.emplace(kept.latestStart, kept.sequence, &kept);
     if (kept.promptClass > 0)
-        this->byReserveAt.emplace(reserveAt(kept), &kept);
+        this->byReserveAt.emplace(reserveAt(kept), kept.sequence, &kept);
     return kept;
 }
 
@@ -64,8 +65,8 @@
     auto entry = std::move(found->second);
     this->queued.erase(found);
     this->classes[entry->promptClass].queue.remove(*entry);
-    this->byLatestStart.erase({ entry->latestStart, entry.get() });
-    this->byReserveAt.erase({ reserveAt(*entry), entry.get() });
+    this->byLatestStart.erase({ entry->latestStart, entry->sequence, entry.get() });
+    this->byReserveAt.erase({ reserveAt(*entry), entry->sequence, entry.get() });
     if (this->reservation && this->reservation->id == id)
         this->reservation.reset();
     return entry;
@@ -97,14 +98,15 @@
 void SlackCostScheduler::refuseAll(RefusalReason reason, SchedulerCommands& commands)
 {
     while (!this->byLatestStart.empty())
-        this->refuse(RequestId { this->byLatestStart.begin()->second->request.id }, reason, commands);
+        this->refuse(
+            RequestId { std::get<QueuedRequest*>(*this->byLatestStart.begin())->request.id }, reason, commands);
 }
 
 // Gives up on whatever can no longer finish in time.
 void SlackCostScheduler::refuseLate(TimePoint now, SchedulerCommands& commands)
 {
-    while (!this->byLatestStart.empty() && this->byLatestStart.begin()->first <= now) {
-        auto id = this->byLatestStart.begin()->second->request.id;
+    while (!this->byLatestStart.empty() && std::get<TimePoint>(*this->byLatestStart.begin()) <= now) {
+        auto id = std::get<QueuedRequest*>(*this->byLatestStart.begin())->request.id;
         this->refuse(id, RefusalReason::Overloaded, commands);
     }
 }
@@ -166,10 +168,10 @@
     auto weight = std::min(1.0, elapsed / ShortMemorySmoothing.count());
     this->shortMemory += weight * (this->totals.shortTokens - this->shortMemory);
     for (auto& [queue, drain, refusedWork] : this->classes) {
+        drain.setMinimum(MinimumDrainShare * this->totals.prefillRate);
         drain.advance(this->now, queue.size() > 0);
         refusedWork = std::max(0.0, refusedWork - elapsed * drain.tokensPerSecond());
     }
-    this->shortDemand.advance(this->now, true);
 }
 
 double SlackCostScheduler::meanPrefillRate() const
--- a/src/dispatch/TargetForecast.cpp
+++ b/src/dispatch/TargetForecast.cpp
@@ -51,7 +51,6 @@
     this->grantedShort += share.isLong ? 0 : share.memoryTokens;
     this->backlog[share.priority] += share.prefillTokens;
     ++this->prefilling[share.priority];
-    this->longPrefillCount += share.isLong ? 1 : 0;
     ++this->requests;
     this->sampleMemory(this->asOf);
 }
@@ -59,7 +58,6 @@
 void TargetForecast::endPrefill(const TargetShare& share)
 {
     --this->prefilling[share.priority];
-    this->longPrefillCount -= share.isLong ? 1 : 0;
     if (this->prefilling[share.priority] == 0)
         this->backlog[share.priority] = 0;
 }
@@ -120,11 +118,6 @@
     return this->requests;
 }
 
-std::uint32_t TargetForecast::longPrefills() const
-{
-    return this->longPrefillCount;
-}
-
 double TargetForecast::prefillRate() const
 {
     return this->rate;
--- a/src/dispatch/TargetForecast.h
+++ b/src/dispatch/TargetForecast.h
@@ -46,7 +46,6 @@
     std::uint64_t freeTokens() const;
     std::uint64_t shortTokens() const; // Memory granted to requests of the first class.
     std::uint32_t streams() const;
-    std::uint32_t longPrefills() const;
     double prefillRate() const; // Tokens per second.
 
     PrefixForecast prefixes;
@@ -67,7 +66,6 @@
     std::uint64_t grantedShort { 0 };
     std::uint64_t unaccounted { 0 }; // Reported memory that no grant explains.
     std::uint32_t requests { 0 };
-    std::uint32_t longPrefillCount { 0 };
     std::array<double, PriorityCount> backlog {}; // Tokens.
     std::array<std::uint32_t, PriorityCount> prefilling {};
     std::deque<MemorySample> samples;
--- a/test/CellScheduler_test.cpp
+++ b/test/CellScheduler_test.cpp
@@ -110,15 +110,21 @@
 
 TEST_F(CellSchedulerTest, ShedRequestsComeFromTheWorkspaceMostOverShare)
 {
-    this->addTarget("engine-1", 400'000);
-    this->submit("small-1", 4'000, 60s, "small");
-    this->submit("small-2", 4'000, 60s, "small");
-    std::vector<RefusalReason> reasons;
+    for (int i = 0; i < 4; ++i)
+        this->addTarget("engine-" + std::to_string(i), 400'000);
+    for (int i = 0; i < 4; ++i)
+        this->submit("busy-" + std::to_string(i), 4'000, 60s, "other");
+    this->submit("small", 4'000, 60s, "small");
+    std::vector<Refusal> refusals;
     for (int i = 0; i < 100; ++i)
-        std::ranges::copy(this->refusalsOf(this->submit("flood-" + std::to_string(i), 4'000, 60s, "large")),
-            std::back_inserter(reasons));
-    EXPECT_FALSE(reasons.empty());
-    EXPECT_THAT(reasons, testing::Each(RefusalReason::WorkspaceOverShare));
+        for (const auto& command : this->submit("flood-" + std::to_string(i), 4'000, 60s, "large"))
+            refusals.push_back(std::get<Refusal>(command));
+    ASSERT_GT(refusals.size(), 80U);
+    for (const auto& refusal : refusals) {
+        EXPECT_THAT(refusal.id.value, testing::StartsWith("flood-"));
+        EXPECT_EQ(refusal.reason, RefusalReason::WorkspaceOverShare);
+        EXPECT_GT(refusal.retryAfter, Duration::zero());
+    }
 }
 
 TEST_F(CellSchedulerTest, AgedSpanIsGrantedOnceItsMemoryIsFree)
