--- a/src/programs/DispatcherMain.cpp
+++ b/src/programs/DispatcherMain.cpp
@@ -20,10 +20,16 @@
     { "instance", "incarnation", SettingKind::Integer, 0, 9e15, "0",
         "number of this run, higher than any before it; 0 takes the time of the start in milliseconds" },
     { "listen", "rpc", SettingKind::Address, 0, 0, "127.0.0.1:0", "address for gateways and other dispatchers, TCP" },
+    { "listen", "membership", SettingKind::Address, 0, 0, "127.0.0.1:0",
+        "address for the membership of the other instances, UDP" },
     { "listen", "http", SettingKind::Address, 0, 0, "127.0.0.1:0", "address for health and metrics" },
     { "listen", "ports", SettingKind::Text, 0, 0, "-", "file for the bound ports; - for the standard output" },
     { "platform", "address", SettingKind::Address, 0, 0, std::nullopt, "address of the log service and instance list" },
     { "platform", "timeout_ms", SettingKind::Milliseconds, 10, 60'000, "2000", "time for an answer of the platform" },
+    { "log", "retention_ms", SettingKind::Milliseconds, 60'000, 31'536'000'000, "86400000",
+        "how long the log keeps a record" },
+    { "log", "checkpoint_share", SettingKind::Real, 0.05, 0.95, "0.4",
+        "share of the retention after which a checkpoint of the configuration is written again" },
     { "stop", "grace_ms", SettingKind::Milliseconds, 0, 600'000, "1000",
         "time between handing over and exit on a planned stop" },
 };
@@ -37,6 +43,12 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
 }
 
+// Returns the address with the port that was bound in place of the configured one.
+std::string withPort(std::string_view address, std::uint16_t port)
+{
+    return splitAddress(address).host + ":" + std::to_string(port);
+}
+
 int run(const Settings& values)
 {
     boost::asio::io_context context { 1 };
@@ -45,19 +57,26 @@
     const auto& platform = values.text("platform", "address");
     const auto timeout = values.milliseconds("platform", "timeout_ms");
     HttpPlatformLog log { client, platform, "configuration", timeout };
+    HttpPlatformLog claimLog { client, platform, "claims", timeout };
     HttpInstanceList list { client, platform, timeout };
     DispatcherSettings settings;
     settings.instance = { values.text("instance", "name"), incarnationFrom(values) };
     settings.availabilityZone = values.text("instance", "zone");
-    Dispatcher dispatcher { context, clock, std::move(settings), log, list, client };
+    settings.configuration.checkpoints.retention = values.milliseconds("log", "retention_ms");
+    settings.configuration.checkpoints.refreshShare = values.real("log", "checkpoint_share");
+    settings.claimRetention = values.milliseconds("log", "retention_ms");
+    Dispatcher dispatcher { context, clock, std::move(settings), log, claimLog, list, client };
     HttpServer httpServer { context, dispatcher };
     RpcServer rpcServer { context, dispatcher };
+    const auto& rpcAddress = values.text("listen", "rpc");
+    const auto& membershipAddress = values.text("listen", "membership");
     const std::pair<std::string, std::uint16_t> ports[] {
-        { "rpc", rpcServer.listen(values.text("listen", "rpc")) },
+        { "rpc", rpcServer.listen(rpcAddress) },
+        { "membership", dispatcher.listenMembership(membershipAddress) },
         { "http", httpServer.listen(values.text("listen", "http")) },
     };
     writePorts(values.text("listen", "ports"), ports);
-    dispatcher.start();
+    dispatcher.start(withPort(rpcAddress, ports[0].second), withPort(membershipAddress, ports[1].second));
     boost::asio::signal_set signals { context, SIGTERM, SIGINT };
     boost::asio::steady_timer grace { context };
     signals.async_wait([&](const boost::system::error_code&, int) {
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -79,6 +79,7 @@
     1: InstanceRef owner
     2: CellRef cell
     3: list<HoldingRecord> holdings
+    4: bool isSingleGrant // One grant that the owner of the cell has just given, for the next owner to know.
 }
 
 enum ClaimVerdict {
@@ -110,8 +111,8 @@
     4: i64 omittedBodyBytes
 }
 
-// `mayLand` comes with Unavailable: the claim may still appear in the log, so that its gateway has to settle it with
-// `notSent` once it has marked the attempt dead.
+// `mayLand` comes with any verdict but Won: the claim may still appear in the log, so that its gateway has to settle it
+// with `notSent`. A gateway that gets no answer, or a late Won, does the same once it has marked the attempt dead.
 struct ClaimAnswer {
     1: ClaimVerdict verdict
     2: optional CallOutcome outcome
@@ -185,9 +186,10 @@
     5: list<ClaimCheckpointEntryRecord> entries
     6: list<ClaimReleaseRecord> releases
     7: i64 id
+    8: i64 claimsUpTo
 }
 
-// Applied in this order: expiries, releases, outcomes, claims, checkpoint.
+// Applied in this order: tick, expiries, releases, outcomes, claims, resets, checkpoint.
 struct ClaimBatchRecord {
     1: i64 readUpTo
     2: optional ClaimTickRecord tick
@@ -196,6 +198,7 @@
     5: list<ClaimOutcomeRecord> outcomes
     6: list<ClaimEntryRecord> claims
     7: optional ClaimCheckpointRecord checkpoint
+    8: list<i32> resets
 }
 
 struct CellDigestRecord {
