Keep twice what short prompts use free for them

Cause of slow short prompts at 95%: their memory. A target that long prompts fill has no room for a burst of short ones, nor for their cached prefixes.

--- a/src/dispatch/SlackCostSchedulerPlacement.cpp
+++ b/src/dispatch/SlackCostSchedulerPlacement.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::size_t HeadsConsidered = 3; // Workspaces of a class that are tried in one decision.
 constexpr std::chrono::seconds GrantLifetime { 2 };
-constexpr double ShortReserveMargin = 1.25; // Memory kept for short prompts, relative to what they use.
+constexpr double ShortReserveMargin = 2; // Memory kept for short prompts, relative to what they use.
 
 }
 
