Expect prefixes to be cached only in memory that is free

Cause: the forecast of a target's prefix cache assumed the whole memory, but running requests push cached blocks out. Short prompts were sent to busy targets for prefixes that were gone.

--- a/src/dispatch/TargetForecast.cpp
+++ b/src/dispatch/TargetForecast.cpp
@@ -52,6 +52,7 @@
     this->backlog[share.priority] += share.prefillTokens;
     ++this->prefilling[share.priority];
     ++this->requests;
+    this->prefixes.setCapacity(this->freeTokens());
     this->sampleMemory(this->asOf);
 }
 
@@ -69,6 +70,7 @@
     this->granted -= share.memoryTokens;
     this->grantedShort -= share.isLong ? 0 : share.memoryTokens;
     --this->requests;
+    this->prefixes.setCapacity(this->freeTokens());
 }
 
 void TargetForecast::report(const LoadReport& report)
