--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -28,6 +28,7 @@
 constexpr std::chrono::seconds GrantNoticeLifetime { 5 };
 constexpr std::chrono::seconds MaximumViewWait { 5 };
 constexpr std::chrono::seconds DigestPeriod { 2 };
+constexpr std::chrono::seconds GatewaySilence { 15 }; // After which a gateway is no longer counted as following.
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusUnavailable = 503;
@@ -184,12 +185,8 @@
                 target.isLeaving = true;
 }
 
-void Dispatcher::memberChanged(const Member& member)
+void Dispatcher::memberChanged(const Member&)
 {
-    if (member.state == MemberState::Dead) {
-        for (const auto& [id, cell] : this->ownedCells)
-            cell->noteDead(member.instance);
-    }
     this->refreshMembers();
 }
 
@@ -290,7 +287,7 @@
         answer.__set_acknowledgement(settled);
     } else if (request.__isset.configuration) {
         const auto known = static_cast<std::uint64_t>(request.configuration.knownOffset);
-        answer.__set_configurationAnswer(wireFrom(this->configuration.updateSince(known)));
+        answer.__set_configurationAnswer(this->configurationSince(known));
     } else {
         if (request.__isset.progress)
             this->noteProgress(request.progress);
@@ -342,6 +339,8 @@
 asio::awaitable<wire::ViewAnswer> Dispatcher::view(wire::ViewRequest request)
 {
     const auto knownVersion = static_cast<std::uint64_t>(request.knownVersion);
+    const auto knownOffset = static_cast<std::uint64_t>(request.knownConfigurationOffset);
+    this->gatewayOffsets.insert_or_assign(request.requester.name, GatewayOffset { knownOffset, this->clock.now() });
     const auto until = std::min(pointInTime(request.waitMs, this->clock.now()), this->clock.now() + MaximumViewWait);
     boost::system::error_code ignored;
     while (this->version == knownVersion && this->clock.now() < until) {
@@ -352,7 +351,19 @@
         });
         co_await this->changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    co_return this->currentView(static_cast<std::uint64_t>(request.knownConfigurationOffset));
+    co_return this->currentView(knownOffset);
+}
+
+wire::ConfigurationAnswer Dispatcher::configurationSince(std::uint64_t knownOffset)
+{
+    auto answer = wireFrom(this->configuration.updateSince(knownOffset));
+    answer.presetInForce = this->configuration.state().nameInForce();
+    const auto forgetBefore = this->clock.now() - GatewaySilence;
+    std::erase_if(this->gatewayOffsets, [&](const auto& each) { return each.second.at < forgetBefore; });
+    const auto offsets = this->gatewayOffsets | std::views::values | std::views::transform(&GatewayOffset::offset);
+    if (!offsets.empty())
+        answer.__set_gatewayOffset(static_cast<std::int64_t>(std::ranges::min(offsets)));
+    return answer;
 }
 
 std::map<CellId, CellDigest> Dispatcher::knownDigests() const
@@ -400,12 +411,12 @@
     return answer;
 }
 
-// An instance that is not listed any more, or was replaced, counts as gone: its claims are then unknown, never free.
+// An instance that is not listed any more counts as gone: its claims are then unknown, never free.
 bool Dispatcher::isGone(const InstanceId& holder) const
 {
+    // Membership speaks of dispatchers, whose incarnations are their own: only the instance's name is compared.
     const auto mayLive = [&](const Member& member) {
-        return member.instance.name == holder.name && member.instance.incarnation <= holder.incarnation
-            && member.state != MemberState::Dead;
+        return member.instance.name == holder.name && member.state != MemberState::Dead;
     };
     return !this->members.empty() && std::ranges::none_of(this->members, mayLive);
 }
@@ -490,13 +501,10 @@
 {
     if (this->membership.isStale())
         return;
-    std::vector<InstanceId> alive;
-    for (const auto& member : this->members) {
-        if (member.state != MemberState::Dead)
-            alive.push_back(member.instance);
-    }
     for (const auto& [id, cell] : this->ownedCells)
-        cell->noteMembers(alive);
+        cell->noteConnected();
+    for (auto& [id, steward] : this->standbyStewards)
+        steward.forgetDisclaimed(this->clock.now());
     std::erase_if(this->standbyStewards, [&](const auto& each) { return !this->cells.contains(each.first); });
 }
 
