--- a/bench/PolicyRun.h
+++ b/bench/PolicyRun.h
@@ -133,7 +133,6 @@
 
     // Setting up.
     void makeCells();
-    void describeTargets(std::size_t cell);
     void scheduleFaults();
 
     // The gateway's part.
@@ -152,16 +151,22 @@
     // The engine's part.
     void wake(std::size_t engine);
     void iterate(std::size_t engine);
-    void apply(std::size_t engine, const EngineEvent& event);
+    void apply(const EngineEvent& event);
+    void partAllocated(std::uint64_t number);
+    void partPrefilled(std::uint64_t number, std::uint64_t cachedTokens);
+    void receiveFirstToken(std::uint64_t number, const RequestId& id);
     void recordIteration(const IterationResult& result);
     void recordIdle(const Engine& engine);
     void report();
+    void sampleIdleMemory(const Cell& cell);
+    void reportLoad(const Engine& engine);
+    void reportCache(Engine& engine);
     void kill(std::size_t engine);
 
     // The dispatcher's part.
     using Call = std::function<SchedulerCommands(CellScheduler&)>;
     void call(std::size_t cell, const Call& call);
-    void obey(std::size_t cell, const SchedulerCommands& commands);
+    void obey(const SchedulerCommands& commands);
     void armTick(std::size_t cell);
     void refreshDigests();
     void changeOwner(std::size_t cell, bool isPlanned);
--- a/bench/PolicyRunTargets.cpp
+++ b/bench/PolicyRunTargets.cpp
@@ -45,55 +45,80 @@
         if (!engine.isAlive)
             return;
         for (const auto& event : events)
-            this->apply(number, event);
+            this->apply(event);
         if (!engine.fake.isIdle())
             this->iterate(number);
     });
 }
 
-void PolicyRun::apply(std::size_t, const EngineEvent& event)
+void PolicyRun::apply(const EngineEvent& event)
 {
     auto number = event.request;
-    auto& request = this->requests[number];
+    const auto& request = this->requests[number];
     if (request.attempt != event.attempt || request.isOver || request.parts.empty())
         return;
-    auto hop = this->parameters.messages.hop;
-    if (event.kind == EngineEventKind::Admitted && request.parts.size() > 1) {
-        if (++request.allocatedParts < request.parts.size()) {
-            this->after(hop, [this, number, part = request.allocatedParts, attempt = request.attempt] {
-                auto& request = this->requests[number];
-                if (request.attempt == attempt && !request.parts.empty())
-                    this->sendPart(number, part);
-            });
-            return;
-        }
-        for (const auto& part : request.parts) {
-            this->engines[this->engineOf(part.target)].fake.startSpan(number);
-            this->wake(this->engineOf(part.target));
-        }
-    } else if (event.kind == EngineEventKind::Prefilled) {
-        if (this->isMeasured(request.item->arrival) && request.prefilledParts == 0 && request.delivered == 0)
-            this->result.cachedTokens += std::min(event.cachedTokens, request.item->reusableTokens);
-        if (++request.prefilledParts == request.parts.size() && request.parts.size() > 1) {
-            auto leader = this->engineOf(request.parts.front().target);
-            this->engines[leader].fake.startDecoding(number);
-            this->wake(leader);
-        }
-    } else if (event.kind == EngineEventKind::FirstToken) {
-        this->after(hop, [this, number, cell = request.cell, id = this->idOf(number)] {
-            auto& outcome = this->result.outcomes[number];
-            if (!outcome.firstToken && !outcome.refused)
-                outcome.firstToken = this->clock.now() - this->start - outcome.arrival;
-            this->call(cell, [&](CellScheduler& scheduler) { return scheduler.firstToken(id, this->clock.now()); });
-        });
-    } else if (event.kind == EngineEventKind::Finished) {
-        this->after(hop, [this, number, attempt = request.attempt] {
+    switch (event.kind) {
+    case EngineEventKind::Admitted:
+        this->partAllocated(number);
+        break;
+    case EngineEventKind::Prefilled:
+        this->partPrefilled(number, event.cachedTokens);
+        break;
+    case EngineEventKind::FirstToken:
+        this->after(this->parameters.messages.hop,
+            [this, number, id = this->idOf(number)] { this->receiveFirstToken(number, id); });
+        break;
+    case EngineEventKind::Finished:
+        this->after(this->parameters.messages.hop, [this, number, attempt = request.attempt] {
             if (this->requests[number].attempt == attempt && !this->requests[number].isOver)
                 this->finish(number);
         });
+        break;
+    }
+}
+
+// Reserves the next part of a span, or begins the prefill once all are reserved.
+void PolicyRun::partAllocated(std::uint64_t number)
+{
+    auto& request = this->requests[number];
+    if (request.parts.size() == 1)
+        return;
+    if (++request.allocatedParts < request.parts.size()) {
+        auto part = request.allocatedParts;
+        this->after(this->parameters.messages.hop, [this, number, part, attempt = request.attempt] {
+            const auto& request = this->requests[number];
+            if (request.attempt == attempt && !request.parts.empty())
+                this->sendPart(number, part);
+        });
+        return;
+    }
+    for (const auto& part : request.parts) {
+        this->engines[this->engineOf(part.target)].fake.startSpan(number);
+        this->wake(this->engineOf(part.target));
     }
 }
 
+void PolicyRun::partPrefilled(std::uint64_t number, std::uint64_t cachedTokens)
+{
+    auto& request = this->requests[number];
+    if (this->isMeasured(request.item->arrival) && request.prefilledParts == 0 && request.delivered == 0)
+        this->result.cachedTokens += std::min(cachedTokens, request.item->reusableTokens);
+    if (++request.prefilledParts < request.parts.size() || request.parts.size() == 1)
+        return;
+    auto leader = this->engineOf(request.parts.front().target);
+    this->engines[leader].fake.startDecoding(number);
+    this->wake(leader);
+}
+
+void PolicyRun::receiveFirstToken(std::uint64_t number, const RequestId& id)
+{
+    auto& outcome = this->result.outcomes[number];
+    if (!outcome.firstToken && !outcome.refused)
+        outcome.firstToken = this->clock.now() - this->start - outcome.arrival;
+    this->call(this->requests[number].cell,
+        [&](CellScheduler& scheduler) { return scheduler.firstToken(id, this->clock.now()); });
+}
+
 void PolicyRun::recordIteration(const IterationResult& iteration)
 {
     auto bin = std::min<std::size_t>(GapBins - 1, static_cast<std::size_t>(iteration.seconds * 1e3));
@@ -122,47 +147,59 @@
 
 void PolicyRun::report()
 {
-    const auto& messages = this->parameters.messages;
-    auto isStale = this->settings.scenario == Scenario::StaleReports;
-    for (auto& cell : this->cells) {
-        auto isWaiting = cell.digest.queued > 0;
-        double free = 0;
-        for (auto number : cell.engines) {
-            auto& engine = this->engines[number];
-            isWaiting = isWaiting || engine.fake.waitingCount() > 0;
-            free += engine.isAlive ? 1
-                    - static_cast<double>(engine.fake.usedTokens())
-                        / static_cast<double>(this->parameters.engine.memoryTokens)
-                                   : 0;
-        }
-        if (isWaiting) {
-            this->idleSum += free / static_cast<double>(cell.engines.size());
-            ++this->idleSamples;
-        }
-    }
+    for (const auto& cell : this->cells)
+        this->sampleIdleMemory(cell);
     for (auto& engine : this->engines) {
         if (!engine.isAlive)
             continue;
-        LoadReport load { engine.description.name, this->clock.now(), engine.description.memoryTokens,
-            engine.fake.usedTokens(), engine.fake.runningCount(), engine.fake.waitingCount(),
-            engine.fake.prefillTokensPerSecond(), std::nullopt };
-        this->after(isStale ? messages.staleReportLag : messages.reportLag, [this, load, cell = engine.cell] {
-            this->call(cell, [&](CellScheduler& scheduler) { return scheduler.reportLoad(load, this->clock.now()); });
-        });
-        auto events = engine.fake.cache().takeEvents();
-        for (auto& event : events) {
-            event.target = engine.description.name;
-            event.sequence = ++engine.cacheSequence;
-        }
-        std::uniform_real_distribution<double> unit;
-        std::erase_if(events, [&](const CacheEvent&) { return unit(this->random) < messages.cacheGap; });
-        this->after(messages.cacheLag, [this, events = std::move(events), cell = engine.cell] {
-            this->call(
-                cell, [&](CellScheduler& scheduler) { return scheduler.reportCache(events, this->clock.now()); });
-        });
+        this->reportLoad(engine);
+        this->reportCache(engine);
     }
 }
 
+void PolicyRun::sampleIdleMemory(const Cell& cell)
+{
+    auto isWaiting = cell.digest.queued > 0;
+    double free = 0;
+    for (auto number : cell.engines) {
+        const auto& engine = this->engines[number];
+        isWaiting = isWaiting || engine.fake.waitingCount() > 0;
+        auto used = static_cast<double>(engine.fake.usedTokens());
+        free += engine.isAlive ? 1 - used / static_cast<double>(this->parameters.engine.memoryTokens) : 0;
+    }
+    if (!isWaiting)
+        return;
+    this->idleSum += free / static_cast<double>(cell.engines.size());
+    ++this->idleSamples;
+}
+
+void PolicyRun::reportLoad(const Engine& engine)
+{
+    const auto& messages = this->parameters.messages;
+    auto isStale = this->settings.scenario == Scenario::StaleReports;
+    LoadReport load { engine.description.name, this->clock.now(), engine.description.memoryTokens,
+        engine.fake.usedTokens(), engine.fake.runningCount(), engine.fake.waitingCount(),
+        engine.fake.prefillTokensPerSecond(), std::nullopt };
+    this->after(isStale ? messages.staleReportLag : messages.reportLag, [this, load, cell = engine.cell] {
+        this->call(cell, [&](CellScheduler& scheduler) { return scheduler.reportLoad(load, this->clock.now()); });
+    });
+}
+
+void PolicyRun::reportCache(Engine& engine)
+{
+    const auto& messages = this->parameters.messages;
+    auto events = engine.fake.cache().takeEvents();
+    for (auto& event : events) {
+        event.target = engine.description.name;
+        event.sequence = ++engine.cacheSequence;
+    }
+    std::uniform_real_distribution<double> unit;
+    std::erase_if(events, [&](const CacheEvent&) { return unit(this->random) < messages.cacheGap; });
+    this->after(messages.cacheLag, [this, events = std::move(events), cell = engine.cell] {
+        this->call(cell, [&](CellScheduler& scheduler) { return scheduler.reportCache(events, this->clock.now()); });
+    });
+}
+
 // An engine dies; its streams break and its cell hears of it when that is noticed.
 void PolicyRun::kill(std::size_t number)
 {
@@ -186,11 +223,11 @@
     auto& cell = this->cells[number];
     if (!cell.scheduler)
         return;
-    this->obey(number, call(*cell.scheduler));
+    this->obey(call(*cell.scheduler));
     this->armTick(number);
 }
 
-void PolicyRun::obey(std::size_t, const SchedulerCommands& commands)
+void PolicyRun::obey(const SchedulerCommands& commands)
 {
     auto hop = this->parameters.messages.hop;
     for (const auto& command : commands) {
