--- a/standins/ServiceStandin.cpp
+++ b/standins/ServiceStandin.cpp
@@ -13,6 +13,30 @@
 
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusCreated = 201;
+constexpr std::chrono::milliseconds ThawPollPeriod { 5 };
+
+std::string fieldOf(const HttpRequest& request, std::string_view name)
+{
+    const auto field = request.find(name);
+    return field == request.end() ? std::string {} : std::string { field->value() };
+}
+
+// Uses up one of a limited number of faults.
+bool strikes(std::uint64_t& remaining)
+{
+    if (remaining == 0)
+        return false;
+    --remaining;
+    return true;
+}
+
+json::object toJson(const std::map<std::string, std::uint64_t>& counts)
+{
+    json::object object;
+    for (const auto& [name, count] : counts)
+        object.emplace(name, count);
+    return object;
+}
 
 }
 
@@ -20,27 +44,46 @@
 {
     const auto& request = exchange.request();
     const auto path = splitTarget({ request.target().data(), request.target().size() });
-    const auto root = path.segments.empty() ? std::string {} : path.segments.back();
-    if (root == "faults") {
+    const auto resource = path.segments.empty() ? std::string {} : path.segments.back();
+    if (resource == "faults") {
         auto response = this->setFaults(request.body());
         co_await exchange.respond(std::move(response));
-        co_return;
-    }
-    if (this->faults.delayMs > 0)
-        co_await pause(std::chrono::milliseconds { this->faults.delayMs });
-    if (request.method() == http::verb::post) {
-        auto response = this->takeOrder(request);
-        if (this->faults.dropAnswers > 0) {
-            --this->faults.dropAnswers;
-            co_return;
-        }
+    } else if (resource == "counts") {
+        auto response = this->counts();
         co_await exchange.respond(std::move(response));
+    } else {
+        co_await this->handleOrder(exchange);
+    }
+}
+
+// An exchange that returns without an answer closes its connection.
+asio::awaitable<void> ServiceStandin::handleOrder(HttpExchange& exchange)
+{
+    co_await pause(std::chrono::milliseconds { this->faults.delayMs });
+    co_await this->waitUntilThawed();
+    if (this->faults.isDown || strikes(this->faults.dropRequests))
+        co_return;
+    const auto isOrder = exchange.request().method() == http::verb::post;
+    auto response = isOrder ? this->takeOrder(exchange.request())
+                            : jsonResponse(StatusOk, json::object { { "orders", this->orders.size() } });
+    if (strikes(this->faults.dropAnswers))
+        co_return;
+    if (strikes(this->faults.truncateAnswers)) {
+        HttpResponseHeader header { response.base() };
+        header.erase(http::field::content_length);
+        if (co_await exchange.beginStream(std::move(header)))
+            co_await exchange.write(std::string_view { response.body() }.substr(0, response.body().size() / 2));
         co_return;
     }
-    auto response = this->counts();
     co_await exchange.respond(std::move(response));
 }
 
+asio::awaitable<void> ServiceStandin::waitUntilThawed()
+{
+    while (this->faults.isFrozen)
+        co_await pause(ThawPollPeriod);
+}
+
 HttpResponse ServiceStandin::describeFault(HttpFault fault)
 {
     return faultResponse(fault);
@@ -48,28 +91,32 @@
 
 HttpResponse ServiceStandin::takeOrder(const HttpRequest& request)
 {
-    const auto field = request.find("Idempotency-Key");
-    const auto key = field == request.end() ? std::string {} : std::string { field->value() };
-    ++this->executions[key];
+    ++this->runsByKey[fieldOf(request, "Idempotency-Key")];
+    ++this->runsByRequest[fieldOf(request, "X-Request-Id")];
     this->orders.push_back(request.body());
     return jsonResponse(StatusCreated, json::object { { "order", this->orders.size() }, { "state", "booked" } });
 }
 
 HttpResponse ServiceStandin::counts() const
 {
-    json::object byKey;
-    for (const auto& [key, count] : this->executions)
-        byKey.emplace(key, count);
-    return jsonResponse(StatusOk, json::object { { "orders", this->orders.size() }, { "by_key", std::move(byKey) } });
+    return jsonResponse(StatusOk,
+        json::object { { "orders", this->orders.size() }, { "by_key", toJson(this->runsByKey) },
+            { "by_request", toJson(this->runsByRequest) } });
 }
 
 HttpResponse ServiceStandin::setFaults(std::string_view body)
 {
     const auto object = parseObject(body);
-    if (const auto* value = object.if_contains("delay_ms"))
-        this->faults.delayMs = json::value_to<std::uint64_t>(*value);
-    if (const auto* value = object.if_contains("drop_answers"))
-        this->faults.dropAnswers = json::value_to<std::uint64_t>(*value);
+    const auto take = [&](std::string_view key, auto& field) {
+        if (const auto* value = object.if_contains(key))
+            field = json::value_to<std::decay_t<decltype(field)>>(*value);
+    };
+    take("delay_ms", this->faults.delayMs);
+    take("drop_answers", this->faults.dropAnswers);
+    take("drop_requests", this->faults.dropRequests);
+    take("truncate_answers", this->faults.truncateAnswers);
+    take("frozen", this->faults.isFrozen);
+    take("down", this->faults.isDown);
     return jsonResponse(StatusOk, json::object {});
 }
 
--- a/standins/ServiceStandin.h
+++ b/standins/ServiceStandin.h
@@ -9,25 +9,33 @@
 
 namespace marigoldpaddle::standins {
 
+// The faults of the order service; `POST /faults` sets those that its JSON object names.
 struct ServiceFaults {
-    std::uint64_t delayMs { 0 };
+    std::uint64_t delayMs { 0 }; // Before an order takes effect.
     std::uint64_t dropAnswers { 0 }; // So many orders take effect and get no answer.
+    std::uint64_t dropRequests { 0 }; // So many orders get no answer and take no effect.
+    std::uint64_t truncateAnswers { 0 }; // So many orders take effect and get half an answer.
+    bool isFrozen { false }; // Orders wait until it is cleared, and take effect then.
+    bool isDown { false }; // Connections are closed without an answer or an effect.
 };
 
 // Stands in for an order service. It repeats whatever it is asked to repeat: keeping an order from running twice is not
-// its job. `GET /counts` tells how often each order ran, by idempotency key.
+// its job. `GET /counts` tells how often each order ran, by idempotency key and by request id; no fault touches it.
 class ServiceStandin final : public HttpHandler {
 public:
     boost::asio::awaitable<void> handle(HttpExchange& exchange) override;
     HttpResponse describeFault(HttpFault fault) override;
 
 private:
+    boost::asio::awaitable<void> handleOrder(HttpExchange& exchange);
+    boost::asio::awaitable<void> waitUntilThawed();
     HttpResponse takeOrder(const HttpRequest& request);
     HttpResponse counts() const;
     HttpResponse setFaults(std::string_view body);
 
     ServiceFaults faults;
-    std::map<std::string, std::uint64_t> executions; // By idempotency key.
+    std::map<std::string, std::uint64_t> runsByKey;
+    std::map<std::string, std::uint64_t> runsByRequest;
     std::vector<std::string> orders;
 };
 
