--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -62,6 +62,12 @@
     HttpResponse describeFault(HttpFault fault) override;
 
 private:
+    // What a gateway said it has of the configuration.
+    struct GatewayOffset {
+        std::uint64_t offset { 0 };
+        TimePoint at {};
+    };
+
     boost::asio::awaitable<void> followInstanceList();
     boost::asio::awaitable<void> tellSuccessor(std::shared_ptr<OwnedCell> cell, Grant grant, InstanceId owner);
     void tellStewards();
@@ -87,6 +93,7 @@
     std::map<CellId, CellDigest> knownDigests() const;
     wire::ViewAnswer currentView(std::uint64_t knownConfigurationOffset);
     void tellFollower();
+    wire::ConfigurationAnswer configurationSince(std::uint64_t knownOffset);
     OwnedCell* owned(const CellId& cell);
     std::string addressOf(std::string_view target) const;
     bool isReady() const;
@@ -110,6 +117,7 @@
     ClaimService claims;
     std::uint64_t version { 1 };
     boost::asio::steady_timer changed; // Cancelled whenever the view changes.
+    std::map<std::string, GatewayOffset> gatewayOffsets; // By the name of the gateway's instance.
     bool isStopping { false };
 };
 
