Give back claims that may still land, and tell repeats of answers that are not kept

The gateway settled only claims that had won. One that was refused, told unknown or never answered could land later and hold its key for the whole window, with nobody to send the call. Now each is settled as not sent.

A repeat whose answer was too large to keep got the status with an empty body, as if that were the whole answer; it now names the size that is not kept.

--- a/src/gateway/ClaimFilter.cpp
+++ b/src/gateway/ClaimFilter.cpp
@@ -47,9 +47,19 @@
     return Problem { RefusalReason::ClaimsUnavailable, Ran::No, retryAfter, "the key could not be claimed" };
 }
 
+// The answer that the first call with the key got. A body that was too large to keep is replaced by its size.
 HttpResponse answerFrom(const wire::CallOutcome& outcome)
 {
-    return makeResponse(static_cast<unsigned>(outcome.status), outcome.contentType, outcome.body);
+    const auto status = static_cast<unsigned>(outcome.status);
+    auto answer = makeResponse(status, outcome.contentType, outcome.body);
+    if (outcome.omittedBodyBytes > 0) {
+        const auto size = std::to_string(outcome.omittedBodyBytes);
+        answer = makeResponse(status, "application/json",
+            "{\"detail\":\"the call ran before and its answer is not kept\",\"omitted_body_bytes\":" + size + "}\n");
+        answer.set("Idempotent-Omitted-Body-Bytes", size);
+    }
+    answer.set("Idempotent-Replayed", "true");
+    return answer;
 }
 
 }
@@ -67,6 +77,7 @@
     if (!request.call || request.call->idempotencyKey.empty() || request.call->isSafe)
         co_return std::nullopt;
     const auto answer = co_await this->claim(request);
+    request.mayClaimLand = !answer || answer->mayLand;
     if (!answer)
         co_return Problem { RefusalReason::ClaimsUnavailable, Ran::No, RetryAfterUnavailable,
             "no dispatcher could be reached to claim the key" };
@@ -112,16 +123,16 @@
 
 void ClaimFilter::settle(const GatewayRequest& request)
 {
-    if (!request.didClaim)
+    if (!request.didClaim && !request.mayClaimLand)
         return;
     wire::ClaimSettlement settlement;
     settlement.workspace = request.workspace.name;
     settlement.serviceName = request.call->service;
     settlement.key = request.call->idempotencyKey;
     settlement.requestId = request.id.value;
-    settlement.unknown = request.problem && request.problem->ran == Ran::Unknown;
-    settlement.notSent = request.problem && request.problem->ran == Ran::No;
-    if (!request.problem && request.storedAnswer) {
+    settlement.notSent = !request.didClaim || (request.problem && request.problem->ran == Ran::No);
+    settlement.unknown = !settlement.notSent && request.problem;
+    if (!settlement.notSent && !settlement.unknown && request.storedAnswer) {
         const auto& answer = *request.storedAnswer;
         const auto type = answer[boost::beast::http::field::content_type];
         wire::CallOutcome outcome;
--- a/src/gateway/ClaimFilter.h
+++ b/src/gateway/ClaimFilter.h
@@ -16,7 +16,8 @@
     // Leaves the stored answer in the request when the call has been answered before.
     boost::asio::awaitable<std::optional<Problem>> apply(GatewayRequest& request) override;
 
-    // Records the end of a call whose claim was won: its answer, that it was never sent, or that nobody knows.
+    // Records the end of a call whose claim was won: its answer, that it was never sent, or that nobody knows. A claim
+    // that did not win and may still land in the log is given back, so that a later call can have the key.
     void settle(const GatewayRequest& request);
 
 private:
--- a/src/gateway/GatewayRequest.h
+++ b/src/gateway/GatewayRequest.h
@@ -128,6 +128,7 @@
     std::vector<std::uint64_t> prefixBlocks;
     TimePoint deadline {};
     bool didClaim { false }; // Holds the claim of its idempotency key.
+    bool mayClaimLand { false }; // Its claim did not win, or nobody knows, and may still appear in the log.
     std::optional<HttpResponse> storedAnswer; // Of the service, or of an earlier call with the same key.
     std::optional<Problem> problem; // The final answer, when it is a refusal.
     std::unique_ptr<CallerAnswer> answer; // Of a prompt.
--- a/test/ClaimsHarness.h
+++ b/test/ClaimsHarness.h
@@ -59,6 +59,7 @@
     TimePoint downUntil {};
     Duration latency { std::chrono::milliseconds { 5 } };
     int answersToLose { 0 };
+    int appendsToLose { 0 }; // They never land, and get no answer.
     int appendsToDouble { 0 };
 };
 
@@ -302,6 +303,10 @@
         }
         const auto isLost = this->log.latency > AppendTimeout || this->log.answersToLose-- > 0;
         const auto isDoubled = this->log.appendsToDouble-- > 0;
+        if (this->log.appendsToLose-- > 0) {
+            this->after(AppendTimeout, "", [answer] { answer(PlatformError::NoAnswer); });
+            return;
+        }
         this->after(this->log.latency, "", [this, record, answer, isLost] {
             const auto offset = this->log.append(record, this->clock.now());
             this->noteAppended(record);
--- a/test/FaultsClaims_test.cpp
+++ b/test/FaultsClaims_test.cpp
@@ -14,6 +14,7 @@
     LogDown,
     LogSlow,
     AppendAnswerLost,
+    AppendLost,
     AppendDoubled,
     LogTrimmed,
     GatewayDies,
@@ -27,7 +28,7 @@
 
 constexpr std::array StepNames { "BeforeClaim", "ClaimAppended", "ClaimedNotSent", "HalfSent", "Sent",
     "AnsweredNotRecorded" };
-constexpr std::array FaultNames { "LogDown", "LogSlow", "AppendAnswerLost", "AppendDoubled", "LogTrimmed",
+constexpr std::array FaultNames { "LogDown", "LogSlow", "AppendAnswerLost", "AppendLost", "AppendDoubled", "LogTrimmed",
     "GatewayDies", "GatewayFreezes", "OwnerDies", "OwnerFreezes", "ServiceDies", "ServiceFreezes", "TwoOwners" };
 
 using Row = std::pair<OrderStep, OrderFault>;
@@ -76,6 +77,9 @@
         case OrderFault::AppendAnswerLost:
             harness.log.answersToLose = 3;
             break;
+        case OrderFault::AppendLost:
+            harness.log.appendsToLose = 2;
+            break;
         case OrderFault::AppendDoubled:
             harness.log.appendsToDouble = 3;
             break;
@@ -256,6 +260,15 @@
     EXPECT_EQ(this->harness.owners[0].coordinator->ledger().size(), 0u) << "keys whose window is over are dropped";
 }
 
+TEST_F(FaultsClaimsOutageTest, AppendThatNeverLandedIsMadeAgainWithinTheAllowedTime)
+{
+    this->harness.log.appendsToLose = 1;
+    const auto& order = this->harness.call("order", "body", "gateway-1", 0);
+    this->harness.run(12s);
+    this->harness.check();
+    EXPECT_EQ(order.result, "ran");
+}
+
 TEST_F(FaultsClaimsOutageTest, KeyReusedWithAnotherBodyIsRefused)
 {
     this->harness.call("order", "body", "gateway-1", 0);
--- a/test/Gateway_test.cpp
+++ b/test/Gateway_test.cpp
@@ -132,6 +132,39 @@
     EXPECT_TRUE(this->world.dispatcher.settlements.empty());
 }
 
+class GatewayLandingClaimTest : public GatewayTest, public ::testing::WithParamInterface<wire::ClaimVerdict::type> { };
+
+TEST_P(GatewayLandingClaimTest, ClaimThatMayStillLandIsGivenBackWhateverItsVerdict)
+{
+    this->world.dispatcher.claimAnswer.verdict = this->GetParam();
+    this->world.dispatcher.claimAnswer.mayLand = true;
+    auto order = this->world.post("/services/orders/restock", "{\"cream\":3}");
+    order.set("Idempotency-Key", "k1");
+    this->answerTo(std::move(order));
+    ASSERT_EQ(this->world.dispatcher.settlements.size(), 1u);
+    EXPECT_TRUE(this->world.dispatcher.settlements[0].notSent);
+    EXPECT_FALSE(this->world.dispatcher.settlements[0].unknown);
+}
+
+INSTANTIATE_TEST_SUITE_P(EveryVerdictButWon, GatewayLandingClaimTest,
+    ::testing::Values(wire::ClaimVerdict::Unavailable, wire::ClaimVerdict::Unknown, wire::ClaimVerdict::Mismatch,
+        wire::ClaimVerdict::InProgress, wire::ClaimVerdict::Repeated));
+
+TEST_F(GatewayTest, RepeatWhoseAnswerIsNotKeptIsToldItsStatusAndSize)
+{
+    wire::CallOutcome outcome;
+    outcome.status = 201;
+    outcome.omittedBodyBytes = 90'000;
+    this->world.dispatcher.claimAnswer.verdict = wire::ClaimVerdict::Repeated;
+    this->world.dispatcher.claimAnswer.__set_outcome(outcome);
+    auto order = this->world.post("/services/orders/restock", "{\"cream\":3}");
+    order.set("Idempotency-Key", "k1");
+    const auto answer = this->answerTo(std::move(order));
+    EXPECT_EQ(answer.result_int(), 201u);
+    EXPECT_EQ(answer["Idempotent-Omitted-Body-Bytes"], "90000");
+    EXPECT_EQ(answer["Idempotent-Replayed"], "true");
+}
+
 struct BadInput {
     std::string name;
     std::string path;
