Send calls of plain services to the target with the fewest under way

ServiceChoice takes the own zone first, then the fewest calls that this gateway has under way; before, a target of the own zone was drawn at random, also one that was frozen with calls piling up. A call counts until its placement is released or its request is over.

--- a/src/gateway/ServicePlacer.h
+++ b/src/gateway/ServicePlacer.h
@@ -1,15 +1,17 @@
 #pragma once
 
+#include <map>
 #include <random>
 #include <string>
+#include <utility>
 
 #include "gateway/GatewayRequest.h"
 #include "gateway/GatewayView.h"
+#include "gateway/ServiceChoice.h"
 
 namespace marigoldpaddle {
 
-// Places calls of plain services: any live target of the service, those of the own availability zone first. Nothing has
-// to be given back.
+// Places calls of plain services by ServiceChoice. No owner is asked: a call counts at its target until it is released.
 class ServicePlacer final : public Placer {
 public:
     // Everything passed by reference must outlive the placer.
@@ -22,11 +24,12 @@
     void forget(GatewayRequest& request) override;
 
 private:
-    const ServiceTarget* choose(const GatewayRequest& request);
+    using Call = std::pair<RequestId, unsigned>; // The request and its attempt.
 
-    std::string availabilityZone;
     GatewayView& view;
     std::mt19937_64& random;
+    ServiceChoice choice;
+    std::map<Call, std::string> targets; // Of the calls under way.
 };
 
 }
