--- a/src/claims/ClaimCoordinator.cpp
+++ b/src/claims/ClaimCoordinator.cpp
@@ -26,10 +26,18 @@
 
 }
 
+std::uint64_t checkpointSeedOf(const InstanceId& instance)
+{
+    constexpr unsigned CheckpointBits = 24;
+    const auto digest = claimDigest({ instance.name, std::to_string(instance.incarnation) });
+    return ClaimDigestHash {}(digest) << CheckpointBits;
+}
+
 ClaimCoordinator::ClaimCoordinator(const ClaimCoordinatorOptions& options, const HolderLiveness& liveness)
     : options(options)
     , liveness(liveness)
     , settlements(options.settlementLimit)
+    , appendInterval(1 / options.appendsPerSecond)
     , appendTokens(options.appendBurst)
 {
 }
@@ -38,6 +46,7 @@
 {
     this->claims = std::move(ledger);
     this->checkpointParts.clear();
+    this->sawMissingCheckpoint = false;
     for (std::uint32_t shard = 0; shard < ClaimLedger::Shards; ++shard) {
         const auto untilDue = this->options.refreshPeriod * (shard + 1) / ClaimLedger::Shards;
         this->checkpointedAt[shard] = now + untilDue - this->options.refreshPeriod;
@@ -151,8 +160,11 @@
 void ClaimCoordinator::finish(ClaimTicket ticket, wire::ClaimAnswer answer, TimePoint now, ClaimReplies& replies)
 {
     const auto found = this->asks.find(ticket);
-    const auto key = found->second.claim.key;
-    this->deadlines.erase({ found->second.deadline, ticket });
+    const auto& ask = found->second;
+    const auto key = ask.claim.key;
+    const auto isOnItsWay = ask.mayLand || ask.stage == Stage::OnItsWay;
+    answer.mayLand = answer.verdict != wire::ClaimVerdict::Won && isOnItsWay;
+    this->deadlines.erase({ ask.deadline, ticket });
     this->asks.erase(found);
     replies.claims.push_back({ ticket, std::move(answer) });
 
@@ -169,10 +181,8 @@
 
 void ClaimCoordinator::finishUnavailable(ClaimTicket ticket, TimePoint now, ClaimReplies& replies)
 {
-    const auto& ask = this->asks.at(ticket);
-    auto answer = answerOf(wire::ClaimVerdict::Unavailable, std::max(RepeatRetryAfter, this->downUntil - now));
-    answer.mayLand = ask.mayLand || ask.stage == Stage::OnItsWay;
-    this->finish(ticket, std::move(answer), now, replies);
+    const auto retryAfter = std::max(RepeatRetryAfter, this->downUntil - now);
+    this->finish(ticket, answerOf(wire::ClaimVerdict::Unavailable, retryAfter), now, replies);
 }
 
 void ClaimCoordinator::finishCompleted(
@@ -220,12 +230,15 @@
     for (const auto& record : page.records) {
         const auto changes = this->claims.apply(record.offset, record.data, now);
         touched.insert(changes.keys.begin(), changes.keys.end());
-        if (changes.checkpointedShard)
-            this->checkpointedAt.at(*changes.checkpointedShard) = now;
+        if (!changes.checkpointedShard)
+            continue;
+        this->checkpointedAt.at(*changes.checkpointedShard) = now;
+        if (!this->claims.isShardComplete(*changes.checkpointedShard))
+            this->sawMissingCheckpoint = true;
     }
+    this->resolveOutstanding(page.next, now, replies);
     for (const auto& key : touched)
         this->judgeKey(key, now, replies);
-    this->resolveOutstanding(page.next, now, replies);
     return replies;
 }
 
@@ -436,7 +449,7 @@
     if (this->isAppending || !this->hasWork(now))
         return next;
     const auto isTokenMissing = this->appendTokensAt(now) < 1;
-    const auto tokenAt = isTokenMissing ? this->tokensAt + this->options.appendInterval : now;
+    const auto tokenAt = isTokenMissing ? this->tokensAt + duration_cast<Duration>(this->appendInterval) : now;
     next = std::min(next, std::max(this->downUntil, tokenAt));
     return next;
 }
@@ -460,8 +473,7 @@
 
 double ClaimCoordinator::appendTokensAt(TimePoint now) const
 {
-    const auto interval = std::chrono::duration<double> { this->options.appendInterval };
-    const auto gained = std::chrono::duration<double> { now - this->tokensAt } / interval;
+    const auto gained = std::chrono::duration<double> { now - this->tokensAt } / this->appendInterval;
     return std::min(this->options.appendBurst, this->appendTokens + gained);
 }
 
@@ -475,9 +487,16 @@
     return true;
 }
 
-void ClaimCoordinator::setRank(std::size_t rank)
+void ClaimCoordinator::setRank(std::size_t rank, std::size_t instances)
 {
     this->rank = std::min(rank, MaximumRank);
+    const auto sharing = static_cast<double>(std::max<std::size_t>(instances, 1));
+    this->appendInterval = std::chrono::duration<double> { sharing / this->options.appendsPerSecond };
+}
+
+bool ClaimCoordinator::isReloadDue() const
+{
+    return this->sawMissingCheckpoint;
 }
 
 const ClaimLedger& ClaimCoordinator::ledger() const
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -79,6 +79,7 @@
     1: InstanceRef owner
     2: CellRef cell
     3: list<HoldingRecord> holdings
+    4: bool isSingleGrant // One grant that the owner of the cell has just given, for the next owner to know.
 }
 
 enum ClaimVerdict {
@@ -110,8 +111,8 @@
     4: i64 omittedBodyBytes
 }
 
-// `mayLand` comes with Unavailable: the claim may still appear in the log, so that its gateway has to settle it with
-// `notSent` once it has marked the attempt dead.
+// `mayLand` comes with any verdict but Won: the claim may still appear in the log, so that its gateway has to settle it
+// with `notSent`. A gateway that gets no answer, or a late Won, does the same once it has marked the attempt dead.
 struct ClaimAnswer {
     1: ClaimVerdict verdict
     2: optional CallOutcome outcome
