--- /dev/null
+++ b/bench/configuration_bench.cpp
@@ -0,0 +1,263 @@
+// The cost of a change by the size of the preset, by Google Benchmark, and with --spread SECONDS the time from the
+// acceptance of a change to its being in force at eight followers, over HTTP on loopback, at ten times the target's
+// rate of changes.
+
+#include <algorithm>
+#include <iostream>
+#include <memory>
+#include <numeric>
+
+#include <benchmark/benchmark.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <sys/resource.h>
+
+#include "base/HttpServer.h"
+#include "configuration/ConfigurationPublisher.h"
+#include "configuration/FollowerRuntime.h"
+#include "platform/HttpPlatformLog.h"
+#include "standins/ConfigurationChanges.h"
+#include "standins/PlatformStandin.h"
+
+using namespace marigoldpaddle;
+using namespace std::chrono_literals;
+
+namespace {
+
+namespace asio = boost::asio;
+
+ConfigurationState stateOf(std::size_t sections)
+{
+    ConfigurationState state;
+    PresetSectionChanges changes;
+    for (std::size_t i = 0; i < sections; ++i) {
+        changes.emplace("workspace " + std::to_string(i), standins::workspaceSection(i));
+        if (changes.size() == 5000 || i + 1 == sections) {
+            const auto id = "make " + std::to_string(i);
+            standins::applyNext(state, standins::editOf(id, "ordinary", state.nextOffset(), std::move(changes)));
+            changes.clear();
+        }
+    }
+    standins::applyNext(state, standins::useOf("use", "ordinary", state.nextOffset()));
+    return state;
+}
+
+// One edit of one section, while a reader holds the preset of before.
+void applyEdit(benchmark::State& run)
+{
+    const auto sections = static_cast<std::size_t>(run.range(0));
+    auto state = stateOf(sections);
+    std::uint64_t number = 0;
+    for (auto _ : run) {
+        run.PauseTiming();
+        const auto before = state.presetInForce();
+        const auto workspace = ++number % sections;
+        const auto record
+            = encodeChange(standins::editOf("edit " + std::to_string(number), "ordinary", state.nextOffset(),
+                { { "workspace " + std::to_string(workspace),
+                    standins::workspaceSection(workspace, std::to_string(1 + number % 9)) } }));
+        run.ResumeTiming();
+        benchmark::DoNotOptimize(state.apply(state.nextOffset(), record));
+    }
+}
+BENCHMARK(applyEdit)->Arg(670)->Arg(6700)->Arg(67000)->Unit(benchmark::kMicrosecond);
+
+void takeSnapshot(benchmark::State& run)
+{
+    const auto state = stateOf(static_cast<std::size_t>(run.range(0)));
+    for (auto _ : run)
+        benchmark::DoNotOptimize(state.snapshot());
+    run.counters["bytes"] = static_cast<double>(state.snapshot().size());
+}
+BENCHMARK(takeSnapshot)->Arg(670)->Arg(6700)->Arg(67000)->Unit(benchmark::kMillisecond);
+
+void restoreSnapshot(benchmark::State& run)
+{
+    const auto snapshot = stateOf(static_cast<std::size_t>(run.range(0))).snapshot();
+    for (auto _ : run) {
+        ConfigurationState state;
+        benchmark::DoNotOptimize(state.restore(snapshot));
+    }
+}
+BENCHMARK(restoreSnapshot)->Arg(670)->Arg(6700)->Arg(67000)->Unit(benchmark::kMillisecond);
+
+// Counts what an instance reads from the log.
+class CountingLog final : public PlatformLog {
+public:
+    explicit CountingLog(PlatformLog& log)
+        : log(log)
+    {
+    }
+
+    asio::awaitable<PlatformResult<std::uint64_t>> append(std::string record) override
+    {
+        co_return co_await this->log.append(std::move(record));
+    }
+
+    asio::awaitable<PlatformResult<LogPage>> read(std::uint64_t offset, std::size_t limit, Duration wait) override
+    {
+        ++this->reads;
+        auto page = co_await this->log.read(offset, limit, wait);
+        if (page) {
+            for (const auto& record : page.value().records)
+                this->bytes += record.data.size();
+        }
+        co_return page;
+    }
+
+    std::uint64_t reads { 0 };
+    std::uint64_t bytes { 0 };
+
+private:
+    PlatformLog& log;
+};
+
+class NoPeers final : public ConfigurationPeers {
+public:
+    asio::awaitable<std::optional<ConfigurationUpdate>> fetch(std::string, std::uint64_t) override
+    {
+        co_return std::nullopt;
+    }
+};
+
+// Eight followers, one publisher and the stand-in of the platform in one thread.
+class SpreadRun {
+public:
+    SpreadRun()
+        : standin(this->context, 100'000)
+        , server(this->context, this->standin)
+        , address("127.0.0.1:" + std::to_string(this->server.listen("127.0.0.1:0")))
+        , client(this->context.get_executor())
+        , log(this->client, this->address, "configuration", 2s)
+    {
+        for (std::size_t i = 0; i < Instances; ++i) {
+            this->logs.push_back(std::make_unique<CountingLog>(this->log));
+            this->followers.push_back(std::make_unique<FollowerRuntime>(this->context, this->clock, *this->logs.back(),
+                this->peers, this->metrics, FollowerSettings {}, [this, i] {
+                    this->reached[i].push_back({ this->followers[i]->state().nextOffset(), this->clock.now() });
+                }));
+        }
+    }
+
+    void run(std::chrono::seconds duration)
+    {
+        for (auto& each : this->followers)
+            each->start();
+        asio::co_spawn(this->context, this->publishFor(duration), asio::detached);
+        this->context.run();
+        this->report(duration);
+    }
+
+private:
+    static constexpr std::size_t Instances = 8;
+    static constexpr std::size_t Workspaces = 6700;
+    static constexpr std::chrono::microseconds Period { 175'439 }; // 5.7 changes a second: ten times the target.
+
+    struct Reached {
+        std::uint64_t offset { 0 };
+        TimePoint at {};
+    };
+
+    asio::awaitable<void> publishFor(std::chrono::seconds duration)
+    {
+        ConfigurationPublisher publisher { this->log, this->clock };
+        PresetSectionChanges sections;
+        for (std::size_t i = 0; i < Workspaces; ++i)
+            sections.emplace("workspace " + std::to_string(i), standins::workspaceSection(i));
+        auto make = standins::editOf("make", "ordinary", 0, std::move(sections));
+        co_await publisher.publish(this->author, std::move(make));
+        auto use = standins::useOf("use", "ordinary", 1);
+        co_await publisher.publish(this->author, std::move(use));
+        for (auto& each : this->logs)
+            each->reads = each->bytes = 0;
+        const auto started = this->clock.now();
+        asio::steady_timer timer { this->context };
+        for (std::uint64_t i = 0; this->clock.now() < started + duration; ++i) {
+            auto change = standins::editOf("edit " + std::to_string(i), "ordinary", this->author.nextOffset(),
+                { { "workspace " + std::to_string(i % Workspaces),
+                    standins::workspaceSection(i % Workspaces, std::to_string(1 + i % 9)) } });
+            const auto result = co_await publisher.publish(this->author, std::move(change));
+            if (result.outcome == PublicationOutcome::Accepted)
+                this->accepted.push_back({ result.verdict.offset, this->clock.now() });
+            timer.expires_at(started + Period * (i + 1));
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        timer.expires_after(8s);
+        co_await timer.async_wait(asio::use_awaitable);
+        this->context.stop();
+    }
+
+    // When the last instance had the record at `offset`; the end of time if one never had.
+    TimePoint everywhereAt(std::uint64_t offset) const
+    {
+        auto last = TimePoint::min();
+        for (const auto& instance : this->reached) {
+            const auto found = std::ranges::find_if(instance, [&](const auto& each) { return each.offset > offset; });
+            last = std::max(last, found == instance.end() ? TimePoint::max() : found->at);
+        }
+        return last;
+    }
+
+    void report(std::chrono::seconds duration) const
+    {
+        std::vector<double> milliseconds;
+        std::size_t missing = 0;
+        for (const auto& each : this->accepted) {
+            const auto everywhere = this->everywhereAt(each.offset);
+            if (everywhere == TimePoint::max())
+                ++missing;
+            else
+                milliseconds.push_back(
+                    std::max(0.0, std::chrono::duration<double, std::milli>(everywhere - each.at).count()));
+        }
+        std::ranges::sort(milliseconds);
+        const auto quantile = [&](double part) {
+            return milliseconds.empty() ? 0
+                                        : milliseconds[static_cast<std::size_t>(part * (milliseconds.size() - 1.0))];
+        };
+        const auto seconds = static_cast<double>(duration.count());
+        std::uint64_t reads = 0;
+        std::uint64_t bytes = 0;
+        for (const auto& each : this->logs) {
+            reads += each->reads;
+            bytes += each->bytes;
+        }
+        rusage usage {};
+        getrusage(RUSAGE_SELF, &usage);
+        std::cout << this->accepted.size() << " changes accepted in " << duration.count() << " s at " << Instances
+                  << " instances, " << missing << " never in force everywhere\n"
+                  << "acceptance to in force everywhere, ms: p50 " << quantile(0.5) << ", p99 " << quantile(0.99)
+                  << ", max " << quantile(1) << "\nper instance and second: " << reads / seconds / Instances
+                  << " log reads, " << bytes / seconds / Instances
+                  << " bytes of records\npeak memory of the process: " << usage.ru_maxrss / 1024 << " MB\n";
+    }
+
+    asio::io_context context { 1 };
+    SteadyClock clock;
+    standins::PlatformStandin standin;
+    HttpServer server;
+    std::string address;
+    HttpClient client;
+    HttpPlatformLog log;
+    NoPeers peers;
+    MetricsRegistry metrics;
+    std::vector<std::unique_ptr<CountingLog>> logs;
+    std::vector<std::unique_ptr<FollowerRuntime>> followers;
+    std::array<std::vector<Reached>, Instances> reached;
+    std::vector<Reached> accepted;
+    ConfigurationState author;
+};
+
+}
+
+int main(int argc, char** argv)
+{
+    if (argc == 3 && std::string_view { argv[1] } == "--spread") {
+        SpreadRun {}.run(std::chrono::seconds { std::max(1, std::atoi(argv[2])) });
+        return 0;
+    }
+    benchmark::Initialize(&argc, argv);
+    benchmark::RunSpecifiedBenchmarks();
+    return 0;
+}
--- a/src/configuration/ConfigurationState.cpp
+++ b/src/configuration/ConfigurationState.cpp
@@ -82,17 +82,17 @@
             return refused(offset, change, ConfigurationError::Conflict, std::move(conflict));
     }
     const auto typed = this->preset(change.preset);
-    const auto sections = this->presetsByName.find(change.preset);
+    const auto& before = this->presetsByName[change.preset]; // Not copied: it may hold thousands of sections.
     auto problem = boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<std::string> {
-            BOOST_LEAF_AUTO(
-                base, typed ? boost::leaf::result<Preset> { *typed } : makePreset(change.preset, {}, change.preset));
-            const auto& before = typed ? sections->second : PresetSections {};
+            BOOST_LEAF_AUTO(base, typed ? *typed : makePreset(change.preset, {}, change.preset));
             BOOST_LEAF_AUTO(changed, changePreset(base, before, change.sections, change.preset));
             this->typedByName[change.preset] = std::make_shared<const Preset>(std::move(changed));
             return std::string {};
         },
         [](const PresetProblem& fault) { return fault.message; }, [] { return std::string { "invalid preset" }; });
+    if (!problem.empty() && !typed)
+        this->presetsByName.erase(change.preset);
     if (!problem.empty())
         return refused(offset, change, ConfigurationError::InvalidPreset, std::move(problem));
     this->applySections(offset, change);
