--- a/test/CellScheduler_test.cpp
+++ b/test/CellScheduler_test.cpp
@@ -32,6 +32,21 @@
     EXPECT_GT(longGrant.priority, shortGrant.priority);
 }
 
+TEST_F(CellSchedulerTest, FirstReportReplacesTheGuessedPrefillRate)
+{
+    this->addTarget("engine-1", 4'000'000);
+    LoadReport report;
+    report.target = "engine-1";
+    report.measuredAt = this->now();
+    report.memoryTokens = 4'000'000;
+    report.prefillTokensPerSecond = 1'000'000;
+    this->scheduler->reportLoad(report, this->now());
+    const auto commands = this->submit("archive", 1'000'000, std::chrono::seconds { 15 });
+    ASSERT_THAT(grantsOf(commands), testing::ElementsAre("archive"));
+    EXPECT_GT(std::get<Grant>(commands.front()).priority, 0)
+        << "a prompt with slack to spare must not go before short ones";
+}
+
 TEST_F(CellSchedulerTest, PromptWithCachedPrefixGoesToTheTargetThatHoldsIt)
 {
     this->addTarget("engine-1", 400'000);
@@ -79,6 +94,21 @@
     EXPECT_EQ(this->scheduler->digest(this->now()).queued, 0U);
 }
 
+TEST_F(CellSchedulerTest, TickAtTheTimeItAskedForMakesProgress)
+{
+    this->addTarget("engine-1", 400'000);
+    this->submit("running", 300'000, 600s);
+    this->submit("waiting", 200'000, 60s);
+    auto last = this->now();
+    for (int ticks = 0; this->scheduler->digest(last).queued > 0; ++ticks) {
+        ASSERT_LT(ticks, 100'000);
+        auto next = this->scheduler->nextTick();
+        ASSERT_GT(next, last);
+        last = next;
+        this->scheduler->tick(last);
+    }
+}
+
 TEST_F(CellSchedulerTest, CellWithoutTargetsRefusesWithNoTarget)
 {
     EXPECT_THAT(this->refusalsOf(this->submit("a", 1'000)), ElementsAre(RefusalReason::NoTarget));
