Judge gateways by their own announcements, and read the owner out of attempt ids

Cause: two faults that no core test could show. Gateways hold engine memory under <request>.<attempt>, which the steward could not read, so on the real path it never cancelled anything. And membership speaks of dispatchers: one that restarted had a higher incarnation than its instance's living gateway, whose allocations would then have counted as a dead run's and been cancelled. What: originOf reads attempt ids; the steward counts a gateway run as lost after 5 s without an announcement (they come every half second), as replaced when a later run announces. Silence counts only while this instance is itself in touch, and anew after every pause, so that a thawed or new owner does not cancel what living gateways hold. Standby stewards forget what is disclaimed. Ruled out: one incarnation for both processes of an instance; a gateway that restarts alone would reuse request ids. Before: with the silence not counted anew, the rows PausedOrCutOff and StandbyThatTakesOver fail.

--- a/include/marigoldpaddle/Steward.h
+++ b/include/marigoldpaddle/Steward.h
@@ -16,16 +16,19 @@
 
 namespace marigoldpaddle {
 
-// Names the gateway run that made a request id. Ids have the form `<instance>-<incarnation>-<sequence>`, so that every
-// process can tell the owner of an allocation from the id alone.
+// Names the gateway run that made a request id. Ids have the form `<instance>-<incarnation>-<sequence>`, and those
+// under which an engine holds memory `<instance>-<incarnation>-<sequence>.<attempt>`, so that every process can tell
+// the owner of an allocation from the id alone.
 struct RequestOrigin {
     InstanceId owner;
     std::uint64_t sequence { 0 };
+    std::uint64_t attempt { 0 }; // 0 when the id names none.
 };
 
 RequestId makeRequestId(const InstanceId& owner, std::uint64_t sequence);
+RequestId makeAttemptId(const RequestId& request, std::uint64_t attempt);
 
-// Reads an id that makeRequestId made; empty for any other.
+// Reads an id that one of the two functions above made; empty for any other.
 std::optional<RequestOrigin> originOf(const RequestId& id);
 
 // Asks for an allocation to be cancelled on a target. Cancelling is idempotent.
@@ -49,12 +52,10 @@
     // All that one gateway run holds in the cell, as of `now`.
     void noteHoldings(const InstanceId& owner, std::span<const Holding> holdings, TimePoint now);
 
-    // The instance runs that membership counts on as of `now`. A run is dead once a later one of the same name is
-    // alive, or once neither membership nor an announcement has spoken of it for a while.
-    void noteMembers(std::span<const InstanceId> alive, TimePoint now);
-
-    // Membership has declared an instance run dead.
-    void noteDead(const InstanceId& instance, TimePoint now);
+    // This steward's own instance is in touch with others as of `now`. The silence of a gateway means something only
+    // while that is fresh; after a pause or a cut it is counted anew, so that living gateways have the time to
+    // announce.
+    void noteConnected(TimePoint now);
 
     // An engine's own report.
     void noteReport(const LoadReport& report, TimePoint now);
@@ -62,6 +63,9 @@
     // The target answered a cancel: nothing is held under this id there.
     void noteCancelled(const CancelAllocation& cancelled);
 
+    // Drops what is known to be over, without asking for anything: for a steward whose instance does not own the cell.
+    void forgetDisclaimed(TimePoint now);
+
     // The target is gone, and its memory with it.
     void forgetTarget(std::string_view target);
 
@@ -91,20 +95,19 @@
     using Key = CancelAllocation;
 
     bool isOrphan(const Key& key, const Entry& entry, TimePoint now) const;
-    bool isDead(const InstanceId& instance) const;
+    bool isDisclaimed(const Key& key, const InstanceId& owner, const Entry& entry) const;
+    bool isReplaced(const InstanceId& instance) const;
     bool isLost(const InstanceId& instance, const Entry& entry, TimePoint now) const;
-    void noteAlive(const InstanceId& instance, TimePoint now);
-    void forgetDead(TimePoint now);
+    void forgetSilent(TimePoint now);
     void searchUnaccounted(const LoadReport& report, TimePoint now);
     void enumerateDead(const std::string& target, TimePoint now);
     void noteSequence(const RequestId& id);
 
     std::map<Key, Entry> entries;
     std::map<InstanceId, Announcement> announcements;
-    std::map<std::string, std::uint64_t, std::less<>> newestAlive; // Highest incarnation seen alive, by instance name.
-    std::map<InstanceId, TimePoint> lastHeard; // Of each run, from membership or from its own announcements.
-    TimePoint membersAt {}; // When membership last said anything at all.
-    std::map<InstanceId, TimePoint> dead;
+    std::map<std::string, std::uint64_t, std::less<>> newestAlive; // Highest incarnation that announced, by instance.
+    TimePoint connectedAt {}; // When this steward was last known to be in touch with others,
+    TimePoint connectedSince {}; // and since when without an interruption.
     std::map<InstanceId, std::uint64_t> highestSequence;
     std::map<std::string, std::uint64_t, std::less<>> unaccounted;
 };
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -185,12 +185,8 @@
                 target.isLeaving = true;
 }
 
-void Dispatcher::memberChanged(const Member& member)
+void Dispatcher::memberChanged(const Member&)
 {
-    if (member.state == MemberState::Dead) {
-        for (const auto& [id, cell] : this->ownedCells)
-            cell->noteDead(member.instance);
-    }
     this->refreshMembers();
 }
 
@@ -415,12 +411,12 @@
     return answer;
 }
 
-// An instance that is not listed any more, or was replaced, counts as gone: its claims are then unknown, never free.
+// An instance that is not listed any more counts as gone: its claims are then unknown, never free.
 bool Dispatcher::isGone(const InstanceId& holder) const
 {
+    // Membership speaks of dispatchers, whose incarnations are their own: only the instance's name is compared.
     const auto mayLive = [&](const Member& member) {
-        return member.instance.name == holder.name && member.instance.incarnation <= holder.incarnation
-            && member.state != MemberState::Dead;
+        return member.instance.name == holder.name && member.state != MemberState::Dead;
     };
     return !this->members.empty() && std::ranges::none_of(this->members, mayLive);
 }
@@ -505,13 +501,10 @@
 {
     if (this->membership.isStale())
         return;
-    std::vector<InstanceId> alive;
-    for (const auto& member : this->members) {
-        if (member.state != MemberState::Dead)
-            alive.push_back(member.instance);
-    }
     for (const auto& [id, cell] : this->ownedCells)
-        cell->noteMembers(alive);
+        cell->noteConnected();
+    for (auto& [id, steward] : this->standbyStewards)
+        steward.forgetDisclaimed(this->clock.now());
     std::erase_if(this->standbyStewards, [&](const auto& each) { return !this->cells.contains(each.first); });
 }
 
--- a/src/dispatch/OwnedCell.cpp
+++ b/src/dispatch/OwnedCell.cpp
@@ -85,14 +85,9 @@
         this->carryOut(this->scheduler->adopt(holding, this->clock.now()));
 }
 
-void OwnedCell::noteMembers(std::span<const InstanceId> alive)
+void OwnedCell::noteConnected()
 {
-    this->steward.noteMembers(alive, this->clock.now());
-}
-
-void OwnedCell::noteDead(const InstanceId& instance)
-{
-    this->steward.noteDead(instance, this->clock.now());
+    this->steward.noteConnected(this->clock.now());
 }
 
 void OwnedCell::noteReport(const LoadReport& report)
--- a/src/dispatch/OwnedCell.h
+++ b/src/dispatch/OwnedCell.h
@@ -41,9 +41,8 @@
     // All that a gateway holds in the cell.
     void noteHoldings(const InstanceId& owner, std::span<const Holding> holdings);
 
-    // What membership says of instances.
-    void noteMembers(std::span<const InstanceId> alive);
-    void noteDead(const InstanceId& instance);
+    // This instance is in touch with the others.
+    void noteConnected();
 
     // A target answered a probe, or did not.
     void noteReport(const LoadReport& report);
--- a/src/dispatch/Steward.cpp
+++ b/src/dispatch/Steward.cpp
@@ -11,11 +11,12 @@
 // An owner that has announced its holdings this long after an allocation began knows whether it holds it.
 constexpr std::chrono::seconds DisclaimGrace { 2 };
 constexpr std::chrono::seconds CancelRetryPause { 1 };
-constexpr std::chrono::minutes DeadRetention { 10 };
-// A run of which nothing was heard for so long is lost, provided that membership itself was heard of lately.
+constexpr std::chrono::minutes SilentRetention { 10 };
+// A gateway announces every half second; one that is silent for so long is lost.
 constexpr std::chrono::seconds LostAfter { 5 };
-constexpr std::chrono::seconds FreshMembership { 2 };
+constexpr std::chrono::seconds FreshConnection { 2 };
 constexpr std::uint64_t EnumeratedSequences = 256;
+constexpr std::uint64_t EnumeratedAttempts = 2;
 
 std::optional<std::uint64_t> parseNumber(std::string_view text)
 {
@@ -33,9 +34,20 @@
     return { owner.name + "-" + std::to_string(owner.incarnation) + "-" + std::to_string(sequence) };
 }
 
+RequestId makeAttemptId(const RequestId& request, std::uint64_t attempt)
+{
+    return { request.value + "." + std::to_string(attempt) };
+}
+
 std::optional<RequestOrigin> originOf(const RequestId& id)
 {
-    const std::string_view text { id.value };
+    std::string_view text { id.value };
+    std::optional<std::uint64_t> attempt { 0 };
+    const auto dot = text.rfind('.');
+    if (dot != std::string_view::npos && text.find('-', dot) == std::string_view::npos) {
+        attempt = parseNumber(text.substr(dot + 1));
+        text = text.substr(0, dot);
+    }
     const auto last = text.rfind('-');
     if (last == std::string_view::npos || last == 0)
         return std::nullopt;
@@ -44,9 +56,9 @@
         return std::nullopt;
     const auto incarnation = parseNumber(text.substr(middle + 1, last - middle - 1));
     const auto sequence = parseNumber(text.substr(last + 1));
-    if (!incarnation || !sequence)
+    if (!incarnation || !sequence || !attempt)
         return std::nullopt;
-    return RequestOrigin { { std::string { text.substr(0, middle) }, *incarnation }, *sequence };
+    return RequestOrigin { { std::string { text.substr(0, middle) }, *incarnation }, *sequence, *attempt };
 }
 
 void Steward::noteGrant(const RequestId& id, std::span<const GrantPart> parts, TimePoint expiry, TimePoint now)
@@ -77,26 +89,15 @@
             entry.tokens = part.tokens;
         }
     }
-    this->noteAlive(owner, now);
-}
-
-void Steward::noteMembers(std::span<const InstanceId> alive, TimePoint now)
-{
-    this->membersAt = now;
-    for (const auto& instance : alive)
-        this->noteAlive(instance, now);
-}
-
-void Steward::noteAlive(const InstanceId& instance, TimePoint now)
-{
-    this->lastHeard[instance] = now;
-    auto& newest = this->newestAlive[instance.name];
-    newest = std::max(newest, instance.incarnation);
+    auto& newest = this->newestAlive[owner.name];
+    newest = std::max(newest, owner.incarnation);
 }
 
-void Steward::noteDead(const InstanceId& instance, TimePoint now)
+void Steward::noteConnected(TimePoint now)
 {
-    this->dead.try_emplace(instance, now);
+    if (this->connectedAt + FreshConnection < now)
+        this->connectedSince = now;
+    this->connectedAt = now;
 }
 
 void Steward::noteReport(const LoadReport& report, TimePoint now)
@@ -137,11 +138,14 @@
 void Steward::enumerateDead(const std::string& target, TimePoint now)
 {
     for (const auto& [instance, highest] : this->highestSequence) {
-        if (!this->isDead(instance))
+        if (!this->isReplaced(instance) && !this->isLost(instance, Entry {}, now))
             continue;
         const auto first = highest > EnumeratedSequences ? highest - EnumeratedSequences : 0;
-        for (auto sequence = first; sequence <= highest + EnumeratedSequences; ++sequence)
-            this->entries.try_emplace({ target, makeRequestId(instance, sequence) }, Entry { 0, now, now });
+        for (auto sequence = first; sequence <= highest + EnumeratedSequences; ++sequence) {
+            const auto request = makeRequestId(instance, sequence);
+            for (std::uint64_t attempt = 1; attempt <= EnumeratedAttempts; ++attempt)
+                this->entries.try_emplace({ target, makeAttemptId(request, attempt) }, Entry { 0, now, now });
+        }
     }
 }
 
@@ -159,7 +163,7 @@
 
 std::vector<CancelAllocation> Steward::decide(TimePoint now)
 {
-    this->forgetDead(now);
+    this->forgetSilent(now);
     std::vector<CancelAllocation> cancels;
     for (auto& [key, entry] : this->entries) {
         const auto isDue = entry.askedAt == TimePoint {} || entry.askedAt + CancelRetryPause <= now;
@@ -176,48 +180,55 @@
     const auto origin = originOf(key.id);
     if (!origin)
         return false;
-    if (this->isDead(origin->owner) || this->isLost(origin->owner, entry, now))
-        return true;
-    const auto announced = this->announcements.find(origin->owner);
+    return this->isReplaced(origin->owner) || this->isLost(origin->owner, entry, now)
+        || this->isDisclaimed(key, origin->owner, entry);
+}
+
+bool Steward::isDisclaimed(const Key& key, const InstanceId& owner, const Entry& entry) const
+{
+    const auto announced = this->announcements.find(owner);
     return announced != this->announcements.end() && announced->second.at >= entry.startedAt + DisclaimGrace
         && !announced->second.ids.contains(key.id);
 }
 
-bool Steward::isDead(const InstanceId& instance) const
+bool Steward::isReplaced(const InstanceId& instance) const
 {
     const auto newest = this->newestAlive.find(instance.name);
-    if (newest != this->newestAlive.end() && newest->second > instance.incarnation)
-        return true;
-    return this->dead.contains(instance);
+    return newest != this->newestAlive.end() && newest->second > instance.incarnation;
 }
 
 bool Steward::isLost(const InstanceId& instance, const Entry& entry, TimePoint now) const
 {
-    if (this->membersAt + FreshMembership < now)
+    if (this->connectedAt + FreshConnection < now)
         return false;
-    const auto heard = this->lastHeard.find(instance);
-    const auto since = heard == this->lastHeard.end() ? entry.firstSeen : std::max(entry.firstSeen, heard->second);
+    auto since = std::max(entry.firstSeen, this->connectedSince);
+    const auto announced = this->announcements.find(instance);
+    if (announced != this->announcements.end())
+        since = std::max(since, announced->second.at);
     return since + LostAfter < now;
 }
 
-// Forgets dead runs after a while, except those that still hold something.
-void Steward::forgetDead(TimePoint now)
+void Steward::forgetDisclaimed(TimePoint now)
+{
+    std::erase_if(this->entries, [&](const auto& each) {
+        const auto origin = originOf(each.first.id);
+        return !origin || this->isReplaced(origin->owner) || this->isDisclaimed(each.first, origin->owner, each.second);
+    });
+    this->forgetSilent(now);
+}
+
+// Forgets runs that have been silent for long, except those that still hold something.
+void Steward::forgetSilent(TimePoint now)
 {
     std::set<InstanceId> holders;
     for (const auto& key : this->entries | std::views::keys) {
         if (const auto origin = originOf(key.id))
             holders.insert(origin->owner);
     }
-    const auto isForgotten = [&](const InstanceId& instance, TimePoint since) {
-        return since + DeadRetention < now && !holders.contains(instance);
-    };
-    std::erase_if(this->dead, [&](const auto& each) { return isForgotten(each.first, each.second); });
-    std::erase_if(this->highestSequence, [&](const auto& each) {
-        const auto heard = this->lastHeard.find(each.first);
-        return heard != this->lastHeard.end() && isForgotten(each.first, heard->second);
-    });
-    std::erase_if(this->announcements, [&](const auto& each) { return isForgotten(each.first, each.second.at); });
-    std::erase_if(this->lastHeard, [&](const auto& each) { return isForgotten(each.first, each.second); });
+    std::erase_if(this->announcements,
+        [&](const auto& each) { return each.second.at + SilentRetention < now && !holders.contains(each.first); });
+    std::erase_if(this->highestSequence,
+        [&](const auto& each) { return !this->announcements.contains(each.first) && !holders.contains(each.first); });
 }
 
 void Steward::noteSequence(const RequestId& id)
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -1,5 +1,7 @@
 #include "gateway/Gateway.h"
 
+#include <marigoldpaddle/Steward.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -232,8 +234,7 @@
 
 RequestId Gateway::nextRequestId()
 {
-    return { this->settings.instance.name + "-" + std::to_string(this->settings.instance.incarnation) + "-"
-        + std::to_string(++this->lastRequest) };
+    return makeRequestId(this->settings.instance, ++this->lastRequest);
 }
 
 }
--- a/src/gateway/GatewayRequest.cpp
+++ b/src/gateway/GatewayRequest.cpp
@@ -1,5 +1,7 @@
 #include "gateway/GatewayRequest.h"
 
+#include <marigoldpaddle/Steward.h>
+
 namespace marigoldpaddle {
 
 GatewayRequest::GatewayRequest(HttpExchange& exchange, RequestId id, const Clock& clock, GatewayMetrics& metrics)
@@ -61,7 +63,7 @@
 
 RequestId GatewayRequest::attemptId(unsigned attempt) const
 {
-    return { this->id.value + "." + std::to_string(attempt) };
+    return makeAttemptId(this->id, attempt);
 }
 
 void GatewayRequest::carryOut(const AskPlacement& command)
--- a/test/Steward_test.cpp
+++ b/test/Steward_test.cpp
@@ -110,7 +110,7 @@
     std::map<InstanceId, std::map<RequestId, Holding>> held;
     std::set<InstanceId> deadGateways;
     bool isOwnerAlive { true };
-    bool isMembershipTold { true };
+    bool isConnected { true };
     int lostCancelAnswers { 0 };
     std::vector<CancelAllocation> cancels;
 
@@ -128,20 +128,15 @@
 
     void tell(Steward& steward)
     {
-        std::vector<InstanceId> alive;
+        if (this->isConnected)
+            steward.noteConnected(this->clock.now());
         for (const auto& gateway : { this->first, this->second }) {
-            if (this->deadGateways.contains(gateway))
+            if (this->deadGateways.contains(gateway) || !this->isConnected)
                 continue;
-            alive.push_back(gateway);
             std::vector<Holding> holdings;
             std::ranges::copy(this->held[gateway] | std::views::values, std::back_inserter(holdings));
             steward.noteHoldings(gateway, holdings, this->clock.now());
         }
-        steward.noteMembers(alive, this->clock.now());
-        for (const auto& gateway : this->deadGateways) {
-            if (this->isMembershipTold)
-                steward.noteDead(gateway, this->clock.now());
-        }
         if (this->reports.front().first + ReportLag > this->clock.now())
             return;
         for (const auto& report : this->reports.front().second)
@@ -212,7 +207,58 @@
     EXPECT_THAT(this->cancels, IsEmpty());
 }
 
-TEST_F(StewardTest, StewardWithoutNewsOfMembershipCancelsNothing)
+TEST_F(StewardTest, AttemptIdNamesItsOwnerToo)
+{
+    const auto origin = originOf(makeAttemptId(makeRequestId({ "instance.a-1", 5 }, 42), 3));
+    ASSERT_TRUE(origin);
+    EXPECT_EQ(origin->owner, (InstanceId { "instance.a-1", 5 }));
+    EXPECT_EQ(origin->sequence, 42U);
+    EXPECT_EQ(origin->attempt, 3U);
+    EXPECT_FALSE(originOf({ "instance-1-5-42.x" }));
+}
+
+TEST_F(StewardTest, GatewaysHaveTimeToAnnounceAgainAfterTheStewardWasPausedOrCutOff)
+{
+    const auto id = makeRequestId(this->first, 1);
+    this->grant(id, { { "engine-1", 100 } });
+    this->allocate(id, "engine-1", 100);
+    this->run(5s);
+    this->isConnected = false;
+    this->run(30s);
+    this->isConnected = true;
+    this->run(30s);
+    EXPECT_THAT(this->cancels, IsEmpty());
+}
+
+TEST_F(StewardTest, StandbyThatTakesOverGivesGatewaysTimeToAnnounceToIt)
+{
+    const auto id = makeRequestId(this->first, 1);
+    const std::vector<GrantPart> parts { { "engine-1", 100 } };
+    Steward standby;
+    standby.noteGrant(id, parts, this->clock.now() + 2s, this->clock.now());
+    this->clock.advance(60s);
+    standby.noteConnected(this->clock.now());
+    EXPECT_THAT(standby.decide(this->clock.now()), IsEmpty());
+    for (int i = 0; i < 12; ++i) {
+        this->clock.advance(Period);
+        standby.noteConnected(this->clock.now());
+    }
+    EXPECT_THAT(standby.decide(this->clock.now()), ElementsAre(CancelAllocation { "engine-1", id }));
+}
+
+TEST_F(StewardTest, StandbyForgetsWhatItsGatewayNoLongerAnnounces)
+{
+    const auto id = makeRequestId(this->first, 1);
+    const std::vector<GrantPart> parts { { "engine-1", 100 } };
+    Steward standby;
+    standby.noteGrant(id, parts, this->clock.now() + 2s, this->clock.now());
+    this->clock.advance(10s);
+    standby.noteHoldings(this->first, {}, this->clock.now());
+    standby.forgetDisclaimed(this->clock.now());
+    EXPECT_EQ(standby.size(), 0U);
+}
+
+TEST_F(StewardTest, StewardThatIsCutOffCancelsNothing)
 {
     const auto id = makeRequestId({ "instance-9", 1 }, 1);
     FakeEngine engine;
@@ -239,8 +285,8 @@
     this->grant(known, { { "engine-2", 50 } });
     this->run(1s);
     this->kill(this->first);
-    this->allocate(makeRequestId(this->first, 9), "engine-1", 100);
-    this->run(2s);
+    this->allocate(makeAttemptId(makeRequestId(this->first, 9), 1), "engine-1", 100);
+    this->run(3s);
     EXPECT_EQ(this->successor.unaccountedTokens("engine-1"), 100U);
     this->run(ReleaseBound);
     EXPECT_EQ(this->heldTokens(), 0U);
@@ -252,7 +298,7 @@
     const char* name;
     bool gatewayDies;
     bool ownerDies;
-    bool isReplaced; // The gateway's instance comes back with a new incarnation before membership has noticed.
+    bool isReplaced; // A new run of the gateway announces itself at once.
     int reservedParts; // How many of the two parts were allocated by then.
     bool listsAllocations;
     int lostCancelAnswers;
@@ -276,14 +322,13 @@
         this->allocate(span, "engine-1", 300);
     this->lostCancelAnswers = fault.lostCancelAnswers;
     this->isOwnerAlive = !fault.ownerDies;
-    this->isMembershipTold = !fault.isReplaced;
     if (fault.gatewayDies)
         this->kill(this->first);
     else
         this->held[this->first].erase(span);
     if (fault.isReplaced) {
-        this->owner.noteMembers(std::vector { InstanceId { "instance-1", 6 } }, this->clock.now());
-        this->successor.noteMembers(std::vector { InstanceId { "instance-1", 6 } }, this->clock.now());
+        this->owner.noteHoldings({ "instance-1", 6 }, {}, this->clock.now());
+        this->successor.noteHoldings({ "instance-1", 6 }, {}, this->clock.now());
     }
     this->run(ReleaseBound);
     EXPECT_EQ(this->heldTokens(), 10U) << "only the living gateway's 10 tokens may be held";
