--- a/bench/configuration_bench.cpp
+++ b/bench/configuration_bench.cpp
@@ -14,6 +14,7 @@
 #include <sys/resource.h>
 
 #include "base/HttpServer.h"
+#include "configuration/Checkpoint.h"
 #include "configuration/ConfigurationPublisher.h"
 #include "configuration/FollowerRuntime.h"
 #include "platform/HttpPlatformLog.h"
@@ -101,13 +102,14 @@
         auto page = co_await this->log.read(offset, limit, wait);
         if (page) {
             for (const auto& record : page.value().records)
-                this->bytes += record.data.size();
+                (isCheckpointPart(record.data) ? this->checkpointBytes : this->bytes) += record.data.size();
         }
         co_return page;
     }
 
     std::uint64_t reads { 0 };
-    std::uint64_t bytes { 0 };
+    std::uint64_t bytes { 0 }; // Of changes.
+    std::uint64_t checkpointBytes { 0 };
 
 private:
     PlatformLog& log;
@@ -142,8 +144,10 @@
 
     void run(std::chrono::seconds duration)
     {
-        for (auto& each : this->followers)
-            each->start();
+        for (std::size_t i = 0; i < Instances; ++i) {
+            this->followers[i]->setPeers({}, i);
+            this->followers[i]->start();
+        }
         asio::co_spawn(this->context, this->publishFor(duration), asio::detached);
         this->context.run();
         this->report(duration);
@@ -158,6 +162,11 @@
         std::uint64_t offset { 0 };
         TimePoint at {};
     };
+    struct Accepted {
+        std::uint64_t offset { 0 };
+        TimePoint published {};
+        TimePoint accepted {};
+    };
 
     asio::awaitable<void> publishFor(std::chrono::seconds duration)
     {
@@ -170,16 +179,17 @@
         auto use = standins::useOf("use", "ordinary", 1);
         co_await publisher.publish(this->author, std::move(use));
         for (auto& each : this->logs)
-            each->reads = each->bytes = 0;
+            each->reads = each->bytes = each->checkpointBytes = 0;
         const auto started = this->clock.now();
         asio::steady_timer timer { this->context };
         for (std::uint64_t i = 0; this->clock.now() < started + duration; ++i) {
             auto change = standins::editOf("edit " + std::to_string(i), "ordinary", this->author.nextOffset(),
                 { { "workspace " + std::to_string(i % Workspaces),
                     standins::workspaceSection(i % Workspaces, std::to_string(1 + i % 9)) } });
+            const auto published = this->clock.now();
             const auto result = co_await publisher.publish(this->author, std::move(change));
             if (result.outcome == PublicationOutcome::Accepted)
-                this->accepted.push_back({ result.verdict.offset, this->clock.now() });
+                this->accepted.push_back({ result.verdict.offset, published, this->clock.now() });
             timer.expires_at(started + Period * (i + 1));
             co_await timer.async_wait(asio::use_awaitable);
         }
@@ -199,38 +209,47 @@
         return last;
     }
 
-    void report(std::chrono::seconds duration) const
+    // Milliseconds from a time of each change to its being in force everywhere, ascending.
+    std::vector<double> delaysFrom(TimePoint Accepted::* since) const
     {
-        std::vector<double> milliseconds;
-        std::size_t missing = 0;
+        std::vector<double> delays;
         for (const auto& each : this->accepted) {
             const auto everywhere = this->everywhereAt(each.offset);
-            if (everywhere == TimePoint::max())
-                ++missing;
-            else
-                milliseconds.push_back(
-                    std::max(0.0, std::chrono::duration<double, std::milli>(everywhere - each.at).count()));
+            if (everywhere != TimePoint::max())
+                delays.push_back(
+                    std::max(0.0, std::chrono::duration<double, std::milli>(everywhere - each.*since).count()));
         }
-        std::ranges::sort(milliseconds);
+        std::ranges::sort(delays);
+        return delays;
+    }
+
+    static void printDelays(std::string_view what, const std::vector<double>& delays)
+    {
         const auto quantile = [&](double part) {
-            return milliseconds.empty() ? 0
-                                        : milliseconds[static_cast<std::size_t>(part * (milliseconds.size() - 1.0))];
+            return delays.empty() ? 0 : delays[static_cast<std::size_t>(part * static_cast<double>(delays.size() - 1))];
+        };
+        std::cout << what << " to in force everywhere, ms: p50 " << quantile(0.5) << ", p99 " << quantile(0.99)
+                  << ", max " << quantile(1) << ", of " << delays.size() << " changes\n";
+    }
+
+    void report(std::chrono::seconds duration) const
+    {
+        std::cout << this->accepted.size() << " changes accepted in " << duration.count() << " s at " << Instances
+                  << " instances\n";
+        printDelays("publication", this->delaysFrom(&Accepted::published));
+        printDelays("acceptance", this->delaysFrom(&Accepted::accepted));
+        const auto perSecond = [&](auto member) {
+            return std::transform_reduce(this->logs.begin(), this->logs.end(), 0.0, std::plus {},
+                       [&](const auto& each) { return static_cast<double>(*each.*member); })
+                / static_cast<double>(duration.count()) / Instances;
         };
-        const auto seconds = static_cast<double>(duration.count());
-        std::uint64_t reads = 0;
-        std::uint64_t bytes = 0;
-        for (const auto& each : this->logs) {
-            reads += each->reads;
-            bytes += each->bytes;
-        }
         rusage usage {};
         getrusage(RUSAGE_SELF, &usage);
-        std::cout << this->accepted.size() << " changes accepted in " << duration.count() << " s at " << Instances
-                  << " instances, " << missing << " never in force everywhere\n"
-                  << "acceptance to in force everywhere, ms: p50 " << quantile(0.5) << ", p99 " << quantile(0.99)
-                  << ", max " << quantile(1) << "\nper instance and second: " << reads / seconds / Instances
-                  << " log reads, " << bytes / seconds / Instances
-                  << " bytes of records\npeak memory of the process: " << usage.ru_maxrss / 1024 << " MB\n";
+        std::cout << "per instance and second: " << perSecond(&CountingLog::reads) << " log reads, "
+                  << perSecond(&CountingLog::bytes)
+                  << " bytes of changes\ncheckpoint bytes read per instance in the run: "
+                  << perSecond(&CountingLog::checkpointBytes) * static_cast<double>(duration.count())
+                  << "\npeak memory of the process: " << usage.ru_maxrss / 1024 << " MB\n";
     }
 
     asio::io_context context { 1 };
@@ -245,7 +264,7 @@
     std::vector<std::unique_ptr<CountingLog>> logs;
     std::vector<std::unique_ptr<FollowerRuntime>> followers;
     std::array<std::vector<Reached>, Instances> reached;
-    std::vector<Reached> accepted;
+    std::vector<Accepted> accepted;
     ConfigurationState author;
 };
 
