Replace a checkpoint early when it is about to leave the log

Every read of the log now also tells its bounds, and a checkpoint in the oldest quarter counts as due.

--- a/src/configuration/CheckpointSchedule.cpp
+++ b/src/configuration/CheckpointSchedule.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t SamplesPerRetention = 128;
+constexpr std::uint64_t OldestPart = 4; // A checkpoint in the oldest quarter of the log is about to leave it.
 constexpr std::size_t LastRank = 31; // Ranks beyond it wait as long as it.
 
 }
@@ -50,6 +51,16 @@
         this->note({ checkpoint->asOf, std::min(sample->at, now) });
 }
 
+void CheckpointSchedule::sawBounds(std::uint64_t firstKept, std::uint64_t next, TimePoint now)
+{
+    const auto isLeaving = this->known && firstKept > 0 && next > firstKept
+        && this->known->asOf < firstKept + (next - firstKept) / OldestPart;
+    if (!isLeaving)
+        this->leavingSince.reset();
+    else if (!this->leavingSince)
+        this->leavingSince = now;
+}
+
 void CheckpointSchedule::learnt(const CheckpointAge& checkpoint, TimePoint now)
 {
     this->note({ checkpoint.asOf, now - checkpoint.age });
@@ -60,6 +71,7 @@
     if (this->known && known.takenAt <= this->known->takenAt)
         return;
     this->known = known;
+    this->leavingSince.reset();
     this->notBefore.reset();
 }
 
@@ -78,7 +90,9 @@
 TimePoint CheckpointSchedule::due(TimePoint readySince) const
 {
     const auto share = std::chrono::duration_cast<Duration>(this->settings.retention * this->settings.refreshShare);
-    const auto base = this->known ? this->known->takenAt + share : readySince;
+    auto base = this->known ? this->known->takenAt + share : readySince;
+    if (this->leavingSince)
+        base = std::min(base, *this->leavingSince);
     // A reader that has only just become ready waits its rank too, though the refresh may be long overdue.
     const auto turn = std::max(base, readySince) + this->settings.spread * static_cast<Duration::rep>(this->rank + 1)
         + this->jitter;
--- a/src/configuration/CheckpointSchedule.h
+++ b/src/configuration/CheckpointSchedule.h
@@ -35,6 +35,10 @@
     // Looks at a record of the stream for a checkpoint.
     void seen(std::string_view record, TimePoint now);
 
+    // The bounds of the log, as a read gave them. A checkpoint that is about to leave the log is replaced early: the log
+    // may keep less than the settings say.
+    void sawBounds(std::uint64_t firstKept, std::uint64_t next, TimePoint now);
+
     // A peer knows a checkpoint and its age.
     void learnt(const CheckpointAge& checkpoint, TimePoint now);
 
@@ -66,6 +70,7 @@
     std::deque<Sample> samples;
     CheckpointAssembler assembler;
     std::optional<Known> known;
+    std::optional<TimePoint> leavingSince; // Since when the newest checkpoint is among the oldest records of the log.
     std::optional<TimePoint> notBefore;
 };
 
--- a/src/configuration/ConfigurationFollower.cpp
+++ b/src/configuration/ConfigurationFollower.cpp
@@ -157,6 +157,7 @@
     }
     if (this->configuration.nextOffset() < page.next)
         return;
+    this->checkpoints.sawBounds(page.firstKept, page.next, now);
     this->checkpoints.reached(this->configuration.nextOffset(), now);
     this->becomeCurrent(now);
 }
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -28,7 +28,7 @@
 constexpr std::chrono::seconds GrantNoticeLifetime { 5 };
 constexpr std::chrono::seconds MaximumViewWait { 5 };
 constexpr std::chrono::seconds DigestPeriod { 2 };
-constexpr std::chrono::seconds GatewaySilence { 15 }; // After which a gateway is no longer counted as following.
+constexpr std::chrono::seconds GatewaySilence { 8 }; // After which a gateway is no longer counted as following.
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusUnavailable = 503;
--- a/test/ConfigurationFollower_test.cpp
+++ b/test/ConfigurationFollower_test.cpp
@@ -192,6 +192,18 @@
     EXPECT_THAT(this->world.violations, IsEmpty());
 }
 
+TEST_F(ConfigurationCheckpointingTest, LogThatKeepsLessThanTheSettingsSayNeverIsWithoutACheckpoint)
+{
+    constexpr std::uint64_t KeptRecords = 20; // Two hundred seconds of edits, of ten minutes in the settings.
+    for (int i = 0; i < 60; ++i) {
+        this->editFor(10s);
+        if (this->world.logEnd() > KeptRecords)
+            this->world.trim(this->world.logEnd() - KeptRecords);
+        EXPECT_GE(this->newestCheckpoint(), this->world.logFirst()) << "after edit " << i;
+    }
+    EXPECT_LE(this->world.checkpointRecords, 12U);
+}
+
 TEST_F(ConfigurationCheckpointingTest, CheckpointThatTheLogHasPartlyOutrunIsNotUsed)
 {
     this->editFor(1min);
