--- a/src/configuration/CheckpointSchedule.h
+++ b/src/configuration/CheckpointSchedule.h
@@ -35,8 +35,8 @@
     // Looks at a record of the stream for a checkpoint.
     void seen(std::string_view record, TimePoint now);
 
-    // The bounds of the log, as a read gave them. A checkpoint that is about to leave the log is replaced early: the log
-    // may keep less than the settings say.
+    // The bounds of the log, as a read gave them. A checkpoint that is about to leave the log is replaced early: the
+    // log may keep less than the settings say.
     void sawBounds(std::uint64_t firstKept, std::uint64_t next, TimePoint now);
 
     // A peer knows a checkpoint and its age.
