Let marigoldctl take the presets from an instance when the log is trimmed too far

Seen in a trial with a log of 300 records and 500 changes in quick succession: for a few of them the log held no usable checkpoint, and apply refused to work though every instance had the state.

--- a/src/programs/ControlSession.cpp
+++ b/src/programs/ControlSession.cpp
@@ -25,12 +25,13 @@
 }
 
 ControlSession::ControlSession(const ControlOptions& options, PlatformLog& log, InstanceList& instances,
-    StatusSource& statuses, const Clock& clock, std::ostream& out, std::ostream& errors)
+    StatusSource& statuses, ConfigurationPeers& peers, const Clock& clock, std::ostream& out, std::ostream& errors)
     : newId(randomId)
     , options(options)
     , log(log)
     , instances(instances)
     , statuses(statuses)
+    , peers(peers)
     , out(out)
     , errors(errors)
     , publisher(log, clock, PublicationSettings { options.allowedTime })
@@ -65,15 +66,31 @@
 
 asio::awaitable<bool> ControlSession::readState()
 {
-    const auto result = co_await this->publisher.readToEnd(this->state);
+    auto result = co_await this->publisher.readToEnd(this->state);
+    if (!result && result.error() == PlatformError::Trimmed) {
+        co_await this->readFromInstances();
+        result = co_await this->publisher.readToEnd(this->state);
+    }
     if (result)
         co_return true;
     this->unavailable("the log", result.error());
     if (result.error() == PlatformError::Trimmed)
-        this->errors << "marigoldctl: the log holds no checkpoint from which the presets could be rebuilt\n";
+        this->errors << "marigoldctl: neither the log nor an instance holds enough to rebuild the presets\n";
     co_return false;
 }
 
+asio::awaitable<void> ControlSession::readFromInstances()
+{
+    const auto listing = co_await this->instances.list();
+    if (!listing)
+        co_return;
+    for (const auto& instance : listing.value().instances) {
+        const auto update = co_await this->peers.fetch(instance.dispatcherAddress, this->state.nextOffset());
+        if (update && update->isCurrent)
+            applyUpdate(this->state, *update);
+    }
+}
+
 ControlExit ControlSession::unavailable(std::string_view what, PlatformError error)
 {
     this->errors << "marigoldctl: " << what << " at " << this->options.platform << " cannot be read: " << name(error)
--- a/src/programs/ControlSession.h
+++ b/src/programs/ControlSession.h
@@ -10,6 +10,7 @@
 
 #include <marigoldpaddle/PlatformLog.h>
 
+#include "configuration/ConfigurationPeers.h"
 #include "configuration/ConfigurationPublisher.h"
 #include "programs/ControlOptions.h"
 
@@ -35,8 +36,9 @@
 // Runs one command of marigoldctl. What it is made from must outlive it.
 class ControlSession {
 public:
+    // `peers` takes the RPC addresses of the instances' dispatchers.
     ControlSession(const ControlOptions& options, PlatformLog& log, InstanceList& instances, StatusSource& statuses,
-        const Clock& clock, std::ostream& out, std::ostream& errors);
+        ConfigurationPeers& peers, const Clock& clock, std::ostream& out, std::ostream& errors);
 
     boost::asio::awaitable<ControlExit> run();
 
@@ -60,7 +62,9 @@
     boost::asio::awaitable<ControlExit> status();
     boost::asio::awaitable<ControlExit> targets();
 
+    // Reads the log to its end, with the help of the instances if it no longer keeps enough.
     boost::asio::awaitable<bool> readState();
+    boost::asio::awaitable<void> readFromInstances();
     ControlExit unavailable(std::string_view what, PlatformError error);
     ControlExit invalid(const std::vector<std::string>& faults);
     void print(const boost::json::value& value);
@@ -69,6 +73,7 @@
     PlatformLog& log;
     InstanceList& instances;
     StatusSource& statuses;
+    ConfigurationPeers& peers;
     std::ostream& out;
     std::ostream& errors;
     ConfigurationPublisher publisher;
--- a/src/programs/MarigoldctlMain.cpp
+++ b/src/programs/MarigoldctlMain.cpp
@@ -57,7 +57,8 @@
     HttpPlatformLog log { client, options.platform, "configuration", PlatformTimeout };
     HttpInstanceList instances { client, options.platform, PlatformTimeout };
     RpcStatusSource statuses { rpc };
-    ControlSession session { options, log, instances, statuses, clock, std::cout, std::cerr };
+    RpcConfigurationPeers peers { rpc, StatusTimeout };
+    ControlSession session { options, log, instances, statuses, peers, clock, std::cout, std::cerr };
     auto exit = boost::asio::co_spawn(context, session.run(), boost::asio::use_future);
     while (exit.wait_for(std::chrono::seconds { 0 }) != std::future_status::ready && context.run_one() > 0)
         continue;
--- a/test/ControlSession_test.cpp
+++ b/test/ControlSession_test.cpp
@@ -23,7 +23,7 @@
 namespace {
 
 // Lists two instances and one target; the instances answer with the statuses given.
-class FakeInstances final : public InstanceList, public StatusSource {
+class FakeInstances final : public InstanceList, public StatusSource, public ConfigurationPeers {
 public:
     boost::asio::awaitable<PlatformResult<InstanceListing>> list() override
     {
@@ -48,7 +48,13 @@
         co_return found == this->statuses.end() ? std::nullopt : std::optional { found->second };
     }
 
+    boost::asio::awaitable<std::optional<ConfigurationUpdate>> fetch(std::string, std::uint64_t) override
+    {
+        co_return this->update;
+    }
+
     std::map<std::string, InstanceStatus> statuses;
+    std::optional<ConfigurationUpdate> update; // What every instance has of the configuration.
 };
 
 class ControlSessionTest : public ::testing::Test {
@@ -86,8 +92,8 @@
         auto exit = parsed.exit.value_or(ControlExit::Success);
         if (!parsed.exit) {
             boost::asio::io_context context;
-            ControlSession session { parsed.options, this->log, this->instances, this->instances, this->clock,
-                outStream, errorStream };
+            ControlSession session { parsed.options, this->log, this->instances, this->instances, this->instances,
+                this->clock, outStream, errorStream };
             auto done = boost::asio::co_spawn(context, session.run(), boost::asio::use_future);
             context.run();
             exit = done.get();
@@ -198,17 +204,23 @@
     EXPECT_THAT(this->errors, HasSubstr("unreachable"));
 }
 
-TEST_F(ControlSessionTest, TrimmedLogIsReadFromItsCheckpointAndWithoutOneNothingIsPublished)
+TEST_F(ControlSessionTest, TrimmedLogIsReadFromItsCheckpointOrAnInstanceAndWithoutEitherNothingIsPublished)
 {
     this->run({ "apply", this->directory });
     this->run({ "use", "ordinary" });
     this->log.add(checkpointOf(this->stateOfLog()).front());
+    const auto current = this->stateOfLog();
     this->log.trim(2);
     EXPECT_EQ(this->run({ "list" }), ControlExit::Success);
     EXPECT_THAT(this->out, HasSubstr("* ordinary"));
     this->log.trim(3);
     EXPECT_EQ(this->run({ "use", "ordinary" }), ControlExit::Unavailable);
-    EXPECT_THAT(this->errors, HasSubstr("no checkpoint"));
+    EXPECT_THAT(this->errors, HasSubstr("neither the log nor an instance"));
+    this->instances.update.emplace();
+    this->instances.update->snapshot = current.snapshot();
+    EXPECT_EQ(this->run({ "use", "ordinary" }), ControlExit::Unavailable); // The instance is not current.
+    this->instances.update->isCurrent = true;
+    EXPECT_EQ(this->run({ "use", "ordinary" }), ControlExit::Success);
 }
 
 TEST_F(ControlSessionTest, StatusShowsTheOffsetOfEveryInstanceAndWhichIsBehind)
