Answer half a request with its timeout, and test callers and owners over real sockets

HalfARequestIsAnsweredWithATimeout failed: the caller's connection was closed without a word, since the timeout of a Beast tcp_stream closes its socket before the handler can answer. The server now races the read against a timer of its own. Also: a caller that stops reading is given up after the send timeout and its engine freed, a new owner is asked for what the old one had queued, and is told what runs.

--- a/src/base/HttpServer.cpp
+++ b/src/base/HttpServer.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -175,15 +176,7 @@
         this->parser.emplace();
         this->parser->header_limit(static_cast<std::uint32_t>(this->state->limits.headerBytes));
         this->parser->body_limit(this->state->limits.bodyBytes);
-        this->stream.expires_after(this->state->limits.receiveTimeout);
-        error_code failure;
-        co_await http::async_read_header(
-            this->stream, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, failure));
-        if (!failure && this->parser->get()[http::field::expect] == "100-continue")
-            co_await this->sendContinue(failure);
-        if (!failure)
-            co_await http::async_read(
-                this->stream, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, failure));
+        const auto failure = co_await this->read();
         if (!failure)
             co_return true;
         const auto fault = this->faultOf(failure);
@@ -195,6 +188,28 @@
         co_return false;
     }
 
+    // The timeout of a tcp_stream closes its socket; a caller that is too slow is to be told so.
+    asio::awaitable<error_code> read()
+    {
+        using namespace asio::experimental::awaitable_operators;
+        this->stream.expires_never();
+        error_code failure;
+        asio::steady_timer timer { this->state->context, this->state->limits.receiveTimeout };
+        const auto first = co_await (this->readMessage(failure) || timer.async_wait(asio::use_awaitable));
+        co_return first.index() == 1 ? beast::error::timeout : failure;
+    }
+
+    asio::awaitable<void> readMessage(error_code& failure)
+    {
+        co_await http::async_read_header(
+            this->stream, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, failure));
+        if (!failure && this->parser->get()[http::field::expect] == "100-continue")
+            co_await this->sendContinue(failure);
+        if (!failure)
+            co_await http::async_read(
+                this->stream, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, failure));
+    }
+
     // Tells a caller that waits with its body that it may send it.
     asio::awaitable<void> sendContinue(error_code& failure)
     {
--- /dev/null
+++ b/standins/DispatcherStandin.cpp
@@ -0,0 +1,159 @@
+#include "standins/DispatcherStandin.h"
+
+#include <algorithm>
+#include <ranges>
+
+#include <marigoldpaddle/ConfigurationState.h>
+#include <marigoldpaddle/Member.h>
+
+#include "gateway/Digest.h"
+#include "rpc/Conversions.h"
+#include "standins/StandinProgram.h"
+
+namespace marigoldpaddle::standins {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::uint64_t ConfigurationRecords = 2;
+constexpr std::int64_t GrantLifetimeMs = 2000;
+constexpr std::chrono::milliseconds ViewPause { 5 };
+
+std::string makeConfiguration()
+{
+    ConfigurationState state;
+    ConfigurationChange edit;
+    edit.id = "1";
+    edit.preset = "ordinary";
+    edit.sections["limits"] = PresetSection { { "default_allowed_ms", "5000" }, { "maximum_allowed_ms", "600000" } };
+    edit.sections["class short"] = PresetSection { { "maximum_tokens", "4000" } };
+    edit.sections["model " + std::string { DispatcherStandin::Model }] = PresetSection { { "version", "1" } };
+    edit.sections["service " + std::string { DispatcherStandin::Service }]
+        = PresetSection { { "key_window_ms", "60000" } };
+    edit.sections["workspace drivers"] = PresetSection { { "key_sha256", sha256Hex(DispatcherStandin::Key) } };
+    state.apply(0, encodeChange(edit));
+    ConfigurationChange use;
+    use.id = "2";
+    use.kind = ConfigurationChangeKind::Use;
+    use.preset = "ordinary";
+    use.basedOn = 1;
+    state.apply(1, encodeChange(use));
+    return state.snapshot();
+}
+
+}
+
+DispatcherStandin::DispatcherStandin(asio::io_context& context)
+    : server(context, *this)
+    , address("127.0.0.1:" + std::to_string(this->server.listen("127.0.0.1:0")))
+    , configuration(makeConfiguration())
+{
+    this->claimAnswer.verdict = wire::ClaimVerdict::Won;
+}
+
+asio::awaitable<std::optional<wire::Payload>> DispatcherStandin::handle(wire::Payload request)
+{
+    wire::Payload answer;
+    if (request.__isset.view) {
+        co_await pause(ViewPause);
+        answer.__set_viewAnswer(this->view(request.view));
+    } else if (request.__isset.acquire) {
+        ++this->acquires;
+        if (this->isSilent)
+            co_return std::nullopt;
+        answer.__set_acquireAnswer(this->acquire(request.acquire));
+    } else if (request.__isset.claim) {
+        answer.__set_claimAnswer(this->claimAnswer);
+    } else {
+        this->note(request);
+        wire::Acknowledgement acknowledgement;
+        acknowledgement.accepted = true;
+        answer.__set_acknowledgement(acknowledgement);
+    }
+    co_return answer;
+}
+
+std::size_t DispatcherStandin::openPlacements() const
+{
+    return this->granted.size();
+}
+
+wire::ViewAnswer DispatcherStandin::view(const wire::ViewRequest& request) const
+{
+    Member self;
+    self.instance = { this->instance, 1 };
+    self.availabilityZone = "a";
+    self.dispatcherAddress = this->address;
+    CellDigest digest;
+    digest.cell = { "a", std::string { Model }, 0 };
+    digest.liveTargets = static_cast<std::uint32_t>(this->engines.size());
+    wire::ViewAnswer answer;
+    answer.version = request.knownVersion + 1;
+    answer.members.push_back(toWire(self));
+    answer.cells.push_back(toWire(digest, self.instance));
+    std::ranges::transform(this->services, std::back_inserter(answer.services), [](const Target& target) {
+        wire::ServiceTargetRecord record;
+        record.name = target.name;
+        record.serviceName = Service;
+        record.address = target.address;
+        record.availabilityZone = "a";
+        return record;
+    });
+    answer.configurationOffset = ConfigurationRecords;
+    if (request.knownConfigurationOffset < static_cast<std::int64_t>(ConfigurationRecords))
+        answer.__set_configurationSnapshot(this->configuration);
+    return answer;
+}
+
+wire::AcquireAnswer DispatcherStandin::acquire(const wire::AcquireRequest& request)
+{
+    wire::AcquireAnswer answer;
+    if (this->refusal) {
+        answer.__set_refusal(*this->refusal);
+        return answer;
+    }
+    this->exclusions.push_back(request.excludedTargets);
+    wire::GrantRecord grant;
+    grant.expiresInMs = GrantLifetimeMs;
+    grant.parts = this->partsFor(request);
+    if (grant.parts.empty()) {
+        wire::RefusalRecord none;
+        none.reason = name(RefusalReason::NoTarget);
+        none.retryAfterMs = 1000;
+        answer.__set_refusal(none);
+        return answer;
+    }
+    this->granted.insert(request.requestId);
+    answer.__set_grant(grant);
+    return answer;
+}
+
+std::vector<wire::GrantPartRecord> DispatcherStandin::partsFor(const wire::AcquireRequest& request) const
+{
+    const auto isAllowed = [&](const Target& target) {
+        return std::ranges::find(request.excludedTargets, target.name) == request.excludedTargets.end();
+    };
+    std::vector<wire::GrantPartRecord> parts;
+    for (const auto& target : this->engines | std::views::filter(isAllowed)
+            | std::views::take(static_cast<std::ptrdiff_t>(this->partsPerGrant))) {
+        wire::GrantPartRecord part;
+        part.target = target.name;
+        part.address = target.address;
+        part.tokens = request.promptTokens + request.maximumOutputTokens;
+        parts.push_back(std::move(part));
+    }
+    return parts;
+}
+
+void DispatcherStandin::note(const wire::Payload& message)
+{
+    if (message.__isset.progress && (message.progress.finished || message.progress.withdrawn))
+        this->granted.erase(message.progress.requestId);
+    if (message.__isset.holdings)
+        this->announcedHoldings = message.holdings.holdings.size();
+    if (message.__isset.settle)
+        this->settlements.push_back(message.settle);
+}
+
+}
--- a/test/Gateway_test.cpp
+++ b/test/Gateway_test.cpp
@@ -1,5 +1,10 @@
 #include "GatewayWorld.h"
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/write.hpp>
 #include <gmock/gmock.h>
 
 #include "standins/AnswerGenerator.h"
@@ -171,8 +176,82 @@
             "OversizedBody", "/v1/completions", std::string(2 * 1024 * 1024, 'x'), "", "", 413, "request_too_large" }),
     [](const auto& row) { return row.param.name; });
 
+// Opens a connection of a caller that speaks no more than it is told to.
+asio::ip::tcp::socket connectTo(GatewayWorld& world)
+{
+    const auto [host, port] = splitAddress(world.address);
+    asio::ip::tcp::socket socket { world.context };
+    socket.connect({ asio::ip::make_address(host), port });
+    return socket;
+}
+
 class FaultsGatewayTest : public GatewayTest { };
 
+TEST_F(FaultsGatewayTest, HalfARequestIsAnsweredWithATimeout)
+{
+    std::string answer;
+    ASSERT_TRUE(this->world.run([&]() -> asio::awaitable<void> {
+        auto socket = connectTo(this->world);
+        const std::string half = "POST /v1/completions HTTP/1.1\r\nContent-Length: 100\r\n\r\n{";
+        co_await asio::async_write(socket, asio::buffer(half), asio::use_awaitable);
+        boost::system::error_code end;
+        co_await asio::async_read(socket, asio::dynamic_buffer(answer), asio::redirect_error(asio::use_awaitable, end));
+    }));
+    EXPECT_THAT(answer, HasSubstr("HTTP/1.1 408"));
+    EXPECT_THAT(answer, HasSubstr("\"reason\":\"request_timeout\""));
+}
+
+TEST_F(FaultsGatewayTest, CallerThatStopsReadingIsGivenUpAndFreesTheEngine)
+{
+    GatewayWorld fast { Duration::zero() };
+    ASSERT_TRUE(fast.run([&]() -> asio::awaitable<void> {
+        auto socket = connectTo(fast);
+        auto request = fast.prompt(Question, 500'000, true);
+        co_await boost::beast::http::async_write(socket, request, asio::use_awaitable);
+        while (fast.refusals("caller_gone") == 0)
+            co_await fast.pause(std::chrono::milliseconds { 1 });
+    }));
+    EXPECT_EQ(fast.usedEngineTokens(), 0u);
+    EXPECT_EQ(fast.dispatcher.openPlacements(), 0u);
+}
+
+TEST_F(FaultsGatewayTest, NewOwnerOfTheCellIsAskedForWhatTheOldOneHadQueued)
+{
+    HttpResponse answer;
+    ASSERT_TRUE(this->world.run([&]() -> asio::awaitable<void> {
+        auto& dispatcher = this->world.dispatcher;
+        dispatcher.isSilent = true;
+        auto started = asio::co_spawn(
+            this->world.context, this->world.send(this->world.prompt(Question, Tokens, true)), asio::use_future);
+        while (dispatcher.acquires == 0)
+            co_await this->world.pause(std::chrono::milliseconds { 1 });
+        dispatcher.isSilent = false;
+        dispatcher.instance = "instance-2";
+        while (started.wait_for(std::chrono::seconds { 0 }) != std::future_status::ready)
+            co_await this->world.pause(std::chrono::milliseconds { 1 });
+        answer = started.get();
+    }));
+    EXPECT_EQ(streamedText(answer.body()), this->whole);
+    EXPECT_EQ(this->world.retries("owner_changed"), 1u);
+    this->expectNothingHeld();
+}
+
+TEST_F(FaultsGatewayTest, NewOwnerOfTheCellIsToldWhatRuns)
+{
+    ASSERT_TRUE(this->world.run([&]() -> asio::awaitable<void> {
+        auto& dispatcher = this->world.dispatcher;
+        auto started = co_await this->world.client.start(
+            this->world.address, this->world.prompt(Question, 100'000, true), std::chrono::seconds { 5 });
+        co_await started.value().readSome(std::chrono::seconds { 5 });
+        dispatcher.announcedHoldings.reset();
+        dispatcher.instance = "instance-2";
+        while (!dispatcher.announcedHoldings)
+            co_await this->world.pause(std::chrono::milliseconds { 1 });
+        EXPECT_EQ(*dispatcher.announcedHoldings, 1u);
+    }));
+    this->expectNothingHeld();
+}
+
 TEST_F(FaultsGatewayTest, StreamCutInTheMiddleIsResumedOnTheSameEngine)
 {
     HttpResponse answer;
@@ -202,7 +281,7 @@
 
 TEST_F(FaultsGatewayTest, EngineThatCannotBeReachedIsExcludedAndAnotherAsked)
 {
-    this->world.dispatcher.engines[0].second = "127.0.0.1:1";
+    this->world.dispatcher.engines[0].address = "127.0.0.1:1";
     const auto answer = this->answerTo(this->world.prompt(Question, Tokens, true));
     EXPECT_EQ(streamedText(answer.body()), this->whole);
     EXPECT_EQ(this->world.retries("connect_failed"), 1u);
