--- a/src/claims/ClaimCoordinator.h
+++ b/src/claims/ClaimCoordinator.h
@@ -33,10 +33,11 @@
     std::size_t entryLimit { 1'000'000 }; // Keys that the ledger may hold.
     std::size_t batchItems { 1024 };
     std::size_t batchBytes { 256 * 1024 }; // Outcomes and checkpoint parts of one record.
-    Duration appendInterval { std::chrono::milliseconds { 27 } }; // Eight instances share 300 appends a second.
+    double appendsPerSecond { 240 }; // Shared by all instances; the rest of the log's appends is for other streams.
     double appendBurst { 4 };
     Duration tickPeriod { std::chrono::seconds { 30 } };
     Duration settleGrace { std::chrono::seconds { 5 } }; // For a settlement after the end of the allowed time.
+    Duration maximumWindow { std::chrono::hours { 24 * 7 } }; // Keys are remembered for no longer than this.
     Duration refreshPeriod { std::chrono::minutes { 30 } }; // Every shard is checkpointed once in this time.
     std::size_t waitersPerKey { 2048 }; // Calls that wait for the outcome of one key.
     std::uint64_t checkpointSeed { 0 }; // Different for every process that writes checkpoints.
@@ -46,6 +47,9 @@
 
 using ClaimTicket = std::uint64_t; // Names one waiting call within this process.
 
+// Returns a number for the checkpoints of one process; it counts on from there.
+std::uint64_t checkpointSeedOf(const InstanceId& instance);
+
 struct ClaimReply {
     ClaimTicket ticket { 0 };
     wire::ClaimAnswer answer;
@@ -92,9 +96,12 @@
     // Returns the earliest time at which `tick` or `nextAppend` may have something to do.
     TimePoint nextTick(TimePoint now) const;
 
-    // Sets this instance's place among the live ones, from 0. The first writes checkpoints and ticks; the others step
-    // in when it does not.
-    void setRank(std::size_t rank);
+    // Sets this instance's place among the live ones, from 0, and their number. The first writes checkpoints and ticks;
+    // the others step in when it does not. All share the log's appends.
+    void setRank(std::size_t rank, std::size_t instances);
+
+    // Whether the log now holds a checkpoint of a shard that the ledger lacks, so that loading it again is worthwhile.
+    bool isReloadDue() const;
 
     const ClaimLedger& ledger() const;
     std::size_t pending() const;
@@ -142,6 +149,8 @@
     bool isTickDue(TimePoint now) const;
     bool hasWork(TimePoint now) const;
     bool isCheckpointDue(TimePoint now) const;
+    void addResets(ClaimBatch& batch, TimePoint now);
+    bool isResetDue(std::uint32_t shard, TimePoint now) const;
     std::uint32_t stalestShard() const;
     bool isRecorded(const ClaimSettlementItem& item) const;
     void resolveSettlements(const Outstanding& append, ClaimReplies& replies);
@@ -161,14 +170,17 @@
     std::deque<ClaimCheckpoint> checkpointParts;
     std::deque<ClaimReference> overdue;
     std::array<TimePoint, ClaimLedger::Shards> checkpointedAt {};
+    std::array<TimePoint, ClaimLedger::Shards> claimSeenAt {}; // When a shard's last claim was read.
     std::uint64_t checkpointsMade { 0 };
     std::size_t rank { 0 };
     bool isAppending { false };
+    std::chrono::duration<double> appendInterval;
     double appendTokens { 0 };
     TimePoint tokensAt {};
     TimePoint downUntil {};
     Duration backoff {};
     bool isReadFailing { false };
+    bool sawMissingCheckpoint { false };
     TimePoint livenessAt {};
 };
 
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -19,6 +19,7 @@
 #include "base/HttpClient.h"
 #include "base/HttpServer.h"
 #include "base/Metrics.h"
+#include "claims/ClaimService.h"
 #include "configuration/FollowerRuntime.h"
 #include "dispatch/CellMap.h"
 #include "dispatch/OwnedCell.h"
@@ -35,14 +36,15 @@
     Duration listPeriod { std::chrono::milliseconds { 500 } };
     Duration loadPeriod { std::chrono::milliseconds { 500 } };
     FollowerSettings configuration;
+    Duration claimRetention { std::chrono::hours { 1 } }; // How long the platform keeps records of the claim stream.
 };
 
 // The process that schedules the cells it owns. Answers gateways by RPC and operators by HTTP.
-class Dispatcher final : public RpcHandler, public HttpHandler, private MembershipObserver {
+class Dispatcher final : public RpcHandler, public HttpHandler, private MembershipObserver, private HolderLiveness {
 public:
     // Everything that is passed by reference must outlive the dispatcher.
     Dispatcher(boost::asio::io_context& context, const Clock& clock, DispatcherSettings settings,
-        PlatformLog& configurationLog, InstanceList& instanceList, HttpClient& client);
+        PlatformLog& configurationLog, PlatformLog& claimLog, InstanceList& instanceList, HttpClient& client);
     ~Dispatcher() override;
 
     // Binds the membership to "IP:port", port 0 for any, and returns the bound port. To be called before start().
@@ -60,10 +62,10 @@
     HttpResponse describeFault(HttpFault fault) override;
 
 private:
-    struct Claim {
-        std::string requestId;
-        std::string bodyDigest;
-        std::optional<wire::CallOutcome> outcome;
+    // What a gateway said it has of the configuration.
+    struct GatewayOffset {
+        std::uint64_t offset { 0 };
+        TimePoint at {};
     };
 
     boost::asio::awaitable<void> followInstanceList();
@@ -71,8 +73,8 @@
     void tellStewards();
     boost::asio::awaitable<wire::AcquireAnswer> acquire(wire::AcquireRequest request);
     boost::asio::awaitable<wire::ViewAnswer> view(wire::ViewRequest request);
-    wire::ClaimAnswer claim(const wire::ClaimRequest& request);
-    void settle(const wire::ClaimSettlement& settlement);
+    bool isGone(const InstanceId& holder) const override;
+    void rankClaims();
     void noteProgress(const wire::ProgressNotice& notice);
     void noteHoldings(const wire::HoldingsAnnouncement& announcement);
     // The membership's news.
@@ -91,6 +93,7 @@
     std::map<CellId, CellDigest> knownDigests() const;
     wire::ViewAnswer currentView(std::uint64_t knownConfigurationOffset);
     void tellFollower();
+    wire::ConfigurationAnswer configurationSince(std::uint64_t knownOffset);
     OwnedCell* owned(const CellId& cell);
     std::string addressOf(std::string_view target) const;
     bool isReady() const;
@@ -111,9 +114,10 @@
     OwnedCells ownedCells;
     std::map<CellId, Steward> standbyStewards; // Of cells that others own, from what gateways and owners announce here.
     TargetProber prober;
-    std::map<std::string, Claim> claims;
+    ClaimService claims;
     std::uint64_t version { 1 };
     boost::asio::steady_timer changed; // Cancelled whenever the view changes.
+    std::map<std::string, GatewayOffset> gatewayOffsets; // By the name of the gateway's instance.
     bool isStopping { false };
 };
 
--- a/src/programs/DispatcherMain.cpp
+++ b/src/programs/DispatcherMain.cpp
@@ -57,13 +57,15 @@
     const auto& platform = values.text("platform", "address");
     const auto timeout = values.milliseconds("platform", "timeout_ms");
     HttpPlatformLog log { client, platform, "configuration", timeout };
+    HttpPlatformLog claimLog { client, platform, "claims", timeout };
     HttpInstanceList list { client, platform, timeout };
     DispatcherSettings settings;
     settings.instance = { values.text("instance", "name"), incarnationFrom(values) };
     settings.availabilityZone = values.text("instance", "zone");
     settings.configuration.checkpoints.retention = values.milliseconds("log", "retention_ms");
     settings.configuration.checkpoints.refreshShare = values.real("log", "checkpoint_share");
-    Dispatcher dispatcher { context, clock, std::move(settings), log, list, client };
+    settings.claimRetention = values.milliseconds("log", "retention_ms");
+    Dispatcher dispatcher { context, clock, std::move(settings), log, claimLog, list, client };
     HttpServer httpServer { context, dispatcher };
     RpcServer rpcServer { context, dispatcher };
     const auto& rpcAddress = values.text("listen", "rpc");
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -111,8 +111,8 @@
     4: i64 omittedBodyBytes
 }
 
-// `mayLand` comes with Unavailable: the claim may still appear in the log, so that its gateway has to settle it with
-// `notSent` once it has marked the attempt dead.
+// `mayLand` comes with any verdict but Won: the claim may still appear in the log, so that its gateway has to settle it
+// with `notSent`. A gateway that gets no answer, or a late Won, does the same once it has marked the attempt dead.
 struct ClaimAnswer {
     1: ClaimVerdict verdict
     2: optional CallOutcome outcome
@@ -186,9 +186,10 @@
     5: list<ClaimCheckpointEntryRecord> entries
     6: list<ClaimReleaseRecord> releases
     7: i64 id
+    8: i64 claimsUpTo
 }
 
-// Applied in this order: expiries, releases, outcomes, claims, checkpoint.
+// Applied in this order: tick, expiries, releases, outcomes, claims, resets, checkpoint.
 struct ClaimBatchRecord {
     1: i64 readUpTo
     2: optional ClaimTickRecord tick
@@ -197,6 +198,7 @@
     5: list<ClaimOutcomeRecord> outcomes
     6: list<ClaimEntryRecord> claims
     7: optional ClaimCheckpointRecord checkpoint
+    8: list<i32> resets
 }
 
 struct CellDigestRecord {
@@ -283,6 +285,8 @@
     4: optional i64 checkpointAsOf
     5: optional i64 checkpointAgeMs
     6: bool current
+    7: string presetInForce
+    8: optional i64 gatewayOffset // The lowest that a gateway said it has, of those that follow the sender.
 }
 
 struct Acknowledgement {
