Hand on tokens that arrived together in one piece

Cause: HttpCall::readSome returned one chunk for each call though several lay in its buffer, so that the gateway wrote every token by itself, also under load. Profile: kernel and Asio, JSON ruled out as the main cost. Now all that was read is parsed before it is handed on. 400 streams as fast as taken: 37,025 tokens/s at 84% of a core before (44,144 per second of processor time), 73,884 at 77% after (96,111).

--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -27,6 +27,19 @@
     {
     }
 
+    // Parses what was read already, so that pieces which arrived together are handed on together. An error is left to
+    // the next read, which meets it again.
+    void parseBuffered()
+    {
+        error_code failure;
+        while (!this->parser->is_done() && this->buffer.size() > 0 && !failure) {
+            const auto used = this->parser->put(this->buffer.data(), failure);
+            this->buffer.consume(used);
+            if (used == 0)
+                break;
+        }
+    }
+
     beast::tcp_stream stream;
     std::string address;
     beast::flat_buffer buffer;
@@ -94,6 +107,7 @@
             co_return answerError(failure) == HttpError::Malformed ? HttpError::Malformed : HttpError::Truncated;
     }
     this->connection->stream.expires_never();
+    this->connection->parseBuffered();
     co_return std::exchange(body, std::string {});
 }
 
