--- a/src/gateway/CallerAnswer.cpp
+++ b/src/gateway/CallerAnswer.cpp
@@ -16,13 +16,14 @@
     : exchange(exchange)
     , request(request)
     , id(id)
+    , events(request, id.value)
 {
 }
 
 void CallerAnswer::append(std::string_view text)
 {
     if (this->request.isStreamed)
-        appendCompletionEvent(this->pending, this->request, this->id.value, text);
+        this->events.append(this->pending, text);
     else
         this->pending += text;
 }
--- a/src/gateway/CallerAnswer.h
+++ b/src/gateway/CallerAnswer.h
@@ -38,6 +38,7 @@
     HttpExchange& exchange;
     const CompletionRequest& request;
     const RequestId& id;
+    CompletionEvents events;
     std::string pending;
     bool didBegin { false };
 };
--- a/src/gateway/CompletionRequest.cpp
+++ b/src/gateway/CompletionRequest.cpp
@@ -113,15 +113,25 @@
     return json::serialize(body);
 }
 
-void appendCompletionEvent(
-    std::string& out, const CompletionRequest& request, std::string_view id, std::string_view text)
+CompletionEvents::CompletionEvents(const CompletionRequest& request, std::string_view id)
 {
+    constexpr std::string_view EmptyText = "\"\"";
     json::object choice { { "index", 0 } };
     if (request.isChat)
-        choice["delta"] = json::object { { "content", text } };
+        choice["delta"] = json::object { { "content", "" } };
     else
-        choice["text"] = text;
-    out += eventOf(request, id, std::move(choice));
+        choice["text"] = "";
+    const auto event = eventOf(request, id, std::move(choice));
+    const auto text = event.rfind(EmptyText);
+    this->beforeText = event.substr(0, text);
+    this->afterText = event.substr(text + EmptyText.size());
+}
+
+void CompletionEvents::append(std::string& out, std::string_view text) const
+{
+    out += this->beforeText;
+    out += json::serialize(json::string { text });
+    out += this->afterText;
 }
 
 std::string finalCompletionEvent(const CompletionRequest& request, std::string_view id)
--- a/src/gateway/CompletionRequest.h
+++ b/src/gateway/CompletionRequest.h
@@ -35,8 +35,19 @@
 // Writes the OpenAI-compatible answers.
 std::string wholeCompletion(
     const CompletionRequest& request, std::string_view id, std::string_view text, std::uint64_t tokens);
-void appendCompletionEvent(
-    std::string& out, const CompletionRequest& request, std::string_view id, std::string_view text);
 std::string finalCompletionEvent(const CompletionRequest& request, std::string_view id);
 
+// Writes the events of one streamed answer; what they have in common is made once.
+class CompletionEvents {
+public:
+    CompletionEvents(const CompletionRequest& request, std::string_view id);
+
+    // Appends the event of a token to `out`.
+    void append(std::string& out, std::string_view text) const;
+
+private:
+    std::string beforeText;
+    std::string afterText;
+};
+
 }
--- a/src/gateway/EngineStream.cpp
+++ b/src/gateway/EngineStream.cpp
@@ -1,5 +1,7 @@
 #include "gateway/EngineStream.h"
 
+#include <array>
+
 #include <boost/json.hpp>
 
 namespace marigoldpaddle {
@@ -9,6 +11,7 @@
 namespace {
 
 constexpr std::string_view EventEnd = "\n\n";
+constexpr std::size_t ParseBufferBytes = 2048; // Larger events take memory from the heap.
 constexpr std::string_view DataPrefix = "data: ";
 
 std::optional<EngineChunk> parseChunk(std::string_view event)
@@ -17,7 +20,9 @@
         return std::nullopt;
     event.remove_prefix(DataPrefix.size());
     try {
-        const auto value = json::parse({ event.data(), event.size() });
+        std::array<unsigned char, ParseBufferBytes> buffer;
+        json::monotonic_resource memory { buffer.data(), buffer.size() };
+        const auto value = json::parse({ event.data(), event.size() }, &memory);
         const auto& object = value.as_object();
         EngineChunk chunk;
         chunk.requestId = json::value_to<std::string>(object.at("request_id"));
