--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -28,7 +28,7 @@
 constexpr std::chrono::seconds GrantNoticeLifetime { 5 };
 constexpr std::chrono::seconds MaximumViewWait { 5 };
 constexpr std::chrono::seconds DigestPeriod { 2 };
-constexpr std::chrono::seconds GatewaySilence { 15 }; // After which a gateway is no longer counted as following.
+constexpr std::chrono::seconds GatewaySilence { 8 }; // After which a gateway is no longer counted as following.
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusUnavailable = 503;
@@ -43,6 +43,7 @@
     placement.promptTokens = static_cast<std::uint64_t>(std::max<std::int64_t>(request.promptTokens, 0));
     placement.maximumOutputTokens = static_cast<std::uint64_t>(std::max<std::int64_t>(request.maximumOutputTokens, 0));
     placement.deadline = pointInTime(request.remainingMs, now);
+    placement.excludedTargets = request.excludedTargets;
     placement.prefixBlocks.assign(request.prefixBlocks.begin(), request.prefixBlocks.end());
     return placement;
 }
@@ -434,6 +435,8 @@
     auto* cell = this->owned(fromWire(notice.cell));
     if (!cell)
         return;
+    for (const auto& target : notice.failedTargets)
+        cell->noteMissed(target);
     const RequestId id { notice.requestId };
     if (notice.firstToken)
         cell->firstToken(id);
--- a/src/dispatch/TargetForecast.cpp
+++ b/src/dispatch/TargetForecast.cpp
@@ -51,15 +51,14 @@
     this->grantedShort += share.isLong ? 0 : share.memoryTokens;
     this->backlog[share.priority] += share.prefillTokens;
     ++this->prefilling[share.priority];
-    this->longPrefillCount += share.isLong ? 1 : 0;
     ++this->requests;
+    this->prefixes.setCapacity(this->freeTokens());
     this->sampleMemory(this->asOf);
 }
 
 void TargetForecast::endPrefill(const TargetShare& share)
 {
     --this->prefilling[share.priority];
-    this->longPrefillCount -= share.isLong ? 1 : 0;
     if (this->prefilling[share.priority] == 0)
         this->backlog[share.priority] = 0;
 }
@@ -71,6 +70,7 @@
     this->granted -= share.memoryTokens;
     this->grantedShort -= share.isLong ? 0 : share.memoryTokens;
     --this->requests;
+    this->prefixes.setCapacity(this->freeTokens());
 }
 
 void TargetForecast::report(const LoadReport& report)
@@ -123,11 +123,6 @@
     return this->requests;
 }
 
-std::uint32_t TargetForecast::longPrefills() const
-{
-    return this->longPrefillCount;
-}
-
 double TargetForecast::prefillRate() const
 {
     return this->rate;
--- a/test/CellScheduler_test.cpp
+++ b/test/CellScheduler_test.cpp
@@ -47,6 +47,20 @@
         << "a prompt with slack to spare must not go before short ones";
 }
 
+TEST_F(CellSchedulerTest, TargetThatFailedAnEarlierAttemptIsAvoidedUnlessItIsTheOnlyOne)
+{
+    this->addTarget("engine-1", 100'000);
+    auto repeated = this->request("repeated", 1'000);
+    repeated.excludedTargets = { "engine-1" };
+    EXPECT_THAT(grantsOf(this->scheduler->submit(repeated, this->now())), testing::ElementsAre("repeated"));
+    this->addTarget("engine-2", 1'000);
+    auto avoiding = this->request("avoiding", 500);
+    avoiding.excludedTargets = { "engine-1" };
+    const auto commands = this->scheduler->submit(avoiding, this->now());
+    ASSERT_THAT(grantsOf(commands), testing::ElementsAre("avoiding"));
+    EXPECT_EQ(std::get<Grant>(commands.front()).parts.front().target, "engine-2");
+}
+
 TEST_F(CellSchedulerTest, PromptWithCachedPrefixGoesToTheTargetThatHoldsIt)
 {
     this->addTarget("engine-1", 400'000);
@@ -125,15 +139,21 @@
 
 TEST_F(CellSchedulerTest, ShedRequestsComeFromTheWorkspaceMostOverShare)
 {
-    this->addTarget("engine-1", 400'000);
-    this->submit("small-1", 4'000, 60s, "small");
-    this->submit("small-2", 4'000, 60s, "small");
-    std::vector<RefusalReason> reasons;
+    for (int i = 0; i < 4; ++i)
+        this->addTarget("engine-" + std::to_string(i), 400'000);
+    for (int i = 0; i < 4; ++i)
+        this->submit("busy-" + std::to_string(i), 4'000, 60s, "other");
+    this->submit("small", 4'000, 60s, "small");
+    std::vector<Refusal> refusals;
     for (int i = 0; i < 100; ++i)
-        std::ranges::copy(this->refusalsOf(this->submit("flood-" + std::to_string(i), 4'000, 60s, "large")),
-            std::back_inserter(reasons));
-    EXPECT_FALSE(reasons.empty());
-    EXPECT_THAT(reasons, testing::Each(RefusalReason::WorkspaceOverShare));
+        for (const auto& command : this->submit("flood-" + std::to_string(i), 4'000, 60s, "large"))
+            refusals.push_back(std::get<Refusal>(command));
+    ASSERT_GT(refusals.size(), 80U);
+    for (const auto& refusal : refusals) {
+        EXPECT_THAT(refusal.id.value, testing::StartsWith("flood-"));
+        EXPECT_EQ(refusal.reason, RefusalReason::WorkspaceOverShare);
+        EXPECT_GT(refusal.retryAfter, Duration::zero());
+    }
 }
 
 TEST_F(CellSchedulerTest, AgedSpanIsGrantedOnceItsMemoryIsFree)
