Order engines what the preset wants, fenced by the log offset of the intent

Cause: a preset names the version of a model and nothing carried it out. What: EngineOrders, a pure core: compares what the engines of a cell report with the intent, orders the difference one engine of a cell at a time, trusts reports and not answers, and waits when it was fenced. The fencing number is the offset at which the preset in force took on the intent. Gateways announce their holdings to the next owner of a cell, too. Ruled out: a lease on the right to order; a paused holder acts after its end. Before: no order was sent.

--- a/include/marigoldpaddle/ConfigurationState.h
+++ b/include/marigoldpaddle/ConfigurationState.h
@@ -56,6 +56,9 @@
     std::shared_ptr<const Preset> presetInForce() const;
     const std::string& nameInForce() const;
 
+    // The offset at which the preset in force was put in force.
+    std::uint64_t putInForceAt() const;
+
     const std::map<std::string, PresetSections, std::less<>>& presets() const;
 
     // The typed form of a preset; null if there is none of the name.
--- a/include/marigoldpaddle/Target.h
+++ b/include/marigoldpaddle/Target.h
@@ -45,6 +45,7 @@
     std::uint32_t running { 0 };
     std::uint32_t waiting { 0 };
     double prefillTokensPerSecond { 0 };
+    std::string version; // Of the model that the engine runs; empty when it does not say.
     std::optional<std::vector<Allocation>> allocations; // Absent when the engine cannot list its streams.
 };
 
--- /dev/null
+++ b/samples/free_engine_memory.cpp
@@ -0,0 +1,40 @@
+// A gateway dies while an engine holds memory for its request. The steward of the cell finds the allocation in the
+// engine's own report, reads its owner out of the request's id, and asks for it to be cancelled.
+#include <iostream>
+
+#include <marigoldpaddle/Clock.h>
+#include <marigoldpaddle/Steward.h>
+
+using namespace marigoldpaddle;
+
+int main()
+{
+    using namespace std::chrono_literals;
+    ManualClock clock;
+    Steward steward;
+    const InstanceId gateway { "instance-1", 7 };
+    const auto request = makeAttemptId(makeRequestId(gateway, 42), 1);
+
+    LoadReport report;
+    report.target = "engine-1";
+    report.allocations = { { request, 120'000, 0s } };
+    Holding holding;
+    holding.id = request;
+    holding.parts = { { "engine-1", 120'000 } };
+
+    for (int halfSeconds = 0; halfSeconds < 20; ++halfSeconds) {
+        steward.noteConnected(clock.now());
+        if (halfSeconds < 4) // Then the gateway is silent.
+            steward.noteHoldings(gateway, std::span { &holding, 1 }, clock.now());
+        report.measuredAt = clock.now();
+        steward.noteReport(report, clock.now());
+        for (const auto& cancel : steward.decide(clock.now())) {
+            std::cout << "after " << halfSeconds / 2.0 << " s: cancel " << cancel.id.value << " on " << cancel.target
+                      << '\n';
+            report.allocations->clear();
+            steward.noteCancelled(cancel);
+        }
+        clock.advance(500ms);
+    }
+    std::cout << "allocations known: " << steward.size() << '\n';
+}
--- a/src/configuration/ConfigurationState.cpp
+++ b/src/configuration/ConfigurationState.cpp
@@ -205,6 +205,11 @@
     return this->preset(this->inForce);
 }
 
+std::uint64_t ConfigurationState::putInForceAt() const
+{
+    return this->inForceSince;
+}
+
 const std::string& ConfigurationState::nameInForce() const
 {
     return this->inForce;
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -158,6 +158,7 @@
     this->applyMarks();
     this->refreshMembers();
     this->tellStewards();
+    this->tellIntents();
     if (this->targets == before)
         return;
     this->cells = makeCells(this->targets);
@@ -500,6 +501,23 @@
         this->metrics.counter("marigold_dispatcher_successor_notices_lost_total").increment();
 }
 
+// Hands the owned cells what the preset in force wants of their engines, fenced by the offset at which it came to be
+// so.
+void Dispatcher::tellIntents()
+{
+    const auto& state = this->configuration.state();
+    const auto preset = state.presetInForce();
+    if (!preset)
+        return;
+    for (const auto& [id, cell] : this->ownedCells) {
+        const auto model = preset->models.find(id.model);
+        if (model == preset->models.end())
+            continue;
+        const auto changedAt = state.revisionOf(preset->name, "model " + id.model).value_or(0);
+        cell->setIntent({ model->second.version, std::max(changedAt, state.putInForceAt()) });
+    }
+}
+
 void Dispatcher::tellStewards()
 {
     if (this->membership.isStale())
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -71,6 +71,7 @@
     boost::asio::awaitable<void> followInstanceList();
     boost::asio::awaitable<void> tellSuccessor(std::shared_ptr<OwnedCell> cell, Grant grant, InstanceId owner);
     void tellStewards();
+    void tellIntents();
     boost::asio::awaitable<wire::AcquireAnswer> acquire(wire::AcquireRequest request);
     boost::asio::awaitable<wire::ViewAnswer> view(wire::ViewRequest request);
     bool isGone(const InstanceId& holder) const override;
--- a/src/dispatch/OwnedCell.cpp
+++ b/src/dispatch/OwnedCell.cpp
@@ -11,6 +11,13 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+// Of a cell of sixteen: a load takes an engine's capacity away, and the weight store is rate-limited.
+constexpr std::size_t EnginesOrderedAtOnce = 1;
+
+}
+
 struct OwnedCell::Waiting {
     explicit Waiting(asio::io_context& context)
         : done(context, TimePoint::max())
@@ -30,6 +37,7 @@
     , cell(std::move(id))
     , scheduler(std::move(scheduler))
     , steward(std::move(steward))
+    , orders(EnginesOrderedAtOnce)
     , timer(context)
 {
 }
@@ -97,6 +105,7 @@
         return;
     life->second.hidesAllocations = !report.allocations;
     this->observe(report.target, TargetEvent::Answered);
+    this->orders.noteReport(report.target, report.version);
     this->steward.noteReport(report, this->clock.now());
     const auto label = "target=\"" + report.target + "\"";
     const auto unaccounted = static_cast<double>(this->steward.unaccountedTokens(report.target));
@@ -127,6 +136,7 @@
     const auto condition = life->second.lifecycle.condition();
     LOG(INFO) << "target " << target << " is " << name(condition);
     if (condition == TargetCondition::Gone) {
+        this->orders.forgetTarget(target);
         this->steward.forgetTarget(target);
         this->carryOut(this->scheduler->removeTarget(target, this->clock.now()));
         return;
@@ -183,6 +193,21 @@
     this->carryOut(this->scheduler->finish(cancelled.id, 0, this->clock.now()));
 }
 
+void OwnedCell::setIntent(const EngineIntent& intent)
+{
+    this->orders.setIntent(intent);
+}
+
+std::vector<EngineOrder> OwnedCell::takeOrders()
+{
+    return this->orders.decide(this->clock.now());
+}
+
+void OwnedCell::noteOrderAnswer(const EngineOrder& order, OrderAnswer answer)
+{
+    this->orders.noteAnswer(order, answer, this->clock.now());
+}
+
 bool OwnedCell::hidesAllocations(std::string_view target) const
 {
     const auto life = this->lives.find(target);
--- a/src/dispatch/OwnedCell.h
+++ b/src/dispatch/OwnedCell.h
@@ -13,6 +13,7 @@
 
 #include <marigoldpaddle/CellScheduler.h>
 #include <marigoldpaddle/Clock.h>
+#include <marigoldpaddle/EngineOrders.h>
 #include <marigoldpaddle/Steward.h>
 #include <marigoldpaddle/TargetLifecycle.h>
 
@@ -61,6 +62,11 @@
     std::vector<CancelAllocation> takeCancels();
     void noteCancelled(const CancelAllocation& cancelled);
 
+    // What the cell's engines are to run, the orders that are due, and what became of one.
+    void setIntent(const EngineIntent& intent);
+    std::vector<EngineOrder> takeOrders();
+    void noteOrderAnswer(const EngineOrder& order, OrderAnswer answer);
+
     // Whether a target is known not to list its allocations in its reports.
     bool hidesAllocations(std::string_view target) const;
 
@@ -88,6 +94,7 @@
     CellId cell;
     std::unique_ptr<CellScheduler> scheduler;
     Steward steward;
+    EngineOrders orders;
     std::map<RequestId, std::shared_ptr<Waiting>> waiting;
     std::map<std::string, TargetDescription, std::less<>> descriptions;
     std::map<std::string, Target, std::less<>> lives;
--- a/src/dispatch/TargetProber.cpp
+++ b/src/dispatch/TargetProber.cpp
@@ -18,7 +18,9 @@
 
 constexpr std::chrono::milliseconds ProbeTimeout { 500 };
 constexpr std::chrono::seconds CancelTimeout { 1 };
+constexpr std::chrono::seconds OrderTimeout { 10 };
 constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusConflict = 409;
 
 LoadReport reportFromJson(const json::value& value)
 {
@@ -28,6 +30,8 @@
     report.running = json::value_to<std::uint32_t>(value.at("running"));
     report.waiting = json::value_to<std::uint32_t>(value.at("waiting"));
     report.prefillTokensPerSecond = json::value_to<double>(value.at("prefill_tokens_per_second"));
+    if (const auto* version = value.as_object().if_contains("version"))
+        report.version = json::value_to<std::string>(*version);
     const auto* allocations = value.as_object().if_contains("allocations");
     if (!allocations)
         return report;
@@ -91,12 +95,41 @@
                 asio::co_spawn(this->context, std::move(cancelling), asio::detached);
             }
         }
+        this->sendOrders();
         timer.expires_after(this->period);
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
 }
 
+void TargetProber::sendOrders()
+{
+    for (const auto& [id, cell] : this->cells) {
+        for (const auto& order : cell->takeOrders()) {
+            const auto target = cell->targets().find(order.target);
+            if (target == cell->targets().end())
+                continue;
+            auto sending = this->sendOrder(order, target->second.address, cell);
+            asio::co_spawn(this->context, std::move(sending), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> TargetProber::sendOrder(EngineOrder order, std::string address, std::shared_ptr<OwnedCell> cell)
+{
+    auto body = json::serialize(json::object { { "fence", order.fence }, { "version", order.version } });
+    auto request = makeRequest(http::verb::post, "/v1/orders", std::move(body));
+    auto answer = co_await this->client.call(std::move(address), std::move(request), OrderTimeout);
+    auto outcome = OrderAnswer::Unknown;
+    if (answer && answer.value().result_int() == StatusOk)
+        outcome = OrderAnswer::CarriedOut;
+    else if (answer && answer.value().result_int() == StatusConflict)
+        outcome = OrderAnswer::Fenced;
+    constexpr std::string_view Labels[] { "outcome=\"carried_out\"", "outcome=\"fenced\"", "outcome=\"unknown\"" };
+    this->metrics.counter("marigold_engine_orders_total", Labels[static_cast<std::size_t>(outcome)]).increment();
+    cell->noteOrderAnswer(order, outcome);
+}
+
 asio::awaitable<void> TargetProber::probe(TargetDescription target, std::shared_ptr<OwnedCell> cell)
 {
     auto request = makeRequest(http::verb::get, "/v1/load", {});
--- a/src/dispatch/TargetProber.h
+++ b/src/dispatch/TargetProber.h
@@ -22,7 +22,8 @@
 // Reads an engine's answer to /v1/load; empty when it cannot be understood.
 std::optional<LoadReport> parseLoadReport(std::string_view target, std::string_view body, TimePoint now);
 
-// Asks the targets of the owned cells for their load, and cancels there what the cells' stewards want cancelled.
+// Asks the targets of the owned cells for their load, cancels there what the cells' stewards want cancelled, and sends
+// the engines their orders.
 class TargetProber {
 public:
     // Everything that is passed by reference must outlive the prober.
@@ -37,6 +38,8 @@
 
 private:
     boost::asio::awaitable<void> run();
+    void sendOrders();
+    boost::asio::awaitable<void> sendOrder(EngineOrder order, std::string address, std::shared_ptr<OwnedCell> cell);
     boost::asio::awaitable<void> probe(TargetDescription target, std::shared_ptr<OwnedCell> cell);
     boost::asio::awaitable<void> cancel(
         CancelAllocation allocation, std::string address, std::shared_ptr<OwnedCell> cell);
--- a/src/gateway/Holdings.cpp
+++ b/src/gateway/Holdings.cpp
@@ -3,12 +3,19 @@
 #include <numeric>
 #include <ranges>
 
+#include "membership/Ownership.h"
 #include "rpc/Conversions.h"
 
 namespace marigoldpaddle {
 
 namespace asio = boost::asio;
 
+namespace {
+
+constexpr std::size_t AnnouncedOwners = 2; // Of a cell, in rendezvous order.
+
+}
+
 Holdings::Holdings(const Clock& clock, InstanceId instance, GatewayView& view, RpcClient& rpc, GatewayMetrics& metrics,
     BackgroundTasks& tasks)
     : clock(clock)
@@ -96,6 +103,11 @@
     wire::Payload message;
     message.__set_holdings(announcement);
     holdings.announcedTo = owner;
+    // The next owner listens too, so that it can judge what it was told of grants if it has to take over.
+    for (const auto* next : ownersOf(cell, this->view.members(), AnnouncedOwners)) {
+        if (next->instance.name != owner.name)
+            this->notify(next->instance, message);
+    }
     this->notify(owner, std::move(message));
 }
 
