Let long prompts weigh all prefill of a target

Cause of idle prefill at the crest: a long prompt's predicted first token left out work of lower priority, so medium prompts went to targets on which a long one was under way and both took longer to give their memory back.

--- a/src/dispatch/SlackCostSchedulerPlacement.cpp
+++ b/src/dispatch/SlackCostSchedulerPlacement.cpp
@@ -74,6 +74,9 @@
         if (wait > this->settings.prefillLookahead + saved)
             continue;
         auto firstToken = wait + allPrefill - saved;
+        // A long prompt would hold up prefill of lower priority, so that counts as its own wait.
+        if (entry.promptClass > 0)
+            firstToken += target.prefillWait(PriorityCount - 1) - wait;
         if (!best || firstToken < best->firstToken)
             best = Placement { { &target }, cached, priority, firstToken };
     }
