--- a/src/membership/RidingNews.cpp
+++ b/src/membership/RidingNews.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t MaximumZones = 64;
 constexpr Duration ContactFreshness = std::chrono::seconds { 3 };
+constexpr Duration OwnerChangeSpacing = std::chrono::seconds { 4 }; // Later by so much, a lower sequence is news.
 constexpr Duration DigestVersionSpacing = std::chrono::seconds { 1 }; // Newer by less is not news.
 
 }
@@ -72,9 +73,8 @@
             return false;
     } else {
         const auto& known = found->second;
-        const auto isNewer
-            = report.owner == known.owner ? report.sequence > known.sequence : report.measuredAt > known.measuredAt;
-        if (!isNewer)
+        const auto isOfNewOwner = report.measuredAt > known.measuredAt + OwnerChangeSpacing;
+        if (report.sequence <= known.sequence && !isOfNewOwner)
             return false;
     }
     this->reports[key] = report;
