--- a/test/Gateway_test.cpp
+++ b/test/Gateway_test.cpp
@@ -85,6 +85,17 @@
     EXPECT_EQ(streamedText(answer.body()), this->whole);
 }
 
+TEST_F(GatewayTest, ChatAskedForAsStreamGetsItsTokensAsDeltas)
+{
+    const std::string body
+        = R"({"model":"m","max_tokens":2,"stream":true,"messages":[{"role":"user","content":"Which bell?"}]})";
+    const auto answer = this->answerTo(this->world.post("/v1/chat/completions", body));
+    const auto expected = standins::wholeAnswer("user: Which bell?\nassistant:", 2);
+    const auto first = "\"delta\":{\"content\":\"" + expected.substr(0, expected.size() / 2) + "\"}";
+    EXPECT_THAT(answer.body(), HasSubstr(first));
+    EXPECT_THAT(answer.body(), HasSubstr("data: [DONE]"));
+}
+
 TEST_F(GatewayTest, PromptOverASpanFreesItsReservationsAtTheEnd)
 {
     this->world.dispatcher.partsPerGrant = 2;
