--- a/test/Gateway_test.cpp
+++ b/test/Gateway_test.cpp
@@ -85,6 +85,17 @@
     EXPECT_EQ(streamedText(answer.body()), this->whole);
 }
 
+TEST_F(GatewayTest, ChatAskedForAsStreamGetsItsTokensAsDeltas)
+{
+    const std::string body
+        = R"({"model":"m","max_tokens":2,"stream":true,"messages":[{"role":"user","content":"Which bell?"}]})";
+    const auto answer = this->answerTo(this->world.post("/v1/chat/completions", body));
+    const auto expected = standins::wholeAnswer("user: Which bell?\nassistant:", 2);
+    const auto first = "\"delta\":{\"content\":\"" + expected.substr(0, expected.size() / 2) + "\"}";
+    EXPECT_THAT(answer.body(), HasSubstr(first));
+    EXPECT_THAT(answer.body(), HasSubstr("data: [DONE]"));
+}
+
 TEST_F(GatewayTest, PromptOverASpanFreesItsReservationsAtTheEnd)
 {
     this->world.dispatcher.partsPerGrant = 2;
@@ -220,6 +231,28 @@
 
 class FaultsGatewayTest : public GatewayTest { };
 
+TEST_F(FaultsGatewayTest, PlannedStopFailsReadinessAndLetsTheRunningStreamEndWhole)
+{
+    std::string body;
+    unsigned readiness = 0;
+    HttpResponse late;
+    ASSERT_TRUE(this->world.run([&]() -> asio::awaitable<void> {
+        auto started = co_await this->world.client.start(
+            this->world.address, this->world.prompt(Question, Tokens, true), std::chrono::seconds { 5 });
+        this->world.gateway.beginPlannedStop();
+        auto probe = makeRequest(boost::beast::http::verb::get, "/readyz", {});
+        readiness = (co_await this->world.send(std::move(probe))).result_int();
+        late = co_await this->world.send(this->world.prompt(Question, Tokens, true));
+        asio::co_spawn(this->world.context, this->world.front.drain(), asio::detached);
+        auto rest = co_await started.value().readAll(std::chrono::seconds { 5 });
+        body = std::move(rest).value();
+    }));
+    EXPECT_EQ(readiness, 503u);
+    EXPECT_EQ(streamedText(body), this->whole) << "a running stream was cut off";
+    EXPECT_EQ(streamedText(late.body()), this->whole) << "refused although the listener was still open";
+    this->expectNothingHeld();
+}
+
 TEST_F(FaultsGatewayTest, HalfARequestIsAnsweredWithATimeout)
 {
     std::string answer;
