--- a/standins/ConfigurationWorld.cpp
+++ b/standins/ConfigurationWorld.cpp
@@ -34,6 +34,9 @@
         auto node = this->events.extract(this->events.begin());
         this->now = std::max(this->now, node.key());
         node.mapped()();
+        const auto isAnyReady = std::ranges::any_of(
+            this->instances, [](const auto& each) { return each.follower && each.follower->isReady(); });
+        this->wasEverWithoutState = this->wasEverWithoutState || (this->faults.isDown && !isAnyReady);
     }
     this->now = end;
 }
--- a/standins/ConfigurationWorld.h
+++ b/standins/ConfigurationWorld.h
@@ -61,6 +61,7 @@
     std::uint64_t peerBytes { 0 };
     std::uint64_t checkpointRecords { 0 };
     std::vector<std::string> violations;
+    bool wasEverWithoutState { false }; // No instance was ready while the log was down.
     std::function<void(std::uint64_t)> onCheckpointPart; // Called after a part was appended, with its offset.
 
 private:
--- a/test/ConfigurationFollower_test.cpp
+++ b/test/ConfigurationFollower_test.cpp
@@ -216,6 +216,22 @@
     EXPECT_TRUE(this->world.follower(0)->isLost());
 }
 
+// Found by FaultsConfigurationPairsTest with MARIGOLD_SEED=19.
+TEST_F(ConfigurationCheckpointingTest, RecordTrimmedBeforeAnyReaderSawItDoesNotStopTheInstances)
+{
+    this->editFor(1min);
+    for (std::size_t i = 0; i < Instances; ++i)
+        this->world.extraDelay[i] = 1h; // No instance reads the log.
+    this->world.run(20s); // The polls that were outstanding end.
+    this->world.publish(this->author, useOf("unread", "ordinary", this->author.nextOffset()), [](const auto&) { });
+    this->world.run(1s);
+    this->world.trim(this->world.logEnd());
+    this->world.extraDelay.clear();
+    this->world.run(5min);
+    this->publish(useOf("next", "ordinary", this->author.nextOffset()));
+    EXPECT_TRUE(this->world.allAgreeAt(this->world.logEnd() - 1));
+}
+
 TEST_F(ConfigurationCheckpointingTest, MostlyOneInstanceWritesAndRestartsDoNotAddCheckpoints)
 {
     this->editFor(5min);
