--- a/bench/PolicyRunTargets.cpp
+++ b/bench/PolicyRunTargets.cpp
@@ -179,7 +179,7 @@
     auto isStale = this->settings.scenario == Scenario::StaleReports;
     LoadReport load { engine.description.name, this->clock.now(), engine.description.memoryTokens,
         engine.fake.usedTokens(), engine.fake.runningCount(), engine.fake.waitingCount(),
-        engine.fake.prefillTokensPerSecond(), std::nullopt };
+        engine.fake.prefillTokensPerSecond(), {}, std::nullopt };
     this->after(isStale ? messages.staleReportLag : messages.reportLag, [this, load, cell = engine.cell] {
         this->call(cell, [&](CellScheduler& scheduler) { return scheduler.reportLoad(load, this->clock.now()); });
     });
--- a/src/gateway/ClaimFilter.cpp
+++ b/src/gateway/ClaimFilter.cpp
@@ -44,7 +44,8 @@
     case wire::ClaimVerdict::Unavailable:
         break;
     }
-    return Problem { RefusalReason::ClaimsUnavailable, Ran::No, retryAfter, "the key could not be claimed" };
+    return Problem { RefusalReason::ClaimsUnavailable, Ran::No, retryAfter,
+        "the call was not sent; whether an earlier call with the key ran is not known" };
 }
 
 // The answer that the first call with the key got. A body that was too large to keep is replaced by its size.
@@ -80,7 +81,7 @@
     request.mayClaimLand = !answer || answer->mayLand;
     if (!answer)
         co_return Problem { RefusalReason::ClaimsUnavailable, Ran::No, RetryAfterUnavailable,
-            "no dispatcher could be reached to claim the key" };
+            "the call was not sent, since no dispatcher could be reached to claim its key" };
     if (answer->verdict == wire::ClaimVerdict::Repeated)
         request.storedAnswer = answerFrom(answer->outcome);
     request.didClaim = answer->verdict == wire::ClaimVerdict::Won;
--- a/test/FaultsCellScheduler_test.cpp
+++ b/test/FaultsCellScheduler_test.cpp
@@ -253,7 +253,7 @@
             this->changeTarget();
         else if (kind < 90)
             this->obey(this->scheduler->reportLoad({ "engine-1", this->now() - 1s, Memory, this->draw(0, Memory), 1, 0,
-                                                       static_cast<double>(this->draw(0, 20'000)), std::nullopt },
+                                                       static_cast<double>(this->draw(0, 20'000)), {}, std::nullopt },
                 this->now()));
         else
             this->obey(this->scheduler->tick(this->now()));
--- a/test/FaultsMembership_test.cpp
+++ b/test/FaultsMembership_test.cpp
@@ -95,9 +95,9 @@
 
 TEST_F(FaultsMembershipTest, LossOfFivePercentConfirmsNoDeathThatDidNotHappen)
 {
-    this->start({ "a" }, 64);
+    this->start({ "a" }, 100);
     this->network.loss = 0.05;
-    this->network.run(60s);
+    this->network.run(120s);
     EXPECT_EQ(this->network.countChanges(MemberState::Dead), 0u);
     EXPECT_LT(this->detectionOf("a-3"), DetectionBound) << "under 5% loss";
 }
