Add rows on real processes: frozen gateway and platform, killed order server, restarts in a log outage

Cause: FAULTS.md named these as proved in cores only. What: a gateway frozen for 8 s, beyond the 5 s after which its engine memory is freed, ends its request whole or refused and leaves nothing; a frozen platform stops no prompt and holds no keyed order past its time, and the order runs once afterwards; an order whose server is killed is not said to be not run; the two dispatchers restarted one after the other with the log down keep the preset. The order server's stand-in counts what it has received, so that the row waits for an event.

--- a/standins/ServiceStandin.cpp
+++ b/standins/ServiceStandin.cpp
@@ -59,6 +59,7 @@
 // An exchange that returns without an answer closes its connection.
 asio::awaitable<void> ServiceStandin::handleOrder(HttpExchange& exchange)
 {
+    ++this->received;
     co_await pause(std::chrono::milliseconds { this->faults.delayMs });
     co_await this->waitUntilThawed();
     if (this->faults.isDown || strikes(this->faults.dropRequests))
@@ -100,8 +101,8 @@
 HttpResponse ServiceStandin::counts() const
 {
     return jsonResponse(StatusOk,
-        json::object { { "orders", this->orders.size() }, { "by_key", toJson(this->runsByKey) },
-            { "by_request", toJson(this->runsByRequest) } });
+        json::object { { "received", this->received }, { "orders", this->orders.size() },
+            { "by_key", toJson(this->runsByKey) }, { "by_request", toJson(this->runsByRequest) } });
 }
 
 HttpResponse ServiceStandin::setFaults(std::string_view body)
--- a/standins/ServiceStandin.h
+++ b/standins/ServiceStandin.h
@@ -34,6 +34,7 @@
     HttpResponse setFaults(std::string_view body);
 
     ServiceFaults faults;
+    std::uint64_t received { 0 }; // Orders that arrived, whether or not they have run.
     std::map<std::string, std::uint64_t> runsByKey;
     std::map<std::string, std::uint64_t> runsByRequest;
     std::vector<std::string> orders;
--- a/test/FaultsProcesses_test.cpp
+++ b/test/FaultsProcesses_test.cpp
@@ -251,6 +251,57 @@
     EXPECT_THAT(this->world.get("orders", "/counts").body(), HasSubstr(R"("orders":1)"));
 }
 
+TEST_F(FaultsProcessesTest, GatewayFrozenBeyondItsStewardsPatienceStillEndsItsRequestWholeOrRefused)
+{
+    std::thread thaw;
+    const auto answer = this->world.stream(
+        "gateway-a", "kerb question", Tokens,
+        [&] {
+            this->world.process("gateway-a").signal(SIGSTOP);
+            thaw = std::thread { [&] {
+                std::this_thread::sleep_for(8s); // The length of the freeze, which is the fault itself.
+                this->world.process("gateway-a").signal(SIGCONT);
+            } };
+        },
+        30s);
+    thaw.join();
+    EXPECT_LE(answer.took, 31s);
+    if (answer.isWhole)
+        this->expectWhole(answer, "kerb question");
+    else
+        EXPECT_THAT(answer.body, HasSubstr("\"error\""));
+    EXPECT_TRUE(this->world.eventually(10s, [&] { return this->usedTokens() == 0; }));
+}
+
+TEST_F(FaultsProcessesTest, FrozenPlatformStopsNoPromptAndHoldsNoOrderPastItsTime)
+{
+    this->world.process("platform").signal(SIGSTOP);
+    this->expectWhole(this->world.stream("gateway-a", "kerb question", Tokens), "kerb question");
+    const auto refused = this->world.order("gateway-a", "restock-3", "{}", 4s);
+    EXPECT_THAT(refused.body, HasSubstr(R"("ran":"no")"));
+    EXPECT_LE(refused.took, 4500ms);
+    this->world.process("platform").signal(SIGCONT);
+    EXPECT_THAT(this->world.get("orders", "/counts").body(), HasSubstr(R"("orders":0)"));
+    EXPECT_TRUE(
+        this->world.eventually(20s, [&] { return this->world.order("gateway-b", "restock-3", "{}", 4s).isWhole; }));
+    EXPECT_THAT(this->world.get("orders", "/counts").body(), HasSubstr(R"("orders":1)"));
+}
+
+TEST_F(FaultsProcessesTest, OrderWhoseServerIsKilledIsNotSaidToBeNotRun)
+{
+    this->world.post("orders", "/faults", R"({"delay_ms":60000})");
+    std::thread death { [&] {
+        EXPECT_TRUE(this->world.eventually(5s,
+            [&] { return this->world.get("orders", "/counts").body().find(R"("received":1)") != std::string::npos; }));
+        this->world.process("orders").signal(SIGKILL);
+    } };
+    const auto answer = this->world.order("gateway-a", "restock-4", "{}", 6s);
+    death.join();
+    EXPECT_THAT(answer.body, HasSubstr(R"("ran":"unknown")"));
+    EXPECT_LE(answer.took, 6500ms);
+    EXPECT_EQ(this->world.order("gateway-b", "restock-4", "{}", 3s).status, 409U);
+}
+
 TEST_F(FaultsProcessesTest, DispatcherThatStartsWithTheLogDownTakesTheConfigurationFromItsPeer)
 {
     this->world.post("platform", "/faults", R"({"log_down":true})");
@@ -263,6 +314,25 @@
     })) << this->world.get("dispatcher-a", "/healthz").body();
 }
 
+TEST_F(FaultsProcessesTest, AllDispatchersButOneRestartedInALogOutageKeepThePresetInForce)
+{
+    this->world.configure("peak");
+    const auto hasPeak = [&](const char* process) {
+        return this->world.get(process, "/healthz").body().find("peak") != std::string::npos;
+    };
+    ASSERT_TRUE(this->world.eventually(8s, [&] { return hasPeak("dispatcher-a") && hasPeak("dispatcher-b"); }));
+    this->world.post("platform", "/faults", R"({"log_down":true})");
+    for (const auto* name : { "a", "b" }) {
+        const auto dispatcher = std::string { "dispatcher-" } + name;
+        this->world.process(dispatcher).signal(SIGKILL);
+        this->world.process(dispatcher).wait();
+        this->world.startDispatcher(name);
+        EXPECT_TRUE(this->world.eventually(8s, [&] { return hasPeak(dispatcher.c_str()); })) << dispatcher;
+    }
+    EXPECT_TRUE(hasPeak("gateway-a"));
+    EXPECT_TRUE(hasPeak("gateway-b"));
+}
+
 TEST_F(FaultsProcessesTest, PresetPutInForceReachesEveryInstanceWithinTheBound)
 {
     this->world.configure("peak");
