Give back a grant whose target turns out to be leaving

Cause: the view's list of leaving targets was never filled, and the lifecycle's event for it never raised: a grant on its way while the mark of its target spread was used within its 2 s. What: dispatchers put the marks that they know into the view; a gateway that is granted such a target gives the grant back and asks again without it. Ruled out: shorter grants, which a slow network would let expire. Before: with the check taken out (trial) the new row GrantOnATargetThatIsLeaving fails.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -319,6 +319,13 @@
         record.availabilityZone = target.availabilityZone;
         answer.services.push_back(std::move(record));
     }
+    for (const auto& mark : this->membership.membership().targetMarks()) {
+        wire::TargetMark record;
+        record.target = mark.target;
+        record.incarnation = static_cast<std::int64_t>(mark.incarnation);
+        record.leaving = mark.isLeaving;
+        answer.leavingTargets.push_back(std::move(record));
+    }
     const auto update = this->configuration.updateSince(knownConfigurationOffset);
     answer.configurationOffset = static_cast<std::int64_t>(update.offset);
     answer.configurationRecords = wireRecordsFrom(update.records);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -72,7 +72,7 @@
     this->intake.push_back(std::make_unique<AuthenticateFilter>(view));
     this->intake.push_back(std::make_unique<EstimateFilter>());
     this->intake.push_back(std::make_unique<AdmitFilter>());
-    this->passage.push_back(std::make_unique<AcquireFilter>());
+    this->passage.push_back(std::make_unique<AcquireFilter>(view));
     this->passage.push_back(std::make_unique<RelayFilter>());
 }
 
--- a/src/gateway/GatewayView.cpp
+++ b/src/gateway/GatewayView.cpp
@@ -100,6 +100,11 @@
         [](const wire::MemberRecord& record) { return fromWire(record); });
     this->knownCells.clear();
     std::ranges::transform(answer.cells, std::back_inserter(this->knownCells), cellFrom);
+    this->leavingTargets.clear();
+    for (const auto& mark : answer.leavingTargets) {
+        if (mark.leaving)
+            this->leavingTargets.insert(mark.target);
+    }
     this->knownServices.clear();
     std::ranges::transform(answer.services, std::back_inserter(this->knownServices), serviceFrom);
     this->changed.cancel();
@@ -135,6 +140,11 @@
     return this->knownServices;
 }
 
+bool GatewayView::isLeaving(std::string_view target) const
+{
+    return this->leavingTargets.contains(target);
+}
+
 const std::vector<Member>& GatewayView::members() const
 {
     return this->knownMembers;
--- a/src/gateway/GatewayView.h
+++ b/src/gateway/GatewayView.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,9 @@
     const std::vector<ServiceTarget>& services() const;
     const std::vector<Member>& members() const;
 
+    // Whether some instance has heard that the target is leaving.
+    bool isLeaving(std::string_view target) const;
+
     // Null when the cell is not known.
     const CellView* cell(const CellId& id) const;
 
@@ -87,6 +91,7 @@
     std::vector<Member> knownMembers;
     std::vector<CellView> knownCells;
     std::vector<ServiceTarget> knownServices;
+    std::set<std::string, std::less<>> leavingTargets;
     boost::asio::steady_timer changed; // Cancelled whenever the view changes.
 };
 
--- a/src/gateway/PlacementFilters.cpp
+++ b/src/gateway/PlacementFilters.cpp
@@ -1,5 +1,7 @@
 #include "gateway/PlacementFilters.h"
 
+#include <algorithm>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -8,6 +10,11 @@
 
 namespace asio = boost::asio;
 
+AcquireFilter::AcquireFilter(const GatewayView& view)
+    : view(view)
+{
+}
+
 asio::awaitable<std::optional<Problem>> AcquireFilter::apply(GatewayRequest& request)
 {
     while (true) {
@@ -36,6 +43,19 @@
     if (std::holds_alternative<PlacementGranted>(event))
         request.metrics.queueTime.record(request.clock.now() - askedAt);
     request.handle(event);
+    this->giveBackIfLeaving(request);
+}
+
+// A grant may have been on its way while the mark of its target arrived.
+void AcquireFilter::giveBackIfLeaving(GatewayRequest& request) const
+{
+    const auto parts = request.lifecycle().placement();
+    const auto isLeaving = [&](const GrantPart& part) {
+        return this->view.isLeaving(part.target);
+    };
+    const auto leaving = std::ranges::find_if(parts, isLeaving);
+    if (leaving != parts.end())
+        request.handle(TargetLeaving { leaving->target });
 }
 
 asio::awaitable<std::optional<Problem>> RelayFilter::apply(GatewayRequest& request)
--- a/standins/DispatcherStandin.cpp
+++ b/standins/DispatcherStandin.cpp
@@ -100,6 +100,12 @@
         record.availabilityZone = "a";
         return record;
     });
+    std::ranges::transform(this->leaving, std::back_inserter(answer.leavingTargets), [](const std::string& target) {
+        wire::TargetMark mark;
+        mark.target = target;
+        mark.leaving = true;
+        return mark;
+    });
     answer.configurationOffset = ConfigurationRecords;
     if (request.knownConfigurationOffset < static_cast<std::int64_t>(ConfigurationRecords))
         answer.__set_configurationSnapshot(this->configuration);
--- a/standins/DispatcherStandin.h
+++ b/standins/DispatcherStandin.h
@@ -39,6 +39,7 @@
     std::string instance { "instance-1" }; // The owner that it says it is.
     std::vector<Target> engines;
     std::vector<Target> services;
+    std::vector<std::string> leaving; // Targets that its view marks so; it grants them all the same.
     std::size_t partsPerGrant { 1 };
     bool isSilent { false }; // Gives no answer to the acquires that arrive meanwhile.
     std::size_t acquires { 0 };
--- a/test/Gateway_test.cpp
+++ b/test/Gateway_test.cpp
@@ -345,6 +345,15 @@
     EXPECT_EQ(streamedText(answer.body()), this->whole);
 }
 
+TEST_F(FaultsGatewayTest, GrantOnATargetThatIsLeavingIsGivenBackAndAnotherAsked)
+{
+    this->world.dispatcher.leaving = { "engine-1" };
+    const auto answer = this->answerTo(this->world.prompt(Question, Tokens, true));
+    EXPECT_EQ(streamedText(answer.body()), this->whole);
+    EXPECT_THAT(this->world.dispatcher.exclusions.back(), ::testing::ElementsAre("engine-1"));
+    this->expectNothingHeld();
+}
+
 TEST_F(FaultsGatewayTest, EngineThatCannotBeReachedIsExcludedAndAnotherAsked)
 {
     this->world.dispatcher.engines[0].address = "127.0.0.1:1";
