Say once how a row kills processes and expects empty engines

Cause: four rows on real processes stood as copies of one another, and two of them did not check that anything was held when the processes were killed. Ruled out: folding the rows into one parameterized test; their names say what each proves.

--- a/test/FaultsProcesses_test.cpp
+++ b/test/FaultsProcesses_test.cpp
@@ -50,6 +50,19 @@
         EXPECT_EQ(answer.text, wholeAnswer(prompt, Tokens));
     }
 
+    // Begins a long answer through gateway-a, kills processes after its first token, and expects empty engines in time.
+    void expectMemoryFreedAfterKilling(std::initializer_list<const char*> victims)
+    {
+        const auto killAll = [&] {
+            EXPECT_GT(this->usedTokens(), 0U) << "nothing was held when the processes were killed";
+            for (const auto* victim : victims)
+                this->world.process(victim).signal(SIGKILL);
+        };
+        this->world.stream("gateway-a", "a long answer", ManyTokens, killAll, 60s);
+        EXPECT_TRUE(this->world.eventually(10s, [&] { return this->usedTokens() == 0; }))
+            << "still held: " << this->usedTokens();
+    }
+
     ProcessWorld world;
 };
 
@@ -81,42 +94,18 @@
 
 TEST_F(FaultsProcessesTest, KilledGatewayLeavesNoEngineMemoryBehind)
 {
-    this->world.stream(
-        "gateway-a", "a long answer", ManyTokens,
-        [&] {
-            EXPECT_GT(this->usedTokens(), 0U);
-            this->world.process("gateway-a").signal(SIGKILL);
-        },
-        60s);
-    EXPECT_TRUE(this->world.eventually(10s, [&] { return this->usedTokens() == 0; }))
-        << "still held: " << this->usedTokens();
+    this->expectMemoryFreedAfterKilling({ "gateway-a" });
 }
 
 TEST_F(FaultsProcessesTest, KilledGatewayLeavesNoEngineMemoryBehindAlthoughTheInstanceListIsDown)
 {
     this->world.post("platform", "/faults", R"({"list_down":true})");
-    this->world.stream(
-        "gateway-a", "a long answer", ManyTokens,
-        [&] {
-            EXPECT_GT(this->usedTokens(), 0U);
-            this->world.process("gateway-a").signal(SIGKILL);
-        },
-        60s);
-    EXPECT_TRUE(this->world.eventually(10s, [&] { return this->usedTokens() == 0; }))
-        << "still held: " << this->usedTokens();
+    this->expectMemoryFreedAfterKilling({ "gateway-a" });
 }
 
 TEST_F(FaultsProcessesTest, GatewayAndDispatcherKilledTogetherLeaveNoEngineMemoryBehind)
 {
-    this->world.stream(
-        "gateway-a", "a long answer", ManyTokens,
-        [&] {
-            this->world.process("dispatcher-a").signal(SIGKILL);
-            this->world.process("gateway-a").signal(SIGKILL);
-        },
-        60s);
-    EXPECT_TRUE(this->world.eventually(10s, [&] { return this->usedTokens() == 0; }))
-        << "still held: " << this->usedTokens();
+    this->expectMemoryFreedAfterKilling({ "dispatcher-a", "gateway-a" });
 }
 
 TEST_F(FaultsProcessesTest, GatewayAndDispatcherKilledTogetherLeaveNothingOnEnginesThatCannotList)
@@ -124,15 +113,7 @@
     for (const auto* engine : { "engine-1", "engine-2" })
         this->world.post(engine, "/faults", R"({"lists_allocations":false})");
     ASSERT_TRUE(this->world.eventually(5s, [&] { return this->world.stream("gateway-a", "warm", 1).isWhole; }));
-    this->world.stream(
-        "gateway-a", "a long answer", ManyTokens,
-        [&] {
-            this->world.process("dispatcher-a").signal(SIGKILL);
-            this->world.process("gateway-a").signal(SIGKILL);
-        },
-        60s);
-    EXPECT_TRUE(this->world.eventually(10s, [&] { return this->usedTokens() == 0; }))
-        << "still held: " << this->usedTokens();
+    this->expectMemoryFreedAfterKilling({ "dispatcher-a", "gateway-a" });
 }
 
 TEST_F(FaultsProcessesTest, CallerThatLeavesFreesItsEngineMemory)
