Read fault switches of the stand-ins by one function

What: takeField in StandinProgram.h; both call it. Ruled out: the engine's switches, which also refuse values of a wrong kind. Before and after: ctest -j10, all tests pass but the known red; format and lint of the three files clean.

--- a/standins/PlatformStandin.cpp
+++ b/standins/PlatformStandin.cpp
@@ -178,15 +178,11 @@
 HttpResponse PlatformStandin::setFaults(std::string_view body)
 {
     const auto wanted = parseObject(body);
-    const auto read = [&](std::string_view key, auto& field) {
-        if (const auto* value = wanted.if_contains(key))
-            field = json::value_to<std::decay_t<decltype(field)>>(*value);
-    };
-    read("log_down", this->faults.isLogDown);
-    read("list_down", this->faults.isListDown);
-    read("log_delay_ms", this->faults.logDelayMs);
-    read("drop_append_answers", this->faults.dropAppendAnswers);
-    read("list_lag_ms", this->faults.listLagMs);
+    takeField(wanted, "log_down", this->faults.isLogDown);
+    takeField(wanted, "list_down", this->faults.isListDown);
+    takeField(wanted, "log_delay_ms", this->faults.logDelayMs);
+    takeField(wanted, "drop_append_answers", this->faults.dropAppendAnswers);
+    takeField(wanted, "list_lag_ms", this->faults.listLagMs);
     this->appended.cancel();
     return jsonResponse(StatusOk, json::object {});
 }
--- a/standins/ServiceStandin.cpp
+++ b/standins/ServiceStandin.cpp
@@ -108,16 +108,12 @@
 HttpResponse ServiceStandin::setFaults(std::string_view body)
 {
     const auto object = parseObject(body);
-    const auto take = [&](std::string_view key, auto& field) {
-        if (const auto* value = object.if_contains(key))
-            field = json::value_to<std::decay_t<decltype(field)>>(*value);
-    };
-    take("delay_ms", this->faults.delayMs);
-    take("drop_answers", this->faults.dropAnswers);
-    take("drop_requests", this->faults.dropRequests);
-    take("truncate_answers", this->faults.truncateAnswers);
-    take("frozen", this->faults.isFrozen);
-    take("down", this->faults.isDown);
+    takeField(object, "delay_ms", this->faults.delayMs);
+    takeField(object, "drop_answers", this->faults.dropAnswers);
+    takeField(object, "drop_requests", this->faults.dropRequests);
+    takeField(object, "truncate_answers", this->faults.truncateAnswers);
+    takeField(object, "frozen", this->faults.isFrozen);
+    takeField(object, "down", this->faults.isDown);
     return jsonResponse(StatusOk, json::object {});
 }
 
--- a/standins/StandinProgram.h
+++ b/standins/StandinProgram.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/json/object.hpp>
+#include <boost/json/value_to.hpp>
 
 #include "base/HttpServer.h"
 #include "base/Program.h"
@@ -28,6 +29,13 @@
 // Reads a JSON object out of a body; empty when it is none.
 boost::json::object parseObject(std::string_view body);
 
+// Sets a field to the value under a key of a JSON object, if the object has the key.
+template <typename Field> void takeField(const boost::json::object& object, std::string_view key, Field& field)
+{
+    if (const auto* value = object.if_contains(key))
+        field = boost::json::value_to<Field>(*value);
+}
+
 // Answers requests that could not be read.
 HttpResponse faultResponse(HttpFault fault);
 
