--- a/bench/configuration_bench.cpp
+++ b/bench/configuration_bench.cpp
@@ -17,7 +17,7 @@
 #include "configuration/Checkpoint.h"
 #include "configuration/ConfigurationPublisher.h"
 #include "configuration/FollowerRuntime.h"
-#include "platform/HttpPlatformLog.h"
+#include "logservice/HttpPlatformLog.h"
 #include "standins/ConfigurationChanges.h"
 #include "standins/PlatformStandin.h"
 
--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "base/HttpClient.h"
 
+#include <algorithm>
+#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -11,6 +13,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <netinet/tcp.h>
 
 namespace marigoldpaddle {
 
@@ -45,10 +48,13 @@
     beast::flat_buffer buffer;
     std::optional<http::response_parser<http::string_body>> parser;
     HttpResponseHeader header;
+    TimePoint reusableUntil {};
 };
 
 namespace {
 
+using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
 HttpError answerError(const error_code& failure)
 {
     if (failure == beast::error::timeout)
@@ -61,6 +67,23 @@
     return HttpError::NoAnswer;
 }
 
+// Returns for how long a connection may stay idle before its server closes it: "Keep-Alive: timeout=N" in seconds, less
+// a margin for a request that is already on its way.
+Duration keepAliveLifetime(const HttpResponseHeader& header, Duration otherwise)
+{
+    constexpr std::string_view Parameter = "timeout=";
+    constexpr Duration Margin = std::chrono::milliseconds { 250 };
+    const std::string_view value = header[http::field::keep_alive];
+    const auto start = value.find(Parameter);
+    if (start == std::string_view::npos)
+        return otherwise;
+    unsigned seconds = 0;
+    const auto digits = value.substr(start + Parameter.size());
+    if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc {})
+        return otherwise;
+    return std::min(otherwise, std::chrono::seconds { seconds } - Margin);
+}
+
 bool isStillOpen(tcp::socket& socket)
 {
     error_code failure;
@@ -82,11 +105,18 @@
 
 HttpCall::~HttpCall()
 {
+    // Bytes behind a complete answer belong to no request: such a connection is out of step.
     if (this->connection && this->connection->parser && this->connection->parser->is_done()
-        && this->connection->parser->keep_alive())
+        && this->connection->parser->keep_alive() && this->connection->buffer.size() == 0)
         this->client->giveBack(std::move(this->connection));
 }
 
+void HttpCall::discard()
+{
+    this->connection->stream.close();
+    this->connection->parser.reset();
+}
+
 const HttpResponseHeader& HttpCall::header() const
 {
     return this->connection->header;
@@ -141,7 +171,8 @@
     auto connection = std::move(connected).value();
     if (gate && !gate->mayWrite())
         co_return HttpError::ConnectFailed;
-    request.set(http::field::host, address);
+    if (request[http::field::host].empty())
+        request.set(http::field::host, address);
     request.keep_alive(true);
     connection->stream.expires_after(timeout);
     error_code failure;
@@ -156,6 +187,8 @@
         co_return answerError(failure);
     connection->stream.expires_never();
     connection->header = HttpResponseHeader { connection->parser->get().base() };
+    connection->reusableUntil
+        = std::chrono::steady_clock::now() + keepAliveLifetime(connection->header, this->limits.idleLifetime);
     co_return HttpCall { *this, std::move(connection) };
 }
 
@@ -191,7 +224,12 @@
         tcp::endpoint { parsed, port }, asio::redirect_error(asio::use_awaitable, failure));
     if (failure)
         co_return HttpError::ConnectFailed;
-    connection->stream.socket().set_option(tcp::no_delay(true), failure);
+    auto& socket = connection->stream.socket();
+    socket.set_option(tcp::no_delay(true), failure);
+    if (this->limits.unacknowledgedTimeout > Duration::zero()) {
+        const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(this->limits.unacknowledgedTimeout);
+        socket.set_option(UserTimeout { static_cast<int>(timeout.count()) }, failure);
+    }
     co_return connection;
 }
 
@@ -201,12 +239,23 @@
     while (!connections.empty()) {
         auto connection = std::move(connections.back());
         connections.pop_back();
-        if (isStillOpen(connection->stream.socket()))
+        if (std::chrono::steady_clock::now() < connection->reusableUntil && isStillOpen(connection->stream.socket()))
             return connection;
     }
     return nullptr;
 }
 
+void HttpClient::closeStaleConnections()
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (auto& [address, connections] : this->idle) {
+        std::erase_if(connections, [&](const auto& connection) {
+            return now >= connection->reusableUntil || !isStillOpen(connection->stream.socket());
+        });
+    }
+    std::erase_if(this->idle, [](const auto& item) { return item.second.empty(); });
+}
+
 void HttpClient::giveBack(std::unique_ptr<Connection> connection)
 {
     auto& connections = this->idle[connection->address];
--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -17,6 +17,10 @@
     Duration connectTimeout { std::chrono::seconds { 1 } };
     std::size_t answerBytes { 64 * 1024 * 1024 };
     std::size_t idleConnectionsPerAddress { 64 };
+    Duration idleLifetime { std::chrono::seconds { 60 } }; // Unless the server states a shorter one.
+    Duration unacknowledgedTimeout {
+        0
+    }; // Bytes without acknowledgement for so long break a connection; 0: the system's.
 };
 
 enum class ConnectionReuse {
@@ -49,6 +53,9 @@
     // Reads what is left of the body.
     boost::asio::awaitable<HttpResult<std::string>> readAll(Duration timeout);
 
+    // Closes the connection instead of keeping it for another request.
+    void discard();
+
 private:
     friend class HttpClient;
     struct Connection;
@@ -64,7 +71,8 @@
     explicit HttpClient(boost::asio::any_io_executor executor, HttpClientLimits limits = {});
     ~HttpClient();
 
-    // Sends a request and waits up to `timeout` for the header of its answer. ConnectFailed when `gate` forbids it.
+    // Sends a request and waits up to `timeout` for the header of its answer. ConnectFailed when `gate` forbids it. A
+    // request without a Host header gets the address as its host.
     boost::asio::awaitable<HttpResult<HttpCall>> start(std::string address, HttpRequest request, Duration timeout,
         ConnectionReuse reuse = ConnectionReuse::Allowed, SendGate* gate = nullptr);
 
@@ -72,6 +80,9 @@
     boost::asio::awaitable<HttpResult<HttpResponse>> call(
         std::string address, HttpRequest request, Duration timeout, ConnectionReuse reuse = ConnectionReuse::Allowed);
 
+    // Closes idle connections whose lifetime is over or whose server has closed them.
+    void closeStaleConnections();
+
 private:
     friend class HttpCall;
     using Connection = HttpCall::Connection;
--- a/src/base/HttpServer.cpp
+++ b/src/base/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -45,6 +46,7 @@
     std::unordered_set<Session*> sessions;
     std::size_t exchanges { 0 };
     bool isDraining { false };
+    bool announcesClose { false };
 };
 
 class HttpServer::Session final : public HttpExchange, public std::enable_shared_from_this<Session> {
@@ -148,7 +150,8 @@
 private:
     bool keepsAlive() const
     {
-        return this->isReusable && !this->state->isDraining && this->parser && this->parser->get().keep_alive();
+        return this->isReusable && !this->state->isDraining && !this->state->announcesClose && this->parser
+            && this->parser->get().keep_alive();
     }
 
     bool noteSent(const error_code& failure)
@@ -196,11 +199,24 @@
         using namespace asio::experimental::awaitable_operators;
         this->stream.expires_never();
         error_code failure;
+        if (this->buffer.size() == 0 && !co_await this->waitForRequest())
+            co_return beast::error::timeout;
         asio::steady_timer timer { this->state->context, this->state->limits.receiveTimeout };
         const auto first = co_await (this->readMessage(failure) || timer.async_wait(asio::use_awaitable));
         co_return first.index() == 1 ? beast::error::timeout : failure;
     }
 
+    // Waits for the first byte of the next request. False when the connection stayed idle for too long.
+    asio::awaitable<bool> waitForRequest()
+    {
+        using namespace asio::experimental::awaitable_operators;
+        asio::steady_timer timer { this->state->context, this->state->limits.idleTimeout };
+        const auto first
+            = co_await (this->stream.socket().async_wait(tcp::socket::wait_read, asio::as_tuple(asio::use_awaitable))
+                || timer.async_wait(asio::use_awaitable));
+        co_return first.index() == 0;
+    }
+
     asio::awaitable<void> readMessage(error_code& failure)
     {
         co_await http::async_read_header(
@@ -289,6 +305,16 @@
     }
 }
 
+void HttpServer::setLimits(const HttpServerLimits& limits)
+{
+    this->state->limits = limits;
+}
+
+void HttpServer::announceClose()
+{
+    this->state->announcesClose = true;
+}
+
 asio::awaitable<void> HttpServer::drain()
 {
     auto state = this->state;
--- a/src/base/HttpServer.h
+++ b/src/base/HttpServer.h
@@ -19,7 +19,8 @@
     std::size_t headerBytes { 16 * 1024 };
     std::size_t bodyBytes { 32 * 1024 * 1024 };
     std::size_t connections { 16384 };
-    Duration receiveTimeout { std::chrono::seconds { 15 } }; // For a whole request to arrive.
+    Duration idleTimeout { std::chrono::seconds { 15 } }; // Between two requests on a connection.
+    Duration receiveTimeout { std::chrono::seconds { 15 } }; // For a whole request to arrive, from its first byte.
     Duration sendTimeout { std::chrono::seconds { 10 } }; // For the caller to take each piece of an answer.
 };
 
@@ -73,6 +74,12 @@
     // Binds and starts to accept. Returns the bound port; throws boost::system::system_error when it cannot bind.
     std::uint16_t listen(std::string_view address);
 
+    // Takes effect with the next request on each connection.
+    void setLimits(const HttpServerLimits& limits);
+
+    // From now on every answer announces that its connection closes. New connections and requests are still served.
+    void announceClose();
+
     // Closes the listener and idle connections, and returns when the last exchange has ended.
     boost::asio::awaitable<void> drain();
 
--- a/src/platform/HttpPlatformLog.cpp
+++ b/src/logservice/HttpPlatformLog.cpp
@@ -1,4 +1,4 @@
-#include "platform/HttpPlatformLog.h"
+#include "logservice/HttpPlatformLog.h"
 
 #include <boost/beast/http/verb.hpp>
 #include <boost/json.hpp>
--- a/src/programs/DispatcherMain.cpp
+++ b/src/programs/DispatcherMain.cpp
@@ -7,7 +7,7 @@
 #include "base/InstanceSettings.h"
 #include "base/Program.h"
 #include "dispatch/Dispatcher.h"
-#include "platform/HttpPlatformLog.h"
+#include "logservice/HttpPlatformLog.h"
 #include "rpc/RpcServer.h"
 
 using namespace marigoldpaddle;
--- a/src/programs/MarigoldctlMain.cpp
+++ b/src/programs/MarigoldctlMain.cpp
@@ -6,7 +6,7 @@
 
 #include "base/HttpClient.h"
 #include "base/Settings.h"
-#include "platform/HttpPlatformLog.h"
+#include "logservice/HttpPlatformLog.h"
 #include "programs/ControlSession.h"
 #include "rpc/RpcClient.h"
 
--- /dev/null
+++ b/src/serving/LoadLedger.cpp
@@ -0,0 +1,109 @@
+#include "serving/LoadLedger.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace marigoldpaddle {
+
+namespace {
+
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+// Reading that takes longer than expected counts for this share of its estimate until the first token arrives.
+constexpr double OverdueShare = 0.25;
+
+}
+
+TargetLoad& TargetLoad::operator+=(const TargetLoad& other)
+{
+    this->backlogMs += other.backlogMs;
+    this->running += other.running;
+    this->bulkParts += other.bulkParts;
+    this->memoryTokens += other.memoryTokens;
+    return *this;
+}
+
+TargetLoad LoadLedger::Entry::load(TimePoint now) const
+{
+    TargetLoad load { 0, 1, 0, this->work.memoryTokens };
+    if (this->isRead)
+        return load;
+    load.bulkParts = this->work.isBulk ? 1 : 0;
+    const auto left = Milliseconds(this->expectedReadAt - now).count();
+    load.backlogMs = std::clamp(left, this->work.readMs * OverdueShare, this->work.readMs);
+    return load;
+}
+
+LoadLedger::Handle LoadLedger::begin(std::string_view target, const TargetWork& work, TimePoint now)
+{
+    const auto hash = hashOf(target);
+    const auto wait = Milliseconds { this->totalOf(hash, now).backlogMs + work.readMs };
+    const auto handle = ++this->lastHandle;
+    this->entries.emplace(handle, Entry { hash, work, now + std::chrono::duration_cast<Duration>(wait), false });
+    this->byTarget[hash].push_back(handle);
+    return handle;
+}
+
+void LoadLedger::noteRead(Handle handle)
+{
+    if (const auto found = this->entries.find(handle); found != this->entries.end())
+        found->second.isRead = true;
+}
+
+void LoadLedger::end(Handle handle)
+{
+    const auto found = this->entries.find(handle);
+    if (found == this->entries.end())
+        return;
+    const auto handles = this->byTarget.find(found->second.target);
+    std::erase(handles->second, handle);
+    if (handles->second.empty())
+        this->byTarget.erase(handles);
+    this->entries.erase(found);
+}
+
+void LoadLedger::applyPeer(
+    std::string_view peer, const std::unordered_map<std::uint64_t, TargetLoad>& loads, TimePoint now)
+{
+    std::erase_if(this->peers, [&](const auto& item) { return now - item.second.heardAt > PeerLifetime; });
+    this->peers.insert_or_assign(std::string { peer }, Peer { loads, now });
+}
+
+TargetLoad LoadLedger::total(std::string_view target, TimePoint now) const
+{
+    return this->totalOf(hashOf(target), now);
+}
+
+TargetLoad LoadLedger::totalOf(std::uint64_t target, TimePoint now) const
+{
+    TargetLoad sum;
+    if (const auto handles = this->byTarget.find(target); handles != this->byTarget.end()) {
+        for (const auto handle : handles->second)
+            sum += this->entries.at(handle).load(now);
+    }
+    for (const auto& [name, peer] : this->peers) {
+        const auto found = peer.loads.find(target);
+        if (found == peer.loads.end() || now - peer.heardAt > PeerLifetime)
+            continue;
+        auto load = found->second;
+        load.backlogMs = std::max(0.0, load.backlogMs - Milliseconds(now - peer.heardAt).count());
+        sum += load;
+    }
+    return sum;
+}
+
+std::unordered_map<std::uint64_t, TargetLoad> LoadLedger::own(TimePoint now) const
+{
+    std::unordered_map<std::uint64_t, TargetLoad> loads;
+    for (const auto& [handle, entry] : this->entries)
+        loads[entry.target] += entry.load(now);
+    return loads;
+}
+
+std::uint64_t LoadLedger::hashOf(std::string_view target)
+{
+    return XXH3_64bits(target.data(), target.size());
+}
+
+}
--- /dev/null
+++ b/src/serving/LoadLedger.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <marigoldpaddle/Clock.h>
+
+namespace marigoldpaddle {
+
+// Work that a target has been given and not yet finished.
+struct TargetLoad {
+    double backlogMs { 0 }; // Prompt reading still to be done.
+    unsigned running { 0 }; // Requests that occupy a place, read or written.
+    unsigned bulkParts { 0 }; // Of these, parts of prompts whose reading stretches the passes of the others.
+    std::int64_t memoryTokens { 0 };
+
+    TargetLoad& operator+=(const TargetLoad& other);
+    bool operator==(const TargetLoad&) const = default;
+};
+
+// One piece of work for one target.
+struct TargetWork {
+    double readMs { 0 };
+    std::int64_t memoryTokens { 0 };
+    bool isBulk { false };
+};
+
+// Adds up what this instance and its peers have sent to each target. Reports of the targets are some hundred
+// milliseconds old; what was sent is known at once. A pure core: answers the load pattern of a swing between short and
+// long prompts within a second, where old reports send every instance to the same idle target.
+class LoadLedger {
+public:
+    // A peer that has been silent for so long no longer counts: it has sent three notices in that time, or is gone.
+    static constexpr Duration PeerLifetime = std::chrono::milliseconds { 1500 };
+
+    using Handle = std::uint64_t;
+
+    // Notes work as sent, until end().
+    Handle begin(std::string_view target, const TargetWork& work, TimePoint now);
+
+    // The prompt has been read; its memory and place stay occupied.
+    void noteRead(Handle handle);
+    void end(Handle handle);
+
+    // Takes a peer's own loads. Targets are named by their hash.
+    void applyPeer(std::string_view peer, const std::unordered_map<std::uint64_t, TargetLoad>& loads, TimePoint now);
+
+    // Returns everything that is known to be at a target.
+    TargetLoad total(std::string_view target, TimePoint now) const;
+
+    // Returns the loads of this instance alone, by hash of the target.
+    std::unordered_map<std::uint64_t, TargetLoad> own(TimePoint now) const;
+
+    static std::uint64_t hashOf(std::string_view target);
+
+private:
+    struct Entry {
+        std::uint64_t target { 0 };
+        TargetWork work;
+        TimePoint expectedReadAt {};
+        bool isRead { false };
+
+        TargetLoad load(TimePoint now) const;
+    };
+
+    struct Peer {
+        std::unordered_map<std::uint64_t, TargetLoad> loads;
+        TimePoint heardAt {};
+    };
+
+    TargetLoad totalOf(std::uint64_t target, TimePoint now) const;
+
+    std::unordered_map<Handle, Entry> entries;
+    std::unordered_map<std::uint64_t, std::vector<Handle>> byTarget;
+    std::map<std::string, Peer, std::less<>> peers;
+    Handle lastHandle { 0 };
+};
+
+// Ends a piece of work when it goes out of scope.
+class LedgerEntry {
+public:
+    LedgerEntry(LoadLedger& ledger, std::string_view target, const TargetWork& work, TimePoint now)
+        : ledger(&ledger)
+        , handle(ledger.begin(target, work, now))
+    {
+    }
+
+    ~LedgerEntry()
+    {
+        if (this->ledger)
+            this->ledger->end(this->handle);
+    }
+
+    LedgerEntry(LedgerEntry&& other) noexcept
+        : ledger(std::exchange(other.ledger, nullptr))
+        , handle(other.handle)
+    {
+    }
+
+    LedgerEntry(const LedgerEntry&) = delete;
+    LedgerEntry& operator=(const LedgerEntry&) = delete;
+    LedgerEntry& operator=(LedgerEntry&&) = delete;
+
+    void noteRead()
+    {
+        this->ledger->noteRead(this->handle);
+    }
+
+private:
+    LoadLedger* ledger;
+    LoadLedger::Handle handle;
+};
+
+}
--- /dev/null
+++ b/src/serving/ServingGateway.cpp
@@ -0,0 +1,398 @@
+#include "serving/ServingGateway.h"
+
+#include <algorithm>
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace marigoldpaddle {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// An answer reaches the caller this long before it stops waiting.
+constexpr Duration AnswerMargin = std::chrono::milliseconds { 30 };
+// Targets that may be tried for one call, counting those that did not run it.
+constexpr unsigned MaximumTries = 4;
+// When a refused caller may come back if nothing better is known: a full engine has ended an answer by then.
+constexpr Duration DefaultRetryAfter = std::chrono::milliseconds { 300 };
+// Engines that lose a helper stall for so long before they give up; a shorter silence is no sign of a fault.
+constexpr Duration LongestNormalGap = std::chrono::milliseconds { 1500 };
+// Short prompts go before long ones in an engine's queue; 5 is the middle.
+constexpr int ShortUrgency = 3;
+constexpr int BulkUrgency = 6;
+
+bool isSuccess(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
+std::string_view outcomeName(SendOutcome outcome)
+{
+    switch (outcome) {
+    case SendOutcome::Answered:
+        return "answered";
+    case SendOutcome::Failed:
+        return "failed";
+    case SendOutcome::Unreachable:
+        return "unreachable";
+    case SendOutcome::Declined:
+        return "declined";
+    }
+    return "invalid";
+}
+
+class SendNote final : public SendGate {
+public:
+    bool mayWrite() override
+    {
+        this->isWritten = true;
+        return true;
+    }
+
+    bool isWritten { false };
+};
+
+}
+
+struct ServingGateway::Call {
+    Call(HttpExchange& exchange, TimePoint now)
+        : exchange(exchange)
+        , receivedAt(now)
+    {
+    }
+
+    HttpExchange& exchange;
+    TimePoint receivedAt;
+    TimePoint deadline {};
+    CallerTerms terms;
+    std::shared_ptr<const ActiveConfiguration> configuration;
+    const Route* route { nullptr };
+    const ServiceProfile* service { nullptr };
+    std::string workspace;
+    std::set<std::string> tried;
+    unsigned tries { 0 };
+    unsigned runs { 0 }; // Attempts that may have run.
+    std::optional<HttpResponse> targetFailure; // Passed on when nothing better comes.
+    std::optional<EventStream> stream; // Once events may reach the caller.
+    bool isAnswering { false }; // The caller has bytes of its answer, or is about to.
+    bool didFinish { false };
+};
+
+ServingGateway::ServingGateway(const Parts& parts, TargetChooser chooser)
+    : parts(parts)
+    , chooser(std::move(chooser))
+{
+}
+
+asio::awaitable<void> ServingGateway::handle(HttpExchange& exchange)
+{
+    using namespace asio::experimental::awaitable_operators;
+    Call call { exchange, this->parts.clock.now() };
+    call.terms = this->parts.format.callerTerms(exchange.request());
+    call.configuration = this->parts.view.configuration();
+    if (!call.configuration)
+        co_return co_await this->refuse(call, 503, "no_configuration");
+    call.route = call.configuration->routes.find(
+        exchange.request()[boost::beast::http::field::host], exchange.request().target());
+    if (!call.route)
+        co_return co_await this->refuse(call, 404, "no_route");
+    if (!this->admit(call))
+        co_return co_await this->refuse(call, 401, "unknown_key");
+    const auto patience = std::min(call.route->timeout, call.terms.remaining.value_or(call.route->timeout));
+    call.deadline = call.receivedAt + patience - AnswerMargin;
+
+    const auto first
+        = co_await (this->forward(call) || exchange.waitUntilCallerIsGone() || this->waitUntilDeadline(call));
+    if (first.index() == 1)
+        this->finish(call, "caller_gone", 0);
+    else if (first.index() == 2 && !call.isAnswering)
+        co_await this->finishUnserved(call);
+    else if (first.index() == 2)
+        this->finish(call, "cut_at_deadline", 0);
+}
+
+bool ServingGateway::admit(Call& call)
+{
+    const auto& values = call.configuration->values;
+    if (call.route->isPublic || !values.requiresKeys)
+        return true;
+    const auto workspace = values.workspaceByKey.find(call.terms.apiKey);
+    if (workspace == values.workspaceByKey.end())
+        return false;
+    call.workspace = workspace->second;
+    return true;
+}
+
+asio::awaitable<void> ServingGateway::forward(Call& call)
+{
+    call.service = call.configuration->values.service(this->chooser.chooseService(*call.route));
+    if (!call.service)
+        co_return co_await this->refuse(call, 503, "no_service");
+    Attempt last = Attempt::NotSent;
+    while (call.tries == 0 || this->maySendAgain(call, last)) {
+        const auto choice = this->chooser.choose(
+            { *call.route, *call.service, call.terms.prompt, call.tried }, this->parts.clock.now());
+        if (!choice)
+            break;
+        ++call.tries;
+        call.tried.insert(choice->target.id);
+        last = co_await this->send(call, *choice);
+        if (last == Attempt::Done)
+            co_return;
+        if (last == Attempt::MayHaveRun)
+            ++call.runs;
+    }
+    co_await this->finishUnserved(call);
+}
+
+bool ServingGateway::maySendAgain(Call& call, Attempt last)
+{
+    if (call.tries >= MaximumTries || this->remaining(call) <= Duration::zero())
+        return false;
+    if (call.runs > 0 && (!call.route->mayRunAgain() || call.runs >= call.route->maximumAttempts))
+        return false;
+    if (last == Attempt::NotSent)
+        return true;
+    return this->parts.budget.trySpend(call.service->name, this->parts.clock.now());
+}
+
+Duration ServingGateway::remaining(const Call& call) const
+{
+    return call.deadline - this->parts.clock.now();
+}
+
+// A repeatable request leaves time for another target when this one stays silent.
+Duration ServingGateway::firstByteTimeout(const Call& call, const TargetChoice& choice) const
+{
+    const auto left = this->remaining(call);
+    const bool isLast = !call.route->mayRunAgain() || call.runs + 1 >= call.route->maximumAttempts;
+    if (isLast)
+        return left;
+    return std::min(left, 2 * choice.expected + call.route->objective);
+}
+
+std::vector<LedgerEntry> ServingGateway::noteWork(const TargetChoice& choice)
+{
+    const auto now = this->parts.clock.now();
+    std::vector<LedgerEntry> work;
+    work.reserve(1 + choice.helpers.size());
+    work.emplace_back(this->parts.ledger, choice.target.id, choice.work, now);
+    for (const auto& helper : choice.helpers)
+        work.emplace_back(this->parts.ledger, helper.id, TargetWork { choice.work.readMs, 0, choice.work.isBulk }, now);
+    return work;
+}
+
+asio::awaitable<ServingGateway::Attempt> ServingGateway::send(Call& call, const TargetChoice& choice)
+{
+    auto work = this->noteWork(choice);
+    const auto now = this->parts.clock.now();
+    this->parts.log.write("sent",
+        { { "id", call.terms.attemptId }, { "try", std::uint64_t { call.tries } }, { "target", choice.target.id },
+            { "address", choice.target.address }, { "helpers", std::uint64_t { choice.helpers.size() } },
+            { "expected_ms", choice.expected }, { "left_ms", this->remaining(call) },
+            { "version", this->parts.view.version() },
+            { "targets_age_ms", this->parts.view.targets.age(now).value_or(Duration::zero()) } });
+    SendTerms terms;
+    terms.targetId = choice.target.id;
+    terms.remaining = this->remaining(call);
+    terms.workspace = call.workspace;
+    if (call.stream)
+        terms.lastEventId = call.stream->lastId();
+    if (call.terms.prompt)
+        terms.urgency = choice.work.isBulk ? BulkUrgency : ShortUrgency;
+    for (const auto& helper : choice.helpers)
+        terms.helpers.push_back({ helper.address, {} });
+    if (call.tries == 1)
+        this->parts.budget.noteFirst(call.service->name, now);
+
+    SendNote note;
+    const auto reuse = call.route->mayRunAgain() ? ConnectionReuse::Allowed : ConnectionReuse::Forbidden;
+    auto answer = co_await this->parts.client.start(choice.target.address,
+        this->parts.format.requestFor(call.exchange.request(), terms), this->firstByteTimeout(call, choice), reuse,
+        &note);
+    if (!answer) {
+        this->noteOutcome(call, choice, SendOutcome::Unreachable, name(answer.error()));
+        co_return note.isWritten ? Attempt::MayHaveRun : Attempt::NotSent;
+    }
+    auto& received = answer.value();
+    const auto said = this->parts.format.answerTerms(received.header());
+    if (said.attemptId != call.terms.attemptId) {
+        received.discard();
+        this->noteOutcome(call, choice, SendOutcome::Failed, "answer_to_other_request");
+        co_return Attempt::MayHaveRun;
+    }
+    if (said.isOtherTarget)
+        this->parts.view.targets.markLeaving(choice.target.id);
+    if (said.didNotRun) {
+        this->noteOutcome(call, choice, SendOutcome::Declined, said.isOtherTarget ? "other_target" : "not_run");
+        co_return Attempt::NotRun;
+    }
+    const auto status = received.header().result_int();
+    if (isSuccess(status) && (!said.isSealed || said.isEncoded)) {
+        received.discard();
+        this->noteOutcome(call, choice, SendOutcome::Failed, "unsealed");
+        co_return Attempt::MayHaveRun;
+    }
+    if (call.route->kind == RouteKind::Stream && isSuccess(status))
+        co_return co_await this->relayStream(call, received, choice, work);
+    const auto ended = co_await this->relayWhole(call, received, choice.target.id);
+    this->noteOutcome(call, choice, ended == Attempt::Done ? SendOutcome::Answered : SendOutcome::Failed, "whole");
+    co_return ended;
+}
+
+asio::awaitable<ServingGateway::Attempt> ServingGateway::relayWhole(
+    Call& call, HttpCall& answer, const std::string& target)
+{
+    auto body = co_await answer.readAll(this->remaining(call));
+    if (!body) {
+        this->parts.log.write("answer_broken",
+            { { "id", call.terms.attemptId }, { "target", target }, { "detail", name(body.error()) } });
+        co_return Attempt::MayHaveRun;
+    }
+    HttpResponse response { this->parts.format.headerForCaller(answer.header()).base() };
+    response.body() = std::move(body).value();
+    response.prepare_payload();
+    const auto status = response.result_int();
+    if (status >= 500) {
+        call.targetFailure = std::move(response);
+        co_return Attempt::MayHaveRun;
+    }
+    call.isAnswering = true;
+    const bool isDelivered = co_await call.exchange.respond(std::move(response));
+    this->finish(call, isDelivered ? "answered" : "caller_gone", status);
+    co_return Attempt::Done;
+}
+
+asio::awaitable<ServingGateway::Attempt> ServingGateway::relayStream(
+    Call& call, HttpCall& answer, const TargetChoice& choice, std::vector<LedgerEntry>& work)
+{
+    const bool isFirst = !call.stream;
+    if (isFirst)
+        call.stream.emplace(call.terms.lastEventId);
+    else
+        call.stream.emplace(call.stream->lastId());
+    auto& stream = *call.stream;
+    auto timeout = this->firstByteTimeout(call, choice);
+    while (true) {
+        auto piece = co_await answer.readSome(std::min(timeout, this->remaining(call)));
+        timeout = std::max(LongestNormalGap, 3 * call.route->gapObjective);
+        if (!piece) {
+            this->noteOutcome(call, choice, SendOutcome::Failed, name(piece.error()));
+            co_return Attempt::MayHaveRun;
+        }
+        const bool isEnd = piece.value().empty();
+        const auto events = stream.take(piece.value());
+        if (stream.isBroken() || (isEnd && stream.isInsideEvent())) {
+            answer.discard();
+            this->noteOutcome(call, choice, SendOutcome::Failed, "broken_events");
+            co_return Attempt::MayHaveRun;
+        }
+        if (!call.isAnswering && (isEnd || !events.empty())) {
+            call.isAnswering = true;
+            std::ranges::for_each(work, &LedgerEntry::noteRead);
+            while (work.size() > 1)
+                work.pop_back();
+            this->parts.metrics.histogram("marigold_first_event_seconds")
+                .record(this->parts.clock.now() - call.receivedAt);
+            this->parts.log.write("first_event",
+                { { "id", call.terms.attemptId }, { "target", choice.target.id },
+                    { "after_ms", this->parts.clock.now() - call.receivedAt },
+                    { "prompt_tokens", call.terms.prompt.value_or(PromptSize {}).promptTokens } });
+            if (!co_await call.exchange.beginStream(this->parts.format.headerForCaller(answer.header())))
+                break;
+        }
+        if (!events.empty() && !co_await call.exchange.write(events))
+            break;
+        if (!isEnd)
+            continue;
+        const bool isDelivered = co_await call.exchange.endStream();
+        this->noteOutcome(call, choice, SendOutcome::Answered, "stream");
+        this->finish(call, isDelivered ? "answered" : "caller_gone", answer.header().result_int());
+        co_return Attempt::Done;
+    }
+    this->finish(call, "caller_gone", 0);
+    co_return Attempt::Done;
+}
+
+// The final answer of a call that no target has answered well. 503 promises that the request has not run.
+asio::awaitable<void> ServingGateway::finishUnserved(Call& call)
+{
+    if (call.isAnswering) {
+        this->finish(call, "stream_broken", 0);
+        co_return;
+    }
+    if (call.targetFailure) {
+        const auto status = call.targetFailure->result_int();
+        call.isAnswering = true;
+        co_await call.exchange.respond(std::move(*call.targetFailure));
+        this->finish(call, "target_failure", status);
+        co_return;
+    }
+    const bool isLate = this->remaining(call) <= Duration::zero();
+    if (call.runs > 0 || (call.tries > 0 && isLate))
+        co_return co_await this->refuse(call, isLate ? 504 : 502, "may_have_run");
+    co_await this->refuse(call, 503, call.tries > 0 ? "targets_declined" : "no_target");
+}
+
+asio::awaitable<void> ServingGateway::refuse(Call& call, unsigned status, std::string_view reason)
+{
+    call.isAnswering = true;
+    const auto retryAfter = status == 503 ? std::optional { DefaultRetryAfter } : std::nullopt;
+    co_await call.exchange.respond(this->parts.format.ownAnswer(status, reason, retryAfter));
+    this->parts.metrics.counter("marigold_refusals_total", "reason=\"" + std::string { reason } + "\"").increment();
+    this->finish(call, reason, status);
+}
+
+asio::awaitable<void> ServingGateway::waitUntilDeadline(Call& call)
+{
+    asio::steady_timer timer { this->parts.context, call.deadline };
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+void ServingGateway::noteOutcome(Call& call, const TargetChoice& choice, SendOutcome outcome, std::string_view detail)
+{
+    const auto now = this->parts.clock.now();
+    this->parts.health.note(choice.target.id, outcome, now);
+    if (outcome == SendOutcome::Answered)
+        return;
+    this->parts.log.write("attempt_ended",
+        { { "id", call.terms.attemptId }, { "target", choice.target.id }, { "outcome", outcomeName(outcome) },
+            { "detail", detail }, { "after_ms", now - call.receivedAt } });
+}
+
+void ServingGateway::finish(Call& call, std::string_view outcome, unsigned status)
+{
+    if (call.didFinish)
+        return;
+    call.didFinish = true;
+    const auto took = this->parts.clock.now() - call.receivedAt;
+    const auto route = call.route ? std::string_view { call.route->name } : std::string_view { "-" };
+    this->parts.log.write("finished",
+        { { "id", call.terms.attemptId }, { "route", route }, { "workspace", call.workspace }, { "outcome", outcome },
+            { "status", std::uint64_t { status } }, { "tries", std::uint64_t { call.tries } },
+            { "runs", std::uint64_t { call.runs } }, { "took_ms", took } });
+    this->parts.metrics.counter("marigold_requests_total", "outcome=\"" + std::string { outcome } + "\"").increment();
+    this->parts.metrics.histogram("marigold_request_seconds").record(took);
+}
+
+HttpResponse ServingGateway::describeFault(HttpFault fault)
+{
+    switch (fault) {
+    case HttpFault::Malformed:
+        return this->parts.format.ownAnswer(400, "malformed_request", std::nullopt);
+    case HttpFault::HeaderTooLarge:
+        return this->parts.format.ownAnswer(431, "header_too_large", std::nullopt);
+    case HttpFault::BodyTooLarge:
+        return this->parts.format.ownAnswer(413, "body_too_large", std::nullopt);
+    case HttpFault::TooSlow:
+        return this->parts.format.ownAnswer(408, "request_too_slow", std::nullopt);
+    case HttpFault::TooManyConnections:
+        return this->parts.format.ownAnswer(503, "too_many_connections", DefaultRetryAfter);
+    }
+    return this->parts.format.ownAnswer(500, "internal", std::nullopt);
+}
+
+}
--- /dev/null
+++ b/src/serving/ServingGateway.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <marigoldpaddle/Clock.h>
+
+#include "base/EventLog.h"
+#include "base/HttpClient.h"
+#include "base/HttpServer.h"
+#include "base/Metrics.h"
+#include "serving/CallFormat.h"
+#include "serving/EventStream.h"
+#include "serving/LoadLedger.h"
+#include "serving/RetryBudget.h"
+#include "serving/ServingView.h"
+#include "serving/TargetChooser.h"
+#include "serving/TargetHealth.h"
+
+namespace marigoldpaddle {
+
+// Takes callers' requests and passes them on to targets, byte for byte. Every request gets exactly one final answer:
+// the target's, or a refusal that says truthfully whether the request may have run.
+class ServingGateway final : public HttpHandler {
+public:
+    struct Parts {
+        boost::asio::io_context& context;
+        const Clock& clock;
+        const CallFormat& format;
+        ServingView& view;
+        LoadLedger& ledger;
+        TargetHealth& health;
+        RetryBudget& budget;
+        HttpClient& client;
+        EventLog& log;
+        MetricsRegistry& metrics;
+    };
+
+    // Everything that the parts refer to must outlive the gateway.
+    ServingGateway(const Parts& parts, TargetChooser chooser);
+
+    boost::asio::awaitable<void> handle(HttpExchange& exchange) override;
+    HttpResponse describeFault(HttpFault fault) override;
+
+private:
+    struct Call;
+
+    // How one attempt at a target ended.
+    enum class Attempt {
+        Done, // The caller has its whole answer, or is gone.
+        NotSent, // Not a byte reached a target.
+        NotRun, // The target states that it did not run the request.
+        MayHaveRun, // Anything else.
+    };
+
+    bool admit(Call& call);
+    boost::asio::awaitable<void> forward(Call& call);
+    boost::asio::awaitable<Attempt> send(Call& call, const TargetChoice& choice);
+    boost::asio::awaitable<Attempt> relayWhole(Call& call, HttpCall& answer, const std::string& target);
+    boost::asio::awaitable<Attempt> relayStream(
+        Call& call, HttpCall& answer, const TargetChoice& choice, std::vector<LedgerEntry>& work);
+    boost::asio::awaitable<void> finishUnserved(Call& call);
+    boost::asio::awaitable<void> refuse(Call& call, unsigned status, std::string_view reason);
+    boost::asio::awaitable<void> waitUntilDeadline(Call& call);
+    bool maySendAgain(Call& call, Attempt last);
+    Duration remaining(const Call& call) const;
+    Duration firstByteTimeout(const Call& call, const TargetChoice& choice) const;
+    std::vector<LedgerEntry> noteWork(const TargetChoice& choice);
+    void noteOutcome(Call& call, const TargetChoice& choice, SendOutcome outcome, std::string_view detail);
+    void finish(Call& call, std::string_view outcome, unsigned status);
+
+    Parts parts;
+    TargetChooser chooser;
+};
+
+}
--- /dev/null
+++ b/src/serving/ServingNode.cpp
@@ -0,0 +1,244 @@
+#include "serving/ServingNode.h"
+
+#include <algorithm>
+#include <random>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/EventLog.h"
+#include "base/HttpClient.h"
+#include "base/HttpServer.h"
+#include "base/Metrics.h"
+#include "serving/ServingGateway.h"
+
+namespace marigoldpaddle {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// The balancer asks once a second and needs two misses.
+constexpr Duration BalancerNotice = std::chrono::milliseconds { 3300 };
+// Before the kill, to end what is left in order.
+constexpr Duration ExitMargin = std::chrono::milliseconds { 300 };
+constexpr Duration HousekeepingPeriod = std::chrono::seconds { 1 };
+// A target in another zone takes a connection within some round trips; a lost first packet comes again after a second.
+constexpr Duration TargetConnectTimeout = std::chrono::milliseconds { 400 };
+// Silence of the network, as opposed to that of a busy target.
+constexpr Duration TargetUnacknowledged = std::chrono::seconds { 2 };
+
+constexpr SettingSpecification Specifications[] = {
+    { "instance", "name", SettingKind::Text, 0, 0, std::nullopt, "name of this instance" },
+    { "instance", "zone", SettingKind::Text, 0, 0, std::nullopt, "availability zone" },
+    { "listen", "callers", SettingKind::Address, 0, 0, std::nullopt, "address for callers" },
+    { "listen", "ready", SettingKind::Address, 0, 0, std::nullopt, "address for the balancer's readiness checks" },
+    { "listen", "metrics", SettingKind::Text, 0, 0, "", "address of the metrics; empty for none" },
+    { "platform", "address", SettingKind::Address, 0, 0, std::nullopt, "address of the platform's store" },
+    { "platform", "timeout_ms", SettingKind::Milliseconds, 10, 60'000, "1000", "time for the store to answer" },
+    { "bounds", "configuration_ms", SettingKind::Milliseconds, 100, 600'000, "2000",
+        "time until a change of the configuration is in force" },
+    { "bounds", "drain_ms", SettingKind::Milliseconds, 100, 600'000, "2000", "time that a leaving target serves on" },
+    { "bounds", "grace_s", SettingKind::Real, 0.1, 600, "8", "time from the stop signal to the kill, in seconds" },
+    { "retries", "ratio", SettingKind::Real, 0, 10, "0.2", "further sends for each first one" },
+    { "retries", "window_s", SettingKind::Real, 0.1, 600, "10", "window of the retry budget, in seconds" },
+    { "retries", "slack", SettingKind::Real, 0, 1'000'000, "0",
+        "further sends in a window, of all instances together" },
+    { "log", "lines_per_second", SettingKind::Integer, 1, 1'000'000, "2000", "most log lines in a second" },
+};
+
+// Answers every path alike: the balancer's path is the platform's.
+class ReadyHandler final : public HttpHandler {
+public:
+    explicit ReadyHandler(const bool& isReady)
+        : isReady(isReady)
+    {
+    }
+
+    asio::awaitable<void> handle(HttpExchange& exchange) override
+    {
+        co_await exchange.respond(
+            makeResponse(this->isReady ? 200 : 503, "text/plain", this->isReady ? "ready" : "no"));
+    }
+
+    HttpResponse describeFault(HttpFault) override
+    {
+        return makeResponse(400, "text/plain", "malformed request");
+    }
+
+private:
+    const bool& isReady;
+};
+
+class MetricsHandler final : public HttpHandler {
+public:
+    explicit MetricsHandler(const MetricsRegistry& metrics)
+        : metrics(metrics)
+    {
+    }
+
+    asio::awaitable<void> handle(HttpExchange& exchange) override
+    {
+        co_await exchange.respond(makeResponse(200, "text/plain; version=0.0.4", this->metrics.exposition()));
+    }
+
+    HttpResponse describeFault(HttpFault) override
+    {
+        return makeResponse(400, "text/plain", "malformed request");
+    }
+
+private:
+    const MetricsRegistry& metrics;
+};
+
+Duration seconds(double count)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double> { count });
+}
+
+HttpServerLimits limitsFrom(const CallerLimits& limits)
+{
+    HttpServerLimits server;
+    server.headerBytes = limits.headerBytes;
+    server.bodyBytes = limits.bodyBytes;
+    server.idleTimeout = limits.idleTimeout;
+    server.receiveTimeout = limits.headerTimeout;
+    return server;
+}
+
+}
+
+std::span<const SettingSpecification> servingNodeSpecifications()
+{
+    return Specifications;
+}
+
+ServingNodeSettings servingNodeSettingsFrom(const Settings& values)
+{
+    ServingNodeSettings settings;
+    settings.instance = values.text("instance", "name");
+    settings.availabilityZone = values.text("instance", "zone");
+    settings.callersAddress = values.text("listen", "callers");
+    settings.readyAddress = values.text("listen", "ready");
+    settings.metricsAddress = values.text("listen", "metrics");
+    settings.storeTimeout = values.milliseconds("platform", "timeout_ms");
+    settings.grace = seconds(values.real("bounds", "grace_s"));
+    settings.follower.configurationWait = values.milliseconds("bounds", "configuration_ms") / 2;
+    settings.follower.targetsPeriod = values.milliseconds("bounds", "drain_ms") * 3 / 10;
+    settings.retries.ratio = values.real("retries", "ratio");
+    settings.retries.window = seconds(values.real("retries", "window_s"));
+    settings.retries.slack = values.real("retries", "slack");
+    settings.logLinesPerSecond = static_cast<unsigned>(values.integer("log", "lines_per_second"));
+    return settings;
+}
+
+struct ServingNode::State {
+    State(asio::io_context& context, const Clock& clock, const PlatformParts& platform,
+        const ServingNodeSettings& settings)
+        : context(context)
+        , clock(clock)
+        , settings(settings)
+        , log(clock, { settings.instance, settings.logLinesPerSecond, 4096 })
+        , client(context.get_executor(),
+              { .connectTimeout = TargetConnectTimeout, .unacknowledgedTimeout = TargetUnacknowledged })
+        , budget(settings.retries)
+        , follower(
+              context, clock, platform.store, platform.records, this->view, this->log, this->metrics, settings.follower)
+        , gateway({ context, clock, platform.format, this->view, this->ledger, this->health, this->budget, this->client,
+                      this->log, this->metrics },
+              TargetChooser { this->view.targets, this->ledger, this->health, settings.availabilityZone,
+                  std::mt19937_64 { std::random_device {}() } })
+        , readyHandler(this->isReady)
+        , metricsHandler(this->metrics)
+        , callers(context, this->gateway)
+        , ready(context, this->readyHandler)
+        , exposition(context, this->metricsHandler)
+    {
+    }
+
+    asio::awaitable<void> pause(Duration duration)
+    {
+        asio::steady_timer timer { this->context, duration };
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
+    void updateReadiness()
+    {
+        const bool isReady = !this->isStopping && this->view.configuration() && this->view.targets.size() > 0;
+        if (isReady == this->isReady)
+            return;
+        this->isReady = isReady;
+        this->log.write("readiness", { { "ready", isReady } });
+    }
+
+    asio::awaitable<void> keepHouse()
+    {
+        while (true) {
+            co_await this->pause(this->isReady ? HousekeepingPeriod : HousekeepingPeriod / 20);
+            this->updateReadiness();
+            this->client.closeStaleConnections();
+            this->health.expire(this->clock.now());
+        }
+    }
+
+    asio::io_context& context;
+    const Clock& clock;
+    ServingNodeSettings settings;
+    EventLog log;
+    MetricsRegistry metrics;
+    ServingView view;
+    LoadLedger ledger;
+    TargetHealth health;
+    HttpClient client;
+    RetryBudget budget;
+    ViewFollower follower;
+    ServingGateway gateway;
+    bool isReady { false };
+    bool isStopping { false };
+    ReadyHandler readyHandler;
+    MetricsHandler metricsHandler;
+    HttpServer callers;
+    HttpServer ready;
+    HttpServer exposition;
+};
+
+ServingNode::ServingNode(
+    asio::io_context& context, const Clock& clock, const PlatformParts& platform, const ServingNodeSettings& settings)
+    : state(std::make_unique<State>(context, clock, platform, settings))
+{
+}
+
+ServingNode::~ServingNode() = default;
+
+void ServingNode::start()
+{
+    auto& state = *this->state;
+    state.callers.listen(state.settings.callersAddress);
+    state.ready.listen(state.settings.readyAddress);
+    if (!state.settings.metricsAddress.empty())
+        state.exposition.listen(state.settings.metricsAddress);
+    state.log.write(
+        "started", { { "zone", state.settings.availabilityZone }, { "callers", state.settings.callersAddress } });
+    state.follower.start([&state] { state.callers.setLimits(limitsFrom(state.view.configuration()->values.limits)); });
+    asio::co_spawn(state.context, state.keepHouse(), asio::detached);
+}
+
+asio::awaitable<void> ServingNode::stopGracefully()
+{
+    auto& state = *this->state;
+    const auto killAt = state.clock.now() + state.settings.grace - ExitMargin;
+    state.isStopping = true;
+    state.updateReadiness();
+    state.callers.announceClose();
+    state.log.write("stopping", { { "requests", std::uint64_t { state.callers.activeExchanges() } } });
+    co_await state.pause(std::min(BalancerNotice, state.settings.grace / 2));
+    while (state.callers.activeExchanges() > 0 && state.clock.now() < killAt)
+        co_await state.pause(std::chrono::milliseconds { 20 });
+    state.log.write("stopped", { { "cut_requests", std::uint64_t { state.callers.activeExchanges() } } });
+    state.log.flush();
+    state.context.stop();
+}
+
+}
--- /dev/null
+++ b/src/serving/TargetChooser.cpp
@@ -0,0 +1,98 @@
+#include "serving/TargetChooser.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace marigoldpaddle {
+
+namespace {
+
+// A target that failed all recent sends is as bad as one whose places are all taken twice over.
+constexpr double FailureWeight = 2;
+// Another availability zone costs as much as a tenth of the places in use.
+constexpr double RemoteZoneWeight = 0.1;
+// What a target that fails everything costs a prompt, in milliseconds: an attempt in vain.
+constexpr double FailurePenaltyMs = 600;
+// Candidates this close are chosen by chance, so that instances with the same knowledge spread out.
+constexpr double RandomWeight = 0.05;
+
+}
+
+TargetChooser::TargetChooser(const TargetDirectory& targets, const LoadLedger& ledger, const TargetHealth& health,
+    std::string availabilityZone, std::mt19937_64 random)
+    : targets(targets)
+    , ledger(ledger)
+    , health(health)
+    , availabilityZone(std::move(availabilityZone))
+    , random(random)
+{
+}
+
+std::string_view TargetChooser::chooseService(const Route& route)
+{
+    if (route.shares.empty())
+        return {};
+    std::vector<double> weights;
+    std::ranges::transform(route.shares, std::back_inserter(weights), &ServiceShare::weight);
+    std::discrete_distribution<std::size_t> shares { weights.begin(), weights.end() };
+    return route.shares[shares(this->random)].service;
+}
+
+std::optional<TargetChoice> TargetChooser::choose(const ChoiceDemand& demand, TimePoint now)
+{
+    return demand.service.engine && demand.prompt ? this->chooseEngines(demand, now) : this->choosePlain(demand, now);
+}
+
+std::vector<const TargetEntry*> TargetChooser::usable(const ChoiceDemand& demand, TimePoint now) const
+{
+    auto targets = this->targets.available(demand.service.name);
+    std::erase_if(targets, [&](const TargetEntry* target) { return demand.excluded.contains(target->id); });
+    const auto isEjected = [&](const TargetEntry* target) {
+        return this->health.isEjected(target->id, now);
+    };
+    // When all are ejected, a send finds out whether one is back.
+    if (!std::ranges::all_of(targets, isEjected))
+        std::erase_if(targets, isEjected);
+    return targets;
+}
+
+std::optional<TargetChoice> TargetChooser::choosePlain(const ChoiceDemand& demand, TimePoint now)
+{
+    const TargetEntry* best = nullptr;
+    auto bestCost = std::numeric_limits<double>::max();
+    std::uniform_real_distribution<double> chance { 0, RandomWeight };
+    for (const auto* target : this->usable(demand, now)) {
+        const auto running = static_cast<double>(this->ledger.total(target->id, now).running);
+        const auto cost = running / target->slots + FailureWeight * this->health.failureShare(target->id, now)
+            + (target->availabilityZone == this->availabilityZone ? 0 : RemoteZoneWeight) + chance(this->random);
+        if (cost < bestCost) {
+            best = target;
+            bestCost = cost;
+        }
+    }
+    if (!best)
+        return std::nullopt;
+    return TargetChoice { *best, {}, {}, demand.route.objective };
+}
+
+std::optional<TargetChoice> TargetChooser::chooseEngines(const ChoiceDemand& demand, TimePoint now)
+{
+    std::vector<EngineCandidate> candidates;
+    for (const auto* target : this->usable(demand, now)) {
+        candidates.push_back({ target, this->ledger.total(target->id, now),
+            FailurePenaltyMs * this->health.failureShare(target->id, now),
+            target->availabilityZone == this->availabilityZone });
+    }
+    const PromptPlacement placement { *demand.service.engine };
+    const auto plan = placement.plan({ *demand.prompt, demand.route.objective, demand.route.gapObjective }, candidates);
+    if (!plan)
+        return std::nullopt;
+    TargetChoice choice { *candidates[plan->writer].target, {},
+        { plan->readMs, demand.prompt->promptTokens + demand.prompt->maximumOutputTokens, plan->isBulk },
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli> { plan->expectedMs }) };
+    for (const auto index : plan->helpers)
+        choice.helpers.push_back(*candidates[index].target);
+    return choice;
+}
+
+}
--- /dev/null
+++ b/src/serving/ViewFollower.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <marigoldpaddle/Clock.h>
+
+#include "base/EventLog.h"
+#include "base/Metrics.h"
+#include "serving/PlatformStore.h"
+#include "serving/ServingView.h"
+
+namespace marigoldpaddle {
+
+struct ViewFollowerSettings {
+    Duration configurationWait { std::chrono::seconds { 1 } }; // Half of the time in which a change must be in force.
+    Duration targetsPeriod { std::chrono::milliseconds {
+        600 } }; // A third of the time that a leaving target serves on.
+    Duration retryPause { std::chrono::milliseconds { 250 } }; // After a failed call.
+};
+
+// Follows the platform's keyed streams into the view.
+class ViewFollower {
+public:
+    // Everything that is passed by reference must outlive the follower. `changed` is called after the view changed.
+    ViewFollower(boost::asio::io_context& context, const Clock& clock, PlatformStore& store,
+        const RecordDecoder& decoder, ServingView& view, EventLog& log, MetricsRegistry& metrics,
+        ViewFollowerSettings settings);
+
+    void start(std::function<void()> configurationChanged);
+
+    // The newest configuration record that was taken, for peers that the platform turns away.
+    const std::optional<KeyedRecord>& configurationRecord() const;
+
+    // Takes a configuration record from a peer.
+    void takeConfiguration(const KeyedRecord& record, std::string_view source);
+
+    // Whether the last call to the platform succeeded.
+    bool isConnected() const;
+
+private:
+    boost::asio::awaitable<void> followConfiguration();
+    boost::asio::awaitable<void> followTargets();
+    // Everything if there is no offset to continue at.
+    boost::asio::awaitable<PlatformResult<KeyedPage>> read(
+        KeyedStream stream, std::optional<std::uint64_t> next, Duration wait);
+    boost::asio::awaitable<void> pause(Duration duration);
+    void applyTargets(const KeyedPage& page, bool isWhole);
+    void applyConfiguration(const KeyedPage& page);
+    void noteCall(KeyedStream stream, std::optional<PlatformError> failure);
+
+    boost::asio::io_context& context;
+    const Clock& clock;
+    PlatformStore& store;
+    const RecordDecoder& decoder;
+    ServingView& view;
+    EventLog& log;
+    MetricsRegistry& metrics;
+    ViewFollowerSettings settings;
+    std::function<void()> configurationChanged;
+    std::optional<KeyedRecord> newestConfiguration;
+    std::map<KeyedStream, bool> connected;
+};
+
+}
--- a/test/FollowerRuntime_test.cpp
+++ b/test/FollowerRuntime_test.cpp
@@ -6,7 +6,7 @@
 
 #include "base/HttpServer.h"
 #include "configuration/ConfigurationPublisher.h"
-#include "platform/HttpPlatformLog.h"
+#include "logservice/HttpPlatformLog.h"
 #include "rpc/RpcServer.h"
 #include "standins/ConfigurationChanges.h"
 #include "standins/PlatformStandin.h"
