--- a/src/serving/LoadLedger.cpp
+++ b/src/serving/LoadLedger.cpp
@@ -19,17 +19,23 @@
 {
     this->backlogMs += other.backlogMs;
     this->running += other.running;
-    this->bulkParts += other.bulkParts;
+    this->answers += other.answers;
+    this->longReads += other.longReads;
     this->memoryTokens += other.memoryTokens;
+    this->tightestGap = std::min(this->tightestGap, other.tightestGap);
     return *this;
 }
 
 TargetLoad LoadLedger::Entry::load(TimePoint now) const
 {
-    TargetLoad load { 0, 1, 0, this->work.memoryTokens };
+    TargetLoad load;
+    load.running = 1;
+    load.answers = this->work.isAnswer ? 1 : 0;
+    load.memoryTokens = this->work.memoryTokens;
+    load.tightestGap = this->work.gapObjective;
     if (this->isRead)
         return load;
-    load.bulkParts = this->work.isBulk ? 1 : 0;
+    load.longReads = this->work.isLong ? 1 : 0;
     const auto left = Milliseconds(this->expectedReadAt - now).count();
     load.backlogMs = std::clamp(left, this->work.readMs * OverdueShare, this->work.readMs);
     return load;
@@ -64,10 +70,10 @@
 }
 
 void LoadLedger::applyPeer(
-    std::string_view peer, const std::unordered_map<std::uint64_t, TargetLoad>& loads, TimePoint now)
+    std::string_view peer, const std::unordered_map<std::uint64_t, TargetLoad>& loads, TimePoint now, Duration validity)
 {
-    std::erase_if(this->peers, [&](const auto& item) { return now - item.second.heardAt > PeerLifetime; });
-    this->peers.insert_or_assign(std::string { peer }, Peer { loads, now });
+    std::erase_if(this->peers, [&](const auto& item) { return now >= item.second.validUntil; });
+    this->peers.insert_or_assign(std::string { peer }, Peer { loads, now, now + validity });
 }
 
 TargetLoad LoadLedger::total(std::string_view target, TimePoint now) const
@@ -84,7 +90,7 @@
     }
     for (const auto& [name, peer] : this->peers) {
         const auto found = peer.loads.find(target);
-        if (found == peer.loads.end() || now - peer.heardAt > PeerLifetime)
+        if (found == peer.loads.end() || now >= peer.validUntil)
             continue;
         auto load = found->second;
         load.backlogMs = std::max(0.0, load.backlogMs - Milliseconds(now - peer.heardAt).count());
--- a/src/serving/LoadLedger.h
+++ b/src/serving/LoadLedger.h
@@ -16,8 +16,10 @@
 struct TargetLoad {
     double backlogMs { 0 }; // Prompt reading still to be done.
     unsigned running { 0 }; // Requests that occupy a place, read or written.
-    unsigned bulkParts { 0 }; // Of these, parts of prompts whose reading stretches the passes of the others.
+    unsigned answers { 0 }; // Of these, requests that the target answers itself, instead of helping to read.
+    unsigned longReads { 0 }; // Of these, unread prompts or parts whose reading stretches the passes of the others.
     std::int64_t memoryTokens { 0 };
+    Duration tightestGap { Duration::max() }; // The shortest pause that one of the answers may have.
 
     TargetLoad& operator+=(const TargetLoad& other);
     bool operator==(const TargetLoad&) const = default;
@@ -27,7 +29,9 @@
 struct TargetWork {
     double readMs { 0 };
     std::int64_t memoryTokens { 0 };
-    bool isBulk { false };
+    bool isLong { false };
+    bool isAnswer { true }; // False for a helper's part.
+    Duration gapObjective { Duration::max() }; // Between the events of the answer.
 };
 
 // Adds up what this instance and its peers have sent to each target. Reports of the targets are some hundred
@@ -35,9 +39,6 @@
 // long prompts within a second, where old reports send every instance to the same idle target.
 class LoadLedger {
 public:
-    // A peer that has been silent for so long no longer counts: it has sent three notices in that time, or is gone.
-    static constexpr Duration PeerLifetime = std::chrono::milliseconds { 1500 };
-
     using Handle = std::uint64_t;
 
     // Notes work as sent, until end().
@@ -47,8 +48,9 @@
     void noteRead(Handle handle);
     void end(Handle handle);
 
-    // Takes a peer's own loads. Targets are named by their hash.
-    void applyPeer(std::string_view peer, const std::unordered_map<std::uint64_t, TargetLoad>& loads, TimePoint now);
+    // Takes a peer's own loads, which count for `validity`. Targets are named by their hash.
+    void applyPeer(std::string_view peer, const std::unordered_map<std::uint64_t, TargetLoad>& loads, TimePoint now,
+        Duration validity);
 
     // Returns everything that is known to be at a target.
     TargetLoad total(std::string_view target, TimePoint now) const;
@@ -71,6 +73,7 @@
     struct Peer {
         std::unordered_map<std::uint64_t, TargetLoad> loads;
         TimePoint heardAt {};
+        TimePoint validUntil {};
     };
 
     TargetLoad totalOf(std::uint64_t target, TimePoint now) const;
--- /dev/null
+++ b/src/serving/PeerRunner.cpp
@@ -0,0 +1,291 @@
+#include "serving/PeerRunner.h"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "base/Http.h"
+#include "rpc/Codec.h"
+
+namespace marigoldpaddle {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr Duration TickPeriod = std::chrono::milliseconds { 100 };
+constexpr Duration FetchTimeout = std::chrono::milliseconds { 400 };
+// The largest datagram that UDP carries over loopback and within a fragmenting network.
+constexpr std::size_t MaximumNoticeBytes = 16 * 1024;
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+wire::TargetLoadRecord recordOf(std::uint64_t target, const TargetLoad& load)
+{
+    wire::TargetLoadRecord record;
+    record.target = static_cast<std::int64_t>(target);
+    record.backlogMs = load.backlogMs;
+    record.running = static_cast<std::int32_t>(load.running);
+    record.longReads = static_cast<std::int32_t>(load.longReads);
+    record.memoryTokens = load.memoryTokens;
+    record.answers = static_cast<std::int32_t>(load.answers);
+    if (load.tightestGap < Duration::max())
+        record.tightestGapMs = static_cast<std::int32_t>(milliseconds(load.tightestGap));
+    return record;
+}
+
+TargetLoad loadOf(const wire::TargetLoadRecord& record)
+{
+    const auto count = [](std::int32_t number) {
+        return static_cast<unsigned>(std::max(0, number));
+    };
+    TargetLoad load;
+    load.backlogMs = std::max(0.0, record.backlogMs);
+    load.running = count(record.running);
+    load.longReads = count(record.longReads);
+    load.answers = count(record.answers);
+    load.memoryTokens = std::max<std::int64_t>(0, record.memoryTokens);
+    if (record.tightestGapMs > 0)
+        load.tightestGap = std::chrono::milliseconds { record.tightestGapMs };
+    return load;
+}
+
+// A later start of the same instance has a higher one. Only compared between processes at one address.
+std::int64_t incarnationNow()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+}
+
+struct PeerRunner::State {
+    State(const Parts& parts, PeerRunner& runner, std::string address, std::vector<std::string> seeds)
+        : parts(parts)
+        , address(std::move(address))
+        , exchange(this->address, std::move(seeds), std::mt19937_64 { std::random_device {}() })
+        , socket(parts.context)
+        , server(parts.context, runner)
+        , client(parts.context.get_executor())
+        , incarnation(incarnationNow())
+    {
+    }
+
+    asio::awaitable<void> receive()
+    {
+        while (true) {
+            error_code failure;
+            const auto size = co_await this->socket.async_receive_from(
+                asio::buffer(this->buffer), this->source, asio::redirect_error(asio::use_awaitable, failure));
+            // An ICMP answer to an earlier datagram shows up as a failure of this one.
+            if (failure == asio::error::operation_aborted)
+                co_return;
+            if (!failure)
+                this->take({ this->buffer.data(), size });
+        }
+    }
+
+    void take(std::string_view datagram)
+    {
+        const auto notice = decode<wire::LoadNotice>(datagram);
+        if (!notice) {
+            this->parts.metrics.counter("marigold_peer_notices_malformed_total").increment();
+            return;
+        }
+        const auto now = this->parts.clock.now();
+        if (!this->exchange.receive(*notice, now))
+            return;
+        std::unordered_map<std::uint64_t, TargetLoad> loads;
+        for (const auto& record : notice->loads)
+            loads.emplace(static_cast<std::uint64_t>(record.target), loadOf(record));
+        this->parts.ledger.applyPeer(notice->sender, loads, now, std::chrono::milliseconds { notice->validMs });
+    }
+
+    asio::awaitable<void> tickForever()
+    {
+        asio::steady_timer timer { this->parts.context };
+        while (true) {
+            const auto now = this->parts.clock.now();
+            const auto loads = this->parts.ledger.own(now);
+            this->perform(this->exchange.tick(this->knowledge(now), !loads.empty() || this->didTellLoad, now));
+            timer.expires_after(TickPeriod);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+
+    OwnKnowledge knowledge(TimePoint now) const
+    {
+        return { this->parts.view.version(), this->parts.view.targets.age(now).value_or(Duration::max()) };
+    }
+
+    void perform(const PeerCommands& commands)
+    {
+        std::string notice; // Made once, if at all.
+        for (const auto& command : commands) {
+            if (const auto* send = std::get_if<SendNotice>(&command)) {
+                if (notice.empty())
+                    notice = this->makeNotice();
+                this->sendTo(send->address, notice);
+            } else if (const auto* fetch = std::get_if<FetchRecords>(&command)) {
+                asio::co_spawn(this->parts.context, this->fetch(*fetch), asio::detached);
+            }
+        }
+    }
+
+    std::string makeNotice()
+    {
+        const auto now = this->parts.clock.now();
+        wire::LoadNotice notice;
+        notice.sender = this->address;
+        notice.incarnation = this->incarnation;
+        notice.sequence = ++this->sequence;
+        notice.validMs = milliseconds(this->exchange.validity(now));
+        notice.configurationVersion = static_cast<std::int64_t>(this->parts.view.version());
+        const auto age = this->parts.view.targets.age(now);
+        notice.targetsAgeMs = age ? milliseconds(*age) : std::numeric_limits<std::int32_t>::max();
+        notice.leaving = this->isLeaving;
+        const auto loads = this->parts.ledger.own(now);
+        for (const auto& [target, load] : loads)
+            notice.loads.push_back(recordOf(target, load));
+        this->didTellLoad = !loads.empty();
+        notice.peers = this->exchange.introductions();
+        auto bytes = encode(notice);
+        if (bytes.size() <= MaximumNoticeBytes)
+            return bytes;
+        this->parts.metrics.counter("marigold_peer_notices_too_large_total").increment();
+        notice.loads.clear();
+        return encode(notice);
+    }
+
+    void sendTo(const std::string& address, const std::string& bytes)
+    {
+        const auto [host, port] = splitAddress(address);
+        error_code failure;
+        const auto ip = asio::ip::make_address(host, failure);
+        if (!failure)
+            this->socket.send_to(asio::buffer(bytes), { ip, port }, 0, failure);
+        // Lost like any datagram; the next notice holds all that this one did.
+        if (failure)
+            this->parts.metrics.counter("marigold_peer_send_failures_total").increment();
+    }
+
+    asio::awaitable<void> fetch(FetchRecords command)
+    {
+        wire::PlatformRecordsRequest request;
+        request.knownConfigurationVersion = static_cast<std::int64_t>(this->parts.view.version());
+        request.wantsTargets = command.wantsTargets;
+        wire::Payload payload;
+        payload.__set_platformRecords(request);
+        const auto answer = co_await this->client.call(command.address, payload, FetchTimeout);
+        this->parts.metrics.counter("marigold_peer_fetches_total", answer ? "outcome=\"ok\"" : "outcome=\"failed\"")
+            .increment();
+        if (!answer || !answer.value().__isset.platformRecordsAnswer) {
+            this->client.disconnect(command.address);
+            co_return;
+        }
+        const auto& records = answer.value().platformRecordsAnswer;
+        if (records.__isset.configuration)
+            this->parts.follower.takeConfiguration(
+                { records.configuration.key, records.configuration.value }, command.address);
+        if (!records.__isset.targets)
+            co_return;
+        std::vector<KeyedRecord> targets;
+        std::ranges::transform(records.targets, std::back_inserter(targets),
+            [](const wire::KeyValueRecord& record) { return KeyedRecord { record.key, record.value }; });
+        this->parts.follower.takeTargets(
+            targets, std::chrono::milliseconds { std::max<std::int64_t>(0, records.targetsAgeMs) }, command.address);
+    }
+
+    Parts parts;
+    std::string address;
+    PeerExchange exchange;
+    udp::socket socket;
+    RpcServer server;
+    RpcClient client;
+    std::int64_t incarnation;
+    std::int64_t sequence { 0 };
+    udp::endpoint source;
+    std::array<char, 64 * 1024> buffer {};
+    bool didTellLoad { false }; // The last notice named loads, so that one without them is news.
+    bool isLeaving { false };
+};
+
+PeerRunner::PeerRunner(const Parts& parts, std::string address, std::vector<std::string> seeds)
+    : state(std::make_unique<State>(parts, *this, std::move(address), std::move(seeds)))
+{
+}
+
+PeerRunner::~PeerRunner() = default;
+
+void PeerRunner::start()
+{
+    auto& state = *this->state;
+    const auto [host, port] = splitAddress(state.address);
+    const udp::endpoint endpoint { asio::ip::make_address(host), port };
+    state.socket.open(endpoint.protocol());
+    state.socket.bind(endpoint);
+    state.socket.non_blocking(true);
+    state.server.listen(state.address);
+    asio::co_spawn(state.parts.context, state.receive(), asio::detached);
+    asio::co_spawn(state.parts.context, state.tickForever(), asio::detached);
+}
+
+void PeerRunner::tellNow()
+{
+    auto& state = *this->state;
+    state.perform(state.exchange.nudge(state.parts.clock.now()));
+}
+
+void PeerRunner::announceStop()
+{
+    this->state->isLeaving = true;
+    this->tellNow();
+}
+
+std::size_t PeerRunner::livePeers() const
+{
+    return this->state->exchange.livePeers(this->state->parts.clock.now());
+}
+
+asio::awaitable<std::optional<wire::Payload>> PeerRunner::handle(wire::Payload request)
+{
+    if (!request.__isset.platformRecords)
+        co_return std::nullopt;
+    auto& parts = this->state->parts;
+    const auto& asked = request.platformRecords;
+    wire::PlatformRecordsAnswer answer;
+    const auto& configuration = parts.follower.configurationRecord();
+    if (configuration && parts.view.version() > static_cast<std::uint64_t>(asked.knownConfigurationVersion)) {
+        wire::KeyValueRecord record;
+        record.key = configuration->key;
+        record.value = configuration->value.value_or(std::string {});
+        answer.__set_configuration(record);
+    }
+    const auto age = parts.view.targets.age(parts.clock.now());
+    if (asked.wantsTargets && age) {
+        std::vector<wire::KeyValueRecord> targets;
+        for (const auto& [key, value] : parts.follower.targetRecords()) {
+            targets.emplace_back();
+            targets.back().key = key;
+            targets.back().value = value;
+        }
+        answer.__set_targets(targets);
+        answer.targetsAgeMs = milliseconds(*age);
+    }
+    wire::Payload payload;
+    payload.__set_platformRecordsAnswer(answer);
+    co_return payload;
+}
+
+}
--- /dev/null
+++ b/src/serving/PeerRunner.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include <marigoldpaddle/Clock.h>
+
+#include "base/EventLog.h"
+#include "base/Metrics.h"
+#include "rpc/RpcClient.h"
+#include "rpc/RpcServer.h"
+#include "serving/LoadLedger.h"
+#include "serving/PeerExchange.h"
+#include "serving/ViewFollower.h"
+
+namespace marigoldpaddle {
+
+// Runs the exchange with peers: notices over UDP, platform records over RPC on the TCP port of the same number.
+class PeerRunner final : public RpcHandler {
+public:
+    struct Parts {
+        boost::asio::io_context& context;
+        const Clock& clock;
+        ServingView& view;
+        ViewFollower& follower;
+        LoadLedger& ledger;
+        EventLog& log;
+        MetricsRegistry& metrics;
+    };
+
+    // Everything that the parts refer to must outlive the runner. `address` is "IP:port", also for peers.
+    PeerRunner(const Parts& parts, std::string address, std::vector<std::string> seeds);
+    ~PeerRunner() override;
+
+    // Binds and starts. Throws boost::system::system_error when it cannot bind.
+    void start();
+
+    // Tells peers about bulk work before they place any of their own.
+    void tellNow();
+
+    // Tells peers that this instance leaves.
+    void announceStop();
+
+    std::size_t livePeers() const;
+
+    boost::asio::awaitable<std::optional<wire::Payload>> handle(wire::Payload request) override;
+
+private:
+    struct State;
+    std::unique_ptr<State> state;
+};
+
+}
--- a/src/serving/PromptPlacement.cpp
+++ b/src/serving/PromptPlacement.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
+#include <numeric>
 
 namespace marigoldpaddle {
 
@@ -10,28 +12,47 @@
 
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
-// Share of a stretched pass that answers in progress tolerate, of the passes' own length. Four passes stay below the
-// pauses that any of the routes allows its short answers.
-constexpr double BulkPasses = 3;
-// Of the objective, what reading may use; the rest is for waiting and for the network.
-constexpr double ReadShareOfObjective = 0.35;
-// Of the allowed pause, what one read may add to a pass of an engine that writes other answers.
-constexpr double ReadShareOfGap = 0.6;
 // The most helpers that engines accept with one request.
 constexpr std::size_t MaximumHelpers = 16;
-// Preference for one end of a zone's engines, from one end to the other; small beside any objective.
-constexpr double EndPreferenceMs = 40;
+// Of a gap objective, what a pass and a read beside it may take; the rest is for the network and for late knowledge.
+constexpr double UsableShareOfGap = 0.85;
+// Of the objective to the first token, what reading may use; the rest is for waiting and the network.
+constexpr double ReadShareOfObjective = 0.5;
+// Preference of short answers for one end of a zone's engines, from one end to the other. Beside FullBatchMs it fills
+// an engine to two thirds before the next of seven is begun, so that the other end stays free of short answers.
+constexpr double ShortEndMs = 300;
+// Preference of long prompts for the other end: decides between engines that are equally good.
+constexpr double LongEndMs = 30;
 // Network and price of another availability zone.
 constexpr double RemoteZoneMs = 8;
-// Batch of an engine: the cost of a place rises with the square of its occupancy.
+// The cost of a place rises with the square of the engine's occupancy, up to this for a full batch.
 constexpr double FullBatchMs = 100;
-// What one answer in progress suffers from a long read on its engine.
-constexpr double DisturbedAnswerMs = 120;
-// An engine whose batch is full makes the next request wait for one of its answers to end.
+// What a short prompt suffers from a long read on its engine, besides waiting for it.
+constexpr double BesideLongReadMs = 120;
+// An engine whose batch or memory is full makes the next request wait for one of its answers to end.
 constexpr double NoPlaceMs = 1000;
+// An answer that is held up beyond its gap is late as a whole.
+constexpr double HeldUpAnswerMs = 300;
+// Any other answer on the engine is slowed a little.
+constexpr double SlowedAnswerMs = 5;
+// The older of two long reads is finished last, and every further one comes before it.
+constexpr double StackedReadMs = 3000;
+// Each further engine has to be reached and waited for: about one round trip and the rest of a pass.
+constexpr double PerHelperMs = 10;
+// Reading beyond its share of the objective makes the prompt itself late.
+constexpr double LateReadWeight = 3;
 
 }
 
+// One way to read a prompt.
+struct PromptPlacement::SplitRead {
+    std::size_t writer { 0 };
+    std::vector<std::size_t> helpers;
+    double costMs { std::numeric_limits<double>::infinity() };
+    double expectedMs { 0 };
+    bool disturbsOthers { false };
+};
+
 PromptPlacement::PromptPlacement(const EngineProfile& profile)
     : profile(profile)
 {
@@ -40,18 +61,20 @@
 double PromptPlacement::readMs(std::int64_t tokens) const
 {
     const auto count = static_cast<double>(tokens);
-    const auto pairs = count * count / 2 / 1e6;
-    return count / std::max(1e-6, this->profile.promptTokensPerMs) + pairs * this->profile.msPerMillionPairs;
+    const auto millionPairs = count * count / 2 / 1e6;
+    return count / std::max(1e-6, this->profile.promptTokensPerMs) + millionPairs * this->profile.msPerMillionPairs;
 }
 
-bool PromptPlacement::isBulk(const PromptDemand& demand) const
+bool PromptPlacement::isLong(const PromptDemand& demand) const
 {
-    return this->readMs(demand.size.promptTokens) > BulkPasses * this->passMs(1);
+    const auto usable = UsableShareOfGap * Milliseconds(demand.tightestGap).count();
+    return this->passMs({}) + this->readMs(demand.size.promptTokens) > usable;
 }
 
-double PromptPlacement::passMs(unsigned running) const
+double PromptPlacement::passMs(const TargetLoad& load) const
 {
-    const auto step = this->profile.stepMs + this->profile.stepMsPerRequest * running;
+    const auto step = this->profile.stepMs + this->profile.stepMsPerRequest * load.answers
+        + this->profile.stepMsPerThousandContextTokens * static_cast<double>(load.memoryTokens) / 1000;
     return step * this->profile.stepsPerPass;
 }
 
@@ -60,6 +83,14 @@
     return this->profile.memoryTokens == 0 || candidate.load.memoryTokens + tokens <= this->profile.memoryTokens;
 }
 
+bool PromptPlacement::holdsUpAnswers(const EngineCandidate& candidate, double partMs) const
+{
+    if (candidate.load.answers == 0)
+        return false;
+    const auto usable = UsableShareOfGap * Milliseconds(candidate.load.tightestGap).count();
+    return this->passMs(candidate.load) + partMs > usable;
+}
+
 // Returns each candidate's place among those of its availability zone, from 0 to 1.
 std::vector<double> PromptPlacement::zonePositions(std::span<const EngineCandidate> candidates) const
 {
@@ -77,7 +108,10 @@
 std::optional<PromptPlan> PromptPlacement::plan(
     const PromptDemand& demand, std::span<const EngineCandidate> candidates) const
 {
-    return this->isBulk(demand) ? this->planBulk(demand, candidates) : this->planShort(demand, candidates);
+    const auto tokens = demand.size.promptTokens + demand.size.maximumOutputTokens;
+    if (candidates.empty() || (this->profile.memoryTokens > 0 && tokens > this->profile.memoryTokens))
+        return std::nullopt;
+    return this->isLong(demand) ? this->planLong(demand, candidates) : this->planShort(demand, candidates);
 }
 
 std::optional<PromptPlan> PromptPlacement::planShort(
@@ -85,71 +119,79 @@
 {
     const auto tokens = demand.size.promptTokens + demand.size.maximumOutputTokens;
     const auto positions = this->zonePositions(candidates);
-    std::optional<Ranked> best;
-    double bestWait = 0;
+    std::size_t best = 0;
+    auto bestCost = std::numeric_limits<double>::infinity();
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const auto& candidate = candidates[index];
         const auto occupancy = static_cast<double>(candidate.load.running) / std::max(1U, this->profile.batchSlots);
-        const auto wait
-            = candidate.load.backlogMs + (candidate.load.running > 0 ? this->passMs(candidate.load.running) : 0);
-        auto cost
-            = wait + FullBatchMs * occupancy * occupancy + EndPreferenceMs * positions[index] + candidate.penaltyMs;
-        cost += candidate.isLocal ? 0 : RemoteZoneMs;
-        cost += candidate.load.bulkParts * DisturbedAnswerMs;
+        auto cost = candidate.load.backlogMs + FullBatchMs * occupancy * occupancy + ShortEndMs * positions[index]
+            + candidate.penaltyMs + (candidate.isLocal ? 0 : RemoteZoneMs)
+            + candidate.load.longReads * BesideLongReadMs;
         if (occupancy >= 1 || !this->hasRoom(candidate, tokens))
             cost += NoPlaceMs * std::max(1.0, occupancy);
-        if (!best || cost < best->costMs) {
-            best = Ranked { index, cost };
-            bestWait = wait;
+        if (cost < bestCost) {
+            best = index;
+            bestCost = cost;
         }
     }
-    if (!best)
-        return std::nullopt;
+    const auto& load = candidates[best].load;
     const auto read = this->readMs(demand.size.promptTokens);
-    return PromptPlan { best->index, {}, read, bestWait + read + this->passMs(1), false };
+    return PromptPlan { best, {}, read, load.backlogMs + read + 2 * this->passMs(load), false, false };
 }
 
-std::optional<PromptPlan> PromptPlacement::planBulk(
-    const PromptDemand& demand, std::span<const EngineCandidate> candidates) const
+// Reads the prompt in a number of parts on the engines that bear them best.
+PromptPlacement::SplitRead PromptPlacement::split(const PromptDemand& demand,
+    std::span<const EngineCandidate> candidates, std::span<const double> positions, std::size_t parts) const
 {
     const auto tokens = demand.size.promptTokens + demand.size.maximumOutputTokens;
-    const auto positions = this->zonePositions(candidates);
-    std::vector<Ranked> ranked;
+    const auto partMs = this->readMs(demand.size.promptTokens) / static_cast<double>(parts);
+    std::vector<double> costs(candidates.size());
+    std::vector<double> writerCosts(candidates.size());
     for (std::size_t index = 0; index < candidates.size(); ++index) {
-        const auto& load = candidates[index].load;
-        const auto disturbed = load.running > load.bulkParts ? load.running - load.bulkParts : 0;
-        ranked.push_back({ index,
-            load.backlogMs + DisturbedAnswerMs * disturbed + EndPreferenceMs * (1 - positions[index])
-                + candidates[index].penaltyMs + (candidates[index].isLocal ? 0 : RemoteZoneMs) });
+        const auto& candidate = candidates[index];
+        const auto perAnswer = this->holdsUpAnswers(candidate, partMs) ? HeldUpAnswerMs : SlowedAnswerMs;
+        costs[index] = perAnswer * candidate.load.answers + StackedReadMs * candidate.load.longReads
+            + candidate.load.backlogMs + LongEndMs * (1 - positions[index]) + candidate.penaltyMs
+            + (candidate.isLocal ? 0 : RemoteZoneMs);
+        // Its answer shares the engine with whatever is read or answered there.
+        writerCosts[index] = costs[index] + this->passMs(candidate.load)
+            + (this->hasRoom(candidate, tokens) ? 0 : NoPlaceMs + StackedReadMs);
     }
-    std::ranges::sort(ranked, {}, &Ranked::costMs);
-    // The answer is written where there is memory for all of it.
-    const auto writer
-        = std::ranges::find_if(ranked, [&](const Ranked& one) { return this->hasRoom(candidates[one.index], tokens); });
-    if (writer == ranked.end())
-        return std::nullopt;
-    std::rotate(ranked.begin(), writer, writer + 1);
-
-    const auto whole = this->readMs(demand.size.promptTokens);
-    const auto bearable = std::min(ReadShareOfObjective * Milliseconds(demand.objective).count(),
-        ReadShareOfGap * Milliseconds(demand.gapObjective).count());
-    std::size_t best = 1;
-    double bestFinish = ranked.front().costMs + whole;
-    double slowest = ranked.front().costMs;
-    for (std::size_t parts = 2; parts <= std::min(ranked.size(), MaximumHelpers + 1); ++parts) {
-        if (whole / static_cast<double>(parts - 1) <= bearable)
-            break;
-        slowest = std::max(slowest, ranked[parts - 1].costMs);
-        const auto finish = slowest + whole / static_cast<double>(parts);
-        if (finish < bestFinish) {
-            best = parts;
-            bestFinish = finish;
-        }
+    SplitRead read;
+    read.writer = static_cast<std::size_t>(std::ranges::min_element(writerCosts) - writerCosts.begin());
+    costs[read.writer] = std::numeric_limits<double>::infinity();
+    std::vector<std::size_t> order(candidates.size());
+    std::iota(order.begin(), order.end(), std::size_t { 0 });
+    std::ranges::sort(order, {}, [&](std::size_t index) { return costs[index]; });
+    read.helpers.assign(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(parts - 1));
+
+    read.costMs = writerCosts[read.writer];
+    read.expectedMs = candidates[read.writer].load.backlogMs;
+    read.disturbsOthers = writerCosts[read.writer] >= HeldUpAnswerMs;
+    for (const auto helper : read.helpers) {
+        read.costMs += costs[helper] + PerHelperMs;
+        read.expectedMs = std::max(read.expectedMs, candidates[helper].load.backlogMs);
+        read.disturbsOthers |= costs[helper] >= HeldUpAnswerMs;
+    }
+    read.expectedMs += partMs;
+    const auto usable = ReadShareOfObjective * Milliseconds(demand.objective).count();
+    read.costMs += partMs + LateReadWeight * std::max(0.0, read.expectedMs - usable);
+    return read;
+}
+
+std::optional<PromptPlan> PromptPlacement::planLong(
+    const PromptDemand& demand, std::span<const EngineCandidate> candidates) const
+{
+    const auto positions = this->zonePositions(candidates);
+    SplitRead best;
+    for (std::size_t parts = 1; parts <= std::min(candidates.size(), MaximumHelpers + 1); ++parts) {
+        auto read = this->split(demand, candidates, positions, parts);
+        if (read.costMs < best.costMs)
+            best = std::move(read);
     }
-    PromptPlan plan { ranked.front().index, {}, whole / static_cast<double>(best), bestFinish + this->passMs(1), true };
-    for (std::size_t part = 1; part < best; ++part)
-        plan.helpers.push_back(ranked[part].index);
-    return plan;
+    const auto parts = static_cast<double>(best.helpers.size() + 1);
+    return PromptPlan { best.writer, best.helpers, this->readMs(demand.size.promptTokens) / parts,
+        best.expectedMs + 2 * this->passMs(candidates[best.writer].load), true, best.disturbsOthers };
 }
 
 }
--- a/src/serving/PromptPlacement.h
+++ b/src/serving/PromptPlacement.h
@@ -16,7 +16,8 @@
 struct PromptDemand {
     PromptSize size;
     Duration objective {}; // To the first token.
-    Duration gapObjective {}; // Between events.
+    Duration gapObjective {}; // Between events of its answer.
+    Duration tightestGap {}; // The shortest pause that any answer on these engines may have.
 };
 
 // An engine that could take it. Candidates stand in the same order at every instance.
@@ -33,15 +34,22 @@
     std::vector<std::size_t> helpers;
     double readMs { 0 }; // For each part.
     double expectedMs { 0 }; // Until the first token.
-    bool isBulk { false };
+    bool isLong { false };
+    bool shouldWait {
+        false
+    }; // The plan disturbs others, or there is no free engine; a better one may come up shortly.
 };
 
 // Chooses engines for prompts whose lengths differ widely. A pure core.
 //
-// Load patterns it answers: short prompts beside long ones (a long read stretches every pass of its engine beyond the
-// gap that short answers may have, so that the two kinds gather at opposite ends of each zone's engines); a crest of
-// long prompts (reading is shared by several engines until each part fits the objective); a crest of short ones (the
-// border between the two moves with the load, since it is only a preference).
+// What engines do: a pass writes some tokens of every answer and reads whatever prompts wait, newest part first.
+// Reading a long prompt therefore holds up all answers of its engine, and an engine with two long reads finishes the
+// older one last. Load patterns that the placement answers:
+// - Short prompts beside long ones: short answers gather at one end of each availability zone's engines, long reads at
+//   the other, and a long read avoids engines whose answers it would hold up beyond the gap that they may have.
+// - A crest of long prompts: each is read by as many engines as it takes to hold up nobody, an engine reads one at a
+//   time, and prompts wait at their instance, oldest objective first served by an engine that becomes free.
+// - A crest of short prompts: these spread over all engines, as the ends are only preferences.
 class PromptPlacement {
 public:
     explicit PromptPlacement(const EngineProfile& profile);
@@ -49,23 +57,23 @@
     // Time for one engine to read a whole prompt, in milliseconds.
     double readMs(std::int64_t tokens) const;
 
-    // Whether reading the prompt stretches a pass by more than short answers tolerate.
-    bool isBulk(const PromptDemand& demand) const;
+    // Whether reading the prompt in one piece holds up short answers for longer than they may pause.
+    bool isLong(const PromptDemand& demand) const;
 
-    // Empty when no candidate has room for the prompt.
+    // Empty when no engine has the memory for the prompt, or there is none.
     std::optional<PromptPlan> plan(const PromptDemand& demand, std::span<const EngineCandidate> candidates) const;
 
 private:
-    struct Ranked {
-        std::size_t index { 0 };
-        double costMs { 0 };
-    };
+    struct SplitRead;
 
-    double passMs(unsigned running) const;
+    double passMs(const TargetLoad& load) const;
+    bool hasRoom(const EngineCandidate& candidate, std::int64_t tokens) const;
+    bool holdsUpAnswers(const EngineCandidate& candidate, double partMs) const;
     std::vector<double> zonePositions(std::span<const EngineCandidate> candidates) const;
     std::optional<PromptPlan> planShort(const PromptDemand& demand, std::span<const EngineCandidate> candidates) const;
-    std::optional<PromptPlan> planBulk(const PromptDemand& demand, std::span<const EngineCandidate> candidates) const;
-    bool hasRoom(const EngineCandidate& candidate, std::int64_t tokens) const;
+    std::optional<PromptPlan> planLong(const PromptDemand& demand, std::span<const EngineCandidate> candidates) const;
+    SplitRead split(const PromptDemand& demand, std::span<const EngineCandidate> candidates,
+        std::span<const double> positions, std::size_t parts) const;
 
     EngineProfile profile;
 };
--- a/src/serving/ServingConfiguration.cpp
+++ b/src/serving/ServingConfiguration.cpp
@@ -12,6 +12,18 @@
     return found == this->services.end() ? nullptr : &found->second;
 }
 
+void ServingConfiguration::complete()
+{
+    for (const auto& route : this->routes) {
+        if (route.kind != RouteKind::Stream)
+            continue;
+        for (const auto& share : route.shares) {
+            if (const auto service = this->services.find(share.service); service != this->services.end())
+                service->second.tightestGap = std::min(service->second.tightestGap, route.gapObjective);
+        }
+    }
+}
+
 RouteTable::RouteTable(const ServingConfiguration& configuration)
 {
     for (const auto& route : configuration.routes)
--- a/src/serving/ServingConfiguration.h
+++ b/src/serving/ServingConfiguration.h
@@ -60,6 +60,7 @@
     std::string name;
     unsigned maximumConnections { 64 }; // That one target accepts from all instances together.
     std::optional<EngineProfile> engine; // Absent for plain services.
+    Duration tightestGap { Duration::max() }; // Of all routes that may lead here; follows from them.
 };
 
 // What a caller may send, and how long it may take.
@@ -80,6 +81,9 @@
     bool requiresKeys { false }; // Whether workspaces are declared at all.
 
     const ServiceProfile* service(std::string_view name) const;
+
+    // Fills in what follows from the declared values. To be called once they are complete.
+    void complete();
 };
 
 // Finds routes by host and longest path prefix.
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -18,17 +18,27 @@
 constexpr unsigned MaximumTries = 4;
 // When a refused caller may come back if nothing better is known: a full engine has ended an answer by then.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds { 300 };
+// Waiting prompts look for a free engine this often; a part of a long read takes some hundred milliseconds.
+constexpr Duration PlacementRetryPeriod = std::chrono::milliseconds { 20 };
 // Engines that lose a helper stall for so long before they give up; a shorter silence is no sign of a fault.
 constexpr Duration LongestNormalGap = std::chrono::milliseconds { 1500 };
 // Short prompts go before long ones in an engine's queue; 5 is the middle.
 constexpr int ShortUrgency = 3;
-constexpr int BulkUrgency = 6;
+constexpr int LongUrgency = 6;
 
 bool isSuccess(unsigned status)
 {
     return status >= 200 && status < 300;
 }
 
+std::string helperNames(const TargetChoice& choice)
+{
+    std::string names;
+    for (const auto& helper : choice.helpers)
+        names += (names.empty() ? "" : ",") + helper.id;
+    return names.empty() ? "-" : names;
+}
+
 std::string_view outcomeName(SendOutcome outcome)
 {
     switch (outcome) {
@@ -77,6 +87,8 @@
     unsigned runs { 0 }; // Attempts that may have run.
     std::optional<HttpResponse> targetFailure; // Passed on when nothing better comes.
     std::optional<EventStream> stream; // Once events may reach the caller.
+    TimePoint lastEventAt {};
+    Duration longestGap {}; // Between two pieces of the answer.
     bool isAnswering { false }; // The caller has bytes of its answer, or is about to.
     bool didFinish { false };
 };
@@ -87,6 +99,11 @@
 {
 }
 
+void ServingGateway::onPromptPlaced(std::function<void()> notify)
+{
+    this->notifyPlaced = std::move(notify);
+}
+
 asio::awaitable<void> ServingGateway::handle(HttpExchange& exchange)
 {
     using namespace asio::experimental::awaitable_operators;
@@ -133,8 +150,7 @@
         co_return co_await this->refuse(call, 503, "no_service");
     Attempt last = Attempt::NotSent;
     while (call.tries == 0 || this->maySendAgain(call, last)) {
-        const auto choice = this->chooser.choose(
-            { *call.route, *call.service, call.terms.prompt, call.tried }, this->parts.clock.now());
+        const auto choice = co_await this->chooseInTime(call);
         if (!choice)
             break;
         ++call.tries;
@@ -148,6 +164,22 @@
     co_await this->finishUnserved(call);
 }
 
+// A long prompt waits here while every engine reads one, as engines would read it last; but not so long that its
+// objective is lost.
+asio::awaitable<std::optional<TargetChoice>> ServingGateway::chooseInTime(Call& call)
+{
+    const auto placeBy = this->parts.clock.now()
+        + std::min(call.route->objective / 2, std::max(Duration::zero(), this->remaining(call) / 2));
+    while (true) {
+        const auto now = this->parts.clock.now();
+        auto choice = this->chooser.choose({ *call.route, *call.service, call.terms.prompt, call.tried }, now);
+        if (!choice || !choice->shouldWait || now >= placeBy)
+            co_return choice;
+        asio::steady_timer timer { this->parts.context, PlacementRetryPeriod };
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
 bool ServingGateway::maySendAgain(Call& call, Attempt last)
 {
     if (call.tries >= MaximumTries || this->remaining(call) <= Duration::zero())
@@ -181,7 +213,10 @@
     work.reserve(1 + choice.helpers.size());
     work.emplace_back(this->parts.ledger, choice.target.id, choice.work, now);
     for (const auto& helper : choice.helpers)
-        work.emplace_back(this->parts.ledger, helper.id, TargetWork { choice.work.readMs, 0, choice.work.isBulk }, now);
+        work.emplace_back(
+            this->parts.ledger, helper.id, TargetWork { choice.work.readMs, 0, choice.work.isLong, false }, now);
+    if (choice.work.readMs > 0 && this->notifyPlaced)
+        this->notifyPlaced();
     return work;
 }
 
@@ -191,7 +226,7 @@
     const auto now = this->parts.clock.now();
     this->parts.log.write("sent",
         { { "id", call.terms.attemptId }, { "try", std::uint64_t { call.tries } }, { "target", choice.target.id },
-            { "address", choice.target.address }, { "helpers", std::uint64_t { choice.helpers.size() } },
+            { "address", choice.target.address }, { "helpers", helperNames(choice) }, { "read_ms", choice.work.readMs },
             { "expected_ms", choice.expected }, { "left_ms", this->remaining(call) },
             { "version", this->parts.view.version() },
             { "targets_age_ms", this->parts.view.targets.age(now).value_or(Duration::zero()) } });
@@ -202,7 +237,7 @@
     if (call.stream)
         terms.lastEventId = call.stream->lastId();
     if (call.terms.prompt)
-        terms.urgency = choice.work.isBulk ? BulkUrgency : ShortUrgency;
+        terms.urgency = choice.work.isLong ? LongUrgency : ShortUrgency;
     for (const auto& helper : choice.helpers)
         terms.helpers.push_back({ helper.address, {} });
     if (call.tries == 1)
@@ -290,16 +325,18 @@
             this->noteOutcome(call, choice, SendOutcome::Failed, "broken_events");
             co_return Attempt::MayHaveRun;
         }
+        const auto now = this->parts.clock.now();
+        if (call.isAnswering && !isEnd)
+            call.longestGap = std::max(call.longestGap, now - call.lastEventAt);
+        call.lastEventAt = now;
         if (!call.isAnswering && (isEnd || !events.empty())) {
             call.isAnswering = true;
             std::ranges::for_each(work, &LedgerEntry::noteRead);
             while (work.size() > 1)
                 work.pop_back();
-            this->parts.metrics.histogram("marigold_first_event_seconds")
-                .record(this->parts.clock.now() - call.receivedAt);
+            this->parts.metrics.histogram("marigold_first_event_seconds").record(now - call.receivedAt);
             this->parts.log.write("first_event",
-                { { "id", call.terms.attemptId }, { "target", choice.target.id },
-                    { "after_ms", this->parts.clock.now() - call.receivedAt },
+                { { "id", call.terms.attemptId }, { "target", choice.target.id }, { "after_ms", now - call.receivedAt },
                     { "prompt_tokens", call.terms.prompt.value_or(PromptSize {}).promptTokens } });
             if (!co_await call.exchange.beginStream(this->parts.format.headerForCaller(answer.header())))
                 break;
@@ -373,7 +410,7 @@
     this->parts.log.write("finished",
         { { "id", call.terms.attemptId }, { "route", route }, { "workspace", call.workspace }, { "outcome", outcome },
             { "status", std::uint64_t { status } }, { "tries", std::uint64_t { call.tries } },
-            { "runs", std::uint64_t { call.runs } }, { "took_ms", took } });
+            { "runs", std::uint64_t { call.runs } }, { "longest_gap_ms", call.longestGap }, { "took_ms", took } });
     this->parts.metrics.counter("marigold_requests_total", "outcome=\"" + std::string { outcome } + "\"").increment();
     this->parts.metrics.histogram("marigold_request_seconds").record(took);
 }
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -46,6 +47,9 @@
     // Everything that the parts refer to must outlive the gateway.
     ServingGateway(const Parts& parts, TargetChooser chooser);
 
+    // `notify` is called when a prompt was placed, so that peers hear of it before they place their own.
+    void onPromptPlaced(std::function<void()> notify);
+
     boost::asio::awaitable<void> handle(HttpExchange& exchange) override;
     HttpResponse describeFault(HttpFault fault) override;
 
@@ -62,6 +66,7 @@
 
     bool admit(Call& call);
     boost::asio::awaitable<void> forward(Call& call);
+    boost::asio::awaitable<std::optional<TargetChoice>> chooseInTime(Call& call);
     boost::asio::awaitable<Attempt> send(Call& call, const TargetChoice& choice);
     boost::asio::awaitable<Attempt> relayWhole(Call& call, HttpCall& answer, const std::string& target);
     boost::asio::awaitable<Attempt> relayStream(
@@ -78,6 +83,7 @@
 
     Parts parts;
     TargetChooser chooser;
+    std::function<void()> notifyPlaced;
 };
 
 }
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <ranges>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -12,6 +13,7 @@
 #include "base/HttpClient.h"
 #include "base/HttpServer.h"
 #include "base/Metrics.h"
+#include "serving/PeerRunner.h"
 #include "serving/ServingGateway.h"
 
 namespace marigoldpaddle {
@@ -36,6 +38,9 @@
     { "listen", "callers", SettingKind::Address, 0, 0, std::nullopt, "address for callers" },
     { "listen", "ready", SettingKind::Address, 0, 0, std::nullopt, "address for the balancer's readiness checks" },
     { "listen", "metrics", SettingKind::Text, 0, 0, "", "address of the metrics; empty for none" },
+    { "peers", "address", SettingKind::Address, 0, 0, std::nullopt, "address for other instances, UDP and TCP" },
+    { "peers", "seeds", SettingKind::Text, 0, 0, "",
+        "addresses of some other instances, separated by commas; their ports are replaced by that of [peers] address" },
     { "platform", "address", SettingKind::Address, 0, 0, std::nullopt, "address of the platform's store" },
     { "platform", "timeout_ms", SettingKind::Milliseconds, 10, 60'000, "1000", "time for the store to answer" },
     { "bounds", "configuration_ms", SettingKind::Milliseconds, 100, 600'000, "2000",
@@ -115,6 +120,23 @@
     return Specifications;
 }
 
+namespace {
+
+// All instances listen for peers on the same port.
+std::vector<std::string> seedsFrom(std::string_view list, std::string_view own)
+{
+    const auto port = std::to_string(splitAddress(own).port);
+    std::vector<std::string> seeds;
+    for (const auto part : list | std::views::split(',')) {
+        const auto host = splitAddress({ part.begin(), part.end() }).host;
+        if (!host.empty())
+            seeds.push_back(host + ':' + port);
+    }
+    return seeds;
+}
+
+}
+
 ServingNodeSettings servingNodeSettingsFrom(const Settings& values)
 {
     ServingNodeSettings settings;
@@ -123,6 +145,8 @@
     settings.callersAddress = values.text("listen", "callers");
     settings.readyAddress = values.text("listen", "ready");
     settings.metricsAddress = values.text("listen", "metrics");
+    settings.peersAddress = values.text("peers", "address");
+    settings.seeds = seedsFrom(values.text("peers", "seeds"), settings.peersAddress);
     settings.storeTimeout = values.milliseconds("platform", "timeout_ms");
     settings.grace = seconds(values.real("bounds", "grace_s"));
     settings.follower.configurationWait = values.milliseconds("bounds", "configuration_ms") / 2;
@@ -150,6 +174,8 @@
                       this->log, this->metrics },
               TargetChooser { this->view.targets, this->ledger, this->health, settings.availabilityZone,
                   std::mt19937_64 { std::random_device {}() } })
+        , peers({ context, clock, this->view, this->follower, this->ledger, this->log, this->metrics },
+              settings.peersAddress, settings.seeds)
         , readyHandler(this->isReady)
         , metricsHandler(this->metrics)
         , callers(context, this->gateway)
@@ -173,6 +199,12 @@
         this->log.write("readiness", { { "ready", isReady } });
     }
 
+    // Shares the slack with the peers that are known and as many again that may be starting.
+    void updateBudget()
+    {
+        this->budget.setInstances(2 * (this->peers.livePeers() + 1));
+    }
+
     asio::awaitable<void> keepHouse()
     {
         while (true) {
@@ -180,6 +212,7 @@
             this->updateReadiness();
             this->client.closeStaleConnections();
             this->health.expire(this->clock.now());
+            this->updateBudget();
         }
     }
 
@@ -195,6 +228,7 @@
     RetryBudget budget;
     ViewFollower follower;
     ServingGateway gateway;
+    PeerRunner peers;
     bool isReady { false };
     bool isStopping { false };
     ReadyHandler readyHandler;
@@ -222,6 +256,8 @@
     state.log.write(
         "started", { { "zone", state.settings.availabilityZone }, { "callers", state.settings.callersAddress } });
     state.follower.start([&state] { state.callers.setLimits(limitsFrom(state.view.configuration()->values.limits)); });
+    state.peers.start();
+    state.gateway.onPromptPlaced([&state] { state.peers.tellNow(); });
     asio::co_spawn(state.context, state.keepHouse(), asio::detached);
 }
 
@@ -232,6 +268,7 @@
     state.isStopping = true;
     state.updateReadiness();
     state.callers.announceClose();
+    state.peers.announceStop();
     state.log.write("stopping", { { "requests", std::uint64_t { state.callers.activeExchanges() } } });
     co_await state.pause(std::min(BalancerNotice, state.settings.grace / 2));
     while (state.callers.activeExchanges() > 0 && state.clock.now() < killAt)
--- a/src/serving/ServingNode.h
+++ b/src/serving/ServingNode.h
@@ -24,6 +24,8 @@
     std::string callersAddress; // "IP:port" for callers.
     std::string readyAddress; // "IP:port" where the balancer asks whether this instance is ready.
     std::string metricsAddress; // "IP:port"; empty for none.
+    std::string peersAddress; // "IP:port", UDP and TCP, for other instances.
+    std::vector<std::string> seeds; // Addresses of other instances, on the same port; may be stale.
     Duration storeTimeout {}; // For the platform to answer a call.
     Duration grace {}; // From the stop signal to the kill.
     ViewFollowerSettings follower;
--- a/src/serving/ServingView.h
+++ b/src/serving/ServingView.h
@@ -13,7 +13,7 @@
 class ActiveConfiguration {
 public:
     explicit ActiveConfiguration(ServingConfiguration values)
-        : values(std::move(values))
+        : values(completed(std::move(values)))
         , routes(this->values)
     {
     }
@@ -23,6 +23,13 @@
 
     const ServingConfiguration values;
     const RouteTable routes;
+
+private:
+    static ServingConfiguration completed(ServingConfiguration values)
+    {
+        values.complete();
+        return values;
+    }
 };
 
 // What this instance knows from the platform and its peers.
--- a/src/serving/TargetChooser.cpp
+++ b/src/serving/TargetChooser.cpp
@@ -15,6 +15,7 @@
 constexpr double FailurePenaltyMs = 600;
 // Candidates this close are chosen by chance, so that instances with the same knowledge spread out.
 constexpr double RandomWeight = 0.05;
+constexpr double RandomMs = 15; // About one short prompt's reading.
 
 }
 
@@ -78,18 +79,22 @@
 std::optional<TargetChoice> TargetChooser::chooseEngines(const ChoiceDemand& demand, TimePoint now)
 {
     std::vector<EngineCandidate> candidates;
+    std::uniform_real_distribution<double> chance { 0, RandomMs };
     for (const auto* target : this->usable(demand, now)) {
         candidates.push_back({ target, this->ledger.total(target->id, now),
-            FailurePenaltyMs * this->health.failureShare(target->id, now),
+            FailurePenaltyMs * this->health.failureShare(target->id, now) + chance(this->random),
             target->availabilityZone == this->availabilityZone });
     }
     const PromptPlacement placement { *demand.service.engine };
-    const auto plan = placement.plan({ *demand.prompt, demand.route.objective, demand.route.gapObjective }, candidates);
+    const auto plan = placement.plan(
+        { *demand.prompt, demand.route.objective, demand.route.gapObjective, demand.service.tightestGap }, candidates);
     if (!plan)
         return std::nullopt;
     TargetChoice choice { *candidates[plan->writer].target, {},
-        { plan->readMs, demand.prompt->promptTokens + demand.prompt->maximumOutputTokens, plan->isBulk },
+        { plan->readMs, demand.prompt->promptTokens + demand.prompt->maximumOutputTokens, plan->isLong, true,
+            demand.route.gapObjective },
         std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli> { plan->expectedMs }) };
+    choice.shouldWait = plan->shouldWait;
     for (const auto index : plan->helpers)
         choice.helpers.push_back(*candidates[index].target);
     return choice;
--- a/src/serving/TargetChooser.h
+++ b/src/serving/TargetChooser.h
@@ -24,6 +24,7 @@
     std::vector<TargetEntry> helpers; // Read parts of its prompt.
     TargetWork work; // For the answering target; helpers have the same without the memory.
     Duration expected {}; // Until the first byte of the answer.
+    bool shouldWait { false }; // A better choice will be there shortly.
 };
 
 // What the choice is made for.
--- a/src/serving/ViewFollower.cpp
+++ b/src/serving/ViewFollower.cpp
@@ -79,7 +79,7 @@
         auto page = co_await this->read(KeyedStream::Targets, next, Duration::zero());
         this->noteCall(KeyedStream::Targets, page ? std::nullopt : std::optional { page.error() });
         if (page) {
-            this->applyTargets(page.value(), isWhole);
+            this->applyTargets(page.value().records, isWhole, this->clock.now());
             next = page.value().next;
         } else if (page.error() == PlatformError::Trimmed) {
             next.reset();
@@ -136,16 +136,43 @@
         this->configurationChanged();
 }
 
-void ViewFollower::applyTargets(const KeyedPage& page, bool isWhole)
+const std::map<std::string, std::string, std::less<>>& ViewFollower::targetRecords() const
+{
+    return this->records;
+}
+
+void ViewFollower::takeTargets(const std::vector<KeyedRecord>& records, Duration age, std::string_view source)
 {
     const auto now = this->clock.now();
+    if (const auto own = this->view.targets.age(now); own && *own <= age)
+        return;
+    this->log.write("targets_from_peer",
+        { { "source", source }, { "targets", static_cast<std::uint64_t>(records.size()) }, { "age_ms", age } });
+    this->applyTargets(records, true, now - age);
+}
+
+void ViewFollower::keepRecord(const KeyedRecord& record)
+{
+    if (record.value)
+        this->records.insert_or_assign(record.key, *record.value);
+    else
+        this->records.erase(record.key);
+}
+
+// Takes the newest record of each key. A whole listing removes what is not in it.
+void ViewFollower::applyTargets(const std::vector<KeyedRecord>& records, bool isWhole, TimePoint readAt)
+{
+    if (isWhole)
+        this->records.clear();
     std::map<std::string_view, const KeyedRecord*> newest;
-    for (const auto& record : page.records)
+    for (const auto& record : records) {
         newest[record.key] = &record;
+        this->keepRecord(record);
+    }
     std::vector<TargetEntry> entries;
     for (const auto& [key, record] : newest) {
         if (!record->value) {
-            if (this->view.targets.remove(key, now))
+            if (this->view.targets.remove(key, readAt))
                 this->log.write("target_removed", { { "target", key } });
             continue;
         }
@@ -155,15 +182,15 @@
         else
             this->metrics.counter("marigold_target_entries_rejected_total").increment();
     }
-    if (isWhole)
-        this->view.targets.replaceAll(entries, now);
     for (const auto& entry : entries) {
-        if (this->view.targets.upsert(entry, now))
+        if (this->view.targets.upsert(entry, readAt))
             this->log.write("target_changed",
                 { { "target", entry.id }, { "service", entry.service }, { "address", entry.address },
                     { "leaving", entry.isLeaving }, { "born", entry.born } });
     }
-    this->view.targets.noteRead(now);
+    if (isWhole)
+        this->view.targets.replaceAll(entries, readAt);
+    this->view.targets.noteRead(readAt);
 }
 
 void ViewFollower::noteCall(KeyedStream stream, std::optional<PlatformError> failure)
--- a/src/serving/ViewFollower.h
+++ b/src/serving/ViewFollower.h
@@ -40,6 +40,12 @@
     // Takes a configuration record from a peer.
     void takeConfiguration(const KeyedRecord& record, std::string_view source);
 
+    // The newest records of the targets, by id.
+    const std::map<std::string, std::string, std::less<>>& targetRecords() const;
+
+    // Takes a whole listing from a peer, unless this instance's own view is newer than `age`.
+    void takeTargets(const std::vector<KeyedRecord>& records, Duration age, std::string_view source);
+
     // Whether the last call to the platform succeeded.
     bool isConnected() const;
 
@@ -50,7 +56,8 @@
     boost::asio::awaitable<PlatformResult<KeyedPage>> read(
         KeyedStream stream, std::optional<std::uint64_t> next, Duration wait);
     boost::asio::awaitable<void> pause(Duration duration);
-    void applyTargets(const KeyedPage& page, bool isWhole);
+    void applyTargets(const std::vector<KeyedRecord>& records, bool isWhole, TimePoint readAt);
+    void keepRecord(const KeyedRecord& record);
     void applyConfiguration(const KeyedPage& page);
     void noteCall(KeyedStream stream, std::optional<PlatformError> failure);
 
@@ -64,6 +71,7 @@
     ViewFollowerSettings settings;
     std::function<void()> configurationChanged;
     std::optional<KeyedRecord> newestConfiguration;
+    std::map<std::string, std::string, std::less<>> records; // Of targets, by id.
     std::map<KeyedStream, bool> connected;
 };
 
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -293,6 +293,49 @@
     1: bool accepted
 }
 
+// Work that one instance has given to one target. Targets are named by the XXH3 hash of their id.
+struct TargetLoadRecord {
+    1: i64 target
+    2: double backlogMs
+    3: i32 running
+    4: i32 longReads
+    5: i64 memoryTokens
+    6: i32 answers
+    7: i32 tightestGapMs // Of the answers; 0 without any.
+}
+
+// Instance to instance on the serving path, as one UDP datagram: what the sender has given to targets, and how new its
+// view of the platform is. `sequence` rises within an incarnation; a notice counts for `validMs`.
+struct LoadNotice {
+    1: string sender
+    2: i64 incarnation
+    3: i64 sequence
+    4: i64 validMs
+    5: i64 configurationVersion
+    6: i64 targetsAgeMs
+    7: bool leaving
+    8: list<TargetLoadRecord> loads
+    9: list<string> peers
+}
+
+// Asks an instance for what it took from the platform: by an instance that the platform turns away.
+struct PlatformRecordsRequest {
+    1: i64 knownConfigurationVersion
+    2: bool wantsTargets
+}
+
+struct KeyValueRecord {
+    1: string key
+    2: binary value
+}
+
+// `configuration` is absent when the sender has no newer one. `targets` is a whole listing, `targetsAgeMs` old.
+struct PlatformRecordsAnswer {
+    1: optional KeyValueRecord configuration
+    2: optional list<KeyValueRecord> targets
+    3: i64 targetsAgeMs
+}
+
 union Payload {
     1: AcquireRequest acquire
     2: AcquireAnswer acquireAnswer
@@ -306,6 +349,8 @@
     10: Acknowledgement acknowledgement
     11: ConfigurationRequest configuration
     12: ConfigurationAnswer configurationAnswer
+    13: PlatformRecordsRequest platformRecords
+    14: PlatformRecordsAnswer platformRecordsAnswer
 }
 
 // `callId` is chosen by the caller and comes back with the answer; 0 marks a one-way message.
