--- a/src/base/Program.cpp
+++ b/src/base/Program.cpp
@@ -75,13 +75,13 @@
 }
 
 int runWithSettings(const std::string& config, bool isCheck, const ProgramDescription& description,
-    const std::function<int(const Settings&)>& run)
+    const std::function<int(const Settings&, const std::string&)>& run)
 {
     return boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<int> {
             BOOST_LEAF_AUTO(settings, Settings::load(config, description.settings));
             if (!isCheck)
-                return run(settings);
+                return run(settings, config);
             std::cout << config << ": settings are valid\n";
             return static_cast<int>(ExitCode::Success);
         },
@@ -96,6 +96,14 @@
 
 int runProgram(
     int argc, char** argv, const ProgramDescription& description, const std::function<int(const Settings&)>& run)
+{
+    const std::function<int(const Settings&, const std::string&)> withPath
+        = [&](const Settings& settings, const std::string&) { return run(settings); };
+    return runProgram(argc, argv, description, withPath);
+}
+
+int runProgram(int argc, char** argv, const ProgramDescription& description,
+    const std::function<int(const Settings&, const std::string&)>& run)
 {
     const auto line = readCommandLine(argc, argv);
     if (line.isHelp) {
--- a/src/base/Program.h
+++ b/src/base/Program.h
@@ -28,6 +28,10 @@
 int runProgram(
     int argc, char** argv, const ProgramDescription& description, const std::function<int(const Settings&)>& run);
 
+// The same for a program that reads its settings file again while it runs: `run` also gets the file's path.
+int runProgram(int argc, char** argv, const ProgramDescription& description,
+    const std::function<int(const Settings&, const std::string&)>& run);
+
 // Writes the bound ports as `key=port` lines, to `path`, or to the standard output when `path` is "-".
 // The file appears whole or not at all.
 void writePorts(const std::string& path, std::span<const std::pair<std::string, std::uint16_t>> ports);
--- a/src/programs/NodeMain.cpp
+++ b/src/programs/NodeMain.cpp
@@ -1,4 +1,4 @@
-#include <random>
+#include <filesystem>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -6,6 +6,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/leaf/handle_errors.hpp>
 
 #include "base/Program.h"
 #include "platform/HeaderFormat.h"
@@ -17,9 +18,80 @@
 
 namespace {
 
-int run(const Settings& values)
+namespace asio = boost::asio;
+
+// The settings file may change without a signal; this is how often its time is looked at.
+constexpr Duration SettingsPollPeriod = std::chrono::seconds { 1 };
+
+// Applies the settings file again whenever it has changed or SIGHUP arrives.
+class SettingsWatcher {
+public:
+    SettingsWatcher(asio::io_context& context, std::string path, ServingNode& node)
+        : context(context)
+        , path(std::move(path))
+        , node(node)
+        , hangups(context, SIGHUP)
+        , changedAt(this->fileTime())
+    {
+    }
+
+    void start()
+    {
+        this->awaitHangup();
+        asio::co_spawn(this->context, this->poll(), asio::detached);
+    }
+
+private:
+    void awaitHangup()
+    {
+        this->hangups.async_wait([this](const boost::system::error_code& failure, int) {
+            if (failure)
+                return;
+            this->reload();
+            this->awaitHangup();
+        });
+    }
+
+    asio::awaitable<void> poll()
+    {
+        asio::steady_timer timer { this->context };
+        while (true) {
+            timer.expires_after(SettingsPollPeriod);
+            co_await timer.async_wait(asio::use_awaitable);
+            if (this->fileTime() != this->changedAt)
+                this->reload();
+        }
+    }
+
+    std::filesystem::file_time_type fileTime() const
+    {
+        std::error_code unreadable; // An unreadable file is reported by the reload that follows.
+        return std::filesystem::last_write_time(this->path, unreadable);
+    }
+
+    void reload()
+    {
+        this->changedAt = this->fileTime();
+        boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<void> {
+                BOOST_LEAF_AUTO(values, Settings::load(this->path, servingNodeSpecifications()));
+                this->node.reload(servingNodeSettingsFrom(values));
+                return {};
+            },
+            [&](const SettingsProblem& problem) { this->node.reportBadSettings(problem.message); },
+            [&] { this->node.reportBadSettings("the settings file could not be read"); });
+    }
+
+    asio::io_context& context;
+    std::string path;
+    ServingNode& node;
+    asio::signal_set hangups;
+    std::filesystem::file_time_type changedAt;
+};
+
+int run(const Settings& values, const std::string& path)
 {
-    boost::asio::io_context context { 1 };
+    asio::io_context context { 1 };
     SteadyClock clock;
     const auto settings = servingNodeSettingsFrom(values);
     HttpClient storeClient { context.get_executor(), { .connectTimeout = settings.storeTimeout } };
@@ -28,9 +100,11 @@
     platform::RecordFormat records;
     ServingNode node { context, clock, { store, records, format }, settings };
     node.start();
-    boost::asio::signal_set signals { context, SIGTERM, SIGINT };
+    SettingsWatcher watcher { context, path, node };
+    watcher.start();
+    asio::signal_set signals { context, SIGTERM, SIGINT };
     signals.async_wait([&](const boost::system::error_code&, int) {
-        boost::asio::co_spawn(context, node.stopGracefully(), boost::asio::detached);
+        asio::co_spawn(context, node.stopGracefully(), asio::detached);
     });
     context.run();
     return static_cast<int>(ExitCode::Success);
--- a/src/serving/LoadLedger.cpp
+++ b/src/serving/LoadLedger.cpp
@@ -20,6 +20,7 @@
     this->backlogMs += other.backlogMs;
     this->running += other.running;
     this->answers += other.answers;
+    this->answerWeight += other.answerWeight;
     this->longReads += other.longReads;
     this->memoryTokens += other.memoryTokens;
     this->tightestGap = std::min(this->tightestGap, other.tightestGap);
@@ -31,6 +32,7 @@
     TargetLoad load;
     load.running = 1;
     load.answers = this->work.isAnswer ? 1 : 0;
+    load.answerWeight = this->work.isAnswer ? this->work.weight : 0;
     load.memoryTokens = this->work.memoryTokens;
     load.tightestGap = this->work.gapObjective;
     if (this->isRead)
--- a/src/serving/LoadLedger.h
+++ b/src/serving/LoadLedger.h
@@ -17,6 +17,7 @@
     double backlogMs { 0 }; // Prompt reading still to be done.
     unsigned running { 0 }; // Requests that occupy a place, read or written.
     unsigned answers { 0 }; // Of these, requests that the target answers itself, instead of helping to read.
+    double answerWeight { 0 }; // What these answers are worth together; a short prompt's counts about 1.
     unsigned longReads { 0 }; // Of these, unread prompts or parts whose reading stretches the passes of the others.
     std::int64_t memoryTokens { 0 };
     Duration tightestGap { Duration::max() }; // The shortest pause that one of the answers may have.
@@ -32,6 +33,7 @@
     bool isLong { false };
     bool isAnswer { true }; // False for a helper's part.
     Duration gapObjective { Duration::max() }; // Between the events of the answer.
+    double weight { 1 }; // Of the answer.
 };
 
 // Adds up what this instance and its peers have sent to each target. Reports of the targets are some hundred
--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -39,6 +39,7 @@
     record.running = static_cast<std::int32_t>(load.running);
     record.longReads = static_cast<std::int32_t>(load.longReads);
     record.memoryTokens = load.memoryTokens;
+    record.answerWeight = load.answerWeight;
     record.answers = static_cast<std::int32_t>(load.answers);
     if (load.tightestGap < Duration::max())
         record.tightestGapMs = static_cast<std::int32_t>(milliseconds(load.tightestGap));
@@ -55,6 +56,7 @@
     load.running = count(record.running);
     load.longReads = count(record.longReads);
     load.answers = count(record.answers);
+    load.answerWeight = std::max(0.0, record.answerWeight);
     load.memoryTokens = std::max<std::int64_t>(0, record.memoryTokens);
     if (record.tightestGapMs > 0)
         load.tightestGap = std::chrono::milliseconds { record.tightestGapMs };
--- a/src/serving/PromptPlacement.cpp
+++ b/src/serving/PromptPlacement.cpp
@@ -31,7 +31,9 @@
 constexpr double BesideLongReadMs = 120;
 // An engine whose batch or memory is full makes the next request wait for one of its answers to end.
 constexpr double NoPlaceMs = 1000;
-// An answer that is held up beyond its gap is late as a whole.
+// Reading time that weighs as much as the rest of an answer: about that of a typical answer's batch share.
+constexpr double WeightReadMs = 200;
+// An answer that is held up beyond its gap, or comes after its objective, is late as a whole. Times its weight.
 constexpr double HeldUpAnswerMs = 300;
 // Any other answer on the engine is slowed a little.
 constexpr double SlowedAnswerMs = 5;
@@ -39,8 +41,10 @@
 constexpr double StackedReadMs = 3000;
 // Each further engine has to be reached and waited for: about one round trip and the rest of a pass.
 constexpr double PerHelperMs = 10;
-// Reading beyond its share of the objective makes the prompt itself late.
+// Reading beyond its share of the objective puts the prompt itself at risk.
 constexpr double LateReadWeight = 3;
+// Expected longer than this share of the objective, the prompt is late.
+constexpr double LateShareOfObjective = 0.8;
 
 }
 
@@ -65,6 +69,11 @@
     return count / std::max(1e-6, this->profile.promptTokensPerMs) + millionPairs * this->profile.msPerMillionPairs;
 }
 
+double PromptPlacement::weight(std::int64_t tokens) const
+{
+    return 1 + this->readMs(tokens) / WeightReadMs;
+}
+
 bool PromptPlacement::isLong(const PromptDemand& demand) const
 {
     const auto usable = UsableShareOfGap * Milliseconds(demand.tightestGap).count();
@@ -118,6 +127,7 @@
     const PromptDemand& demand, std::span<const EngineCandidate> candidates) const
 {
     const auto tokens = demand.size.promptTokens + demand.size.maximumOutputTokens;
+    const auto read = this->readMs(demand.size.promptTokens);
     const auto positions = this->zonePositions(candidates);
     std::size_t best = 0;
     auto bestCost = std::numeric_limits<double>::infinity();
@@ -127,6 +137,9 @@
         auto cost = candidate.load.backlogMs + FullBatchMs * occupancy * occupancy + ShortEndMs * positions[index]
             + candidate.penaltyMs + (candidate.isLocal ? 0 : RemoteZoneMs)
             + candidate.load.longReads * BesideLongReadMs;
+        // Short prompts that arrive within one pass are read one after the other before the next tokens are written.
+        if (this->holdsUpAnswers(candidate, candidate.load.backlogMs + read))
+            cost += HeldUpAnswerMs * candidate.load.answerWeight;
         if (occupancy >= 1 || !this->hasRoom(candidate, tokens))
             cost += NoPlaceMs * std::max(1.0, occupancy);
         if (cost < bestCost) {
@@ -135,8 +148,13 @@
         }
     }
     const auto& load = candidates[best].load;
-    const auto read = this->readMs(demand.size.promptTokens);
-    return PromptPlan { best, {}, read, load.backlogMs + read + 2 * this->passMs(load), false, false };
+    PromptPlan plan;
+    plan.writer = best;
+    plan.readMs = read;
+    plan.weight = this->weight(demand.size.promptTokens);
+    plan.expectedMs = load.backlogMs + plan.readMs + 2 * this->passMs(load);
+    plan.soonestMs = plan.readMs;
+    return plan;
 }
 
 // Reads the prompt in a number of parts on the engines that bear them best.
@@ -150,7 +168,7 @@
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const auto& candidate = candidates[index];
         const auto perAnswer = this->holdsUpAnswers(candidate, partMs) ? HeldUpAnswerMs : SlowedAnswerMs;
-        costs[index] = perAnswer * candidate.load.answers + StackedReadMs * candidate.load.longReads
+        costs[index] = perAnswer * candidate.load.answerWeight + StackedReadMs * candidate.load.longReads
             + candidate.load.backlogMs + LongEndMs * (1 - positions[index]) + candidate.penaltyMs
             + (candidate.isLocal ? 0 : RemoteZoneMs);
         // Its answer shares the engine with whatever is read or answered there.
@@ -176,6 +194,8 @@
     read.expectedMs += partMs;
     const auto usable = ReadShareOfObjective * Milliseconds(demand.objective).count();
     read.costMs += partMs + LateReadWeight * std::max(0.0, read.expectedMs - usable);
+    if (read.expectedMs > LateShareOfObjective * Milliseconds(demand.objective).count())
+        read.costMs += HeldUpAnswerMs * this->weight(demand.size.promptTokens);
     return read;
 }
 
@@ -189,9 +209,19 @@
         if (read.costMs < best.costMs)
             best = std::move(read);
     }
-    const auto parts = static_cast<double>(best.helpers.size() + 1);
-    return PromptPlan { best.writer, best.helpers, this->readMs(demand.size.promptTokens) / parts,
-        best.expectedMs + 2 * this->passMs(candidates[best.writer].load), true, best.disturbsOthers };
+    const auto whole = this->readMs(demand.size.promptTokens);
+    const auto mostParts = static_cast<double>(std::min(candidates.size(), MaximumHelpers + 1));
+    PromptPlan plan;
+    plan.writer = best.writer;
+    plan.helpers = best.helpers;
+    plan.readMs = whole / static_cast<double>(best.helpers.size() + 1);
+    plan.weight = this->weight(demand.size.promptTokens);
+    plan.expectedMs = best.expectedMs + 2 * this->passMs(candidates[best.writer].load);
+    plan.soonestMs = whole / mostParts + 2 * this->passMs({});
+    plan.isLong = true;
+    plan.shouldWait = best.disturbsOthers
+        || plan.expectedMs > LateShareOfObjective * Milliseconds(demand.objective).count();
+    return plan;
 }
 
 }
--- a/src/serving/PromptPlacement.h
+++ b/src/serving/PromptPlacement.h
@@ -33,7 +33,9 @@
     std::size_t writer { 0 };
     std::vector<std::size_t> helpers;
     double readMs { 0 }; // For each part.
+    double weight { 1 }; // Of the answer, against those of others.
     double expectedMs { 0 }; // Until the first token.
+    double soonestMs { 0 }; // The same if all engines were free.
     bool isLong { false };
     bool shouldWait {
         false
@@ -57,6 +59,10 @@
     // Time for one engine to read a whole prompt, in milliseconds.
     double readMs(std::int64_t tokens) const;
 
+    // What an answer to the prompt is worth: it grows with the time that engines spend on it, all of which is wasted when
+    // the answer comes late.
+    double weight(std::int64_t tokens) const;
+
     // Whether reading the prompt in one piece holds up short answers for longer than they may pause.
     bool isLong(const PromptDemand& demand) const;
 
--- a/src/serving/RetryBudget.cpp
+++ b/src/serving/RetryBudget.cpp
@@ -14,9 +14,9 @@
     this->settings = settings;
 }
 
-void RetryBudget::setInstances(std::size_t instances)
+void RetryBudget::noteInstances(std::size_t instances)
 {
-    this->instances = std::max<std::size_t>(1, instances);
+    this->sharers = std::max(this->sharers, 2 * instances);
 }
 
 void RetryBudget::noteFirst(std::string_view service, TimePoint now)
@@ -39,7 +39,7 @@
     auto& window = this->windows[std::string { service }];
     this->expire(window, now);
     const auto allowed = this->settings.ratio * static_cast<double>(window.firsts.size())
-        + this->settings.slack / static_cast<double>(this->instances);
+        + this->settings.slack / static_cast<double>(this->sharers);
     return allowed - static_cast<double>(window.further.size());
 }
 
--- a/src/serving/RetryBudget.h
+++ b/src/serving/RetryBudget.h
@@ -20,12 +20,16 @@
 // otherwise be sent twice.
 class RetryBudget {
 public:
+    // The slack is shared by at least so many instances, and by twice those that are known: as many may be starting.
+    static constexpr std::size_t FewestSharers = 24;
+
     explicit RetryBudget(RetryBudgetSettings settings = {});
 
     void setSettings(const RetryBudgetSettings& settings);
 
-    // The number of instances that share the slack, counted generously.
-    void setInstances(std::size_t instances);
+    // Takes the number of instances that are known to live. The share of the slack never rises again: an instance that
+    // hears of nobody is cut off or has just started, and the others still spend their shares.
+    void noteInstances(std::size_t instances);
 
     void noteFirst(std::string_view service, TimePoint now);
 
@@ -44,7 +48,7 @@
     void expire(Window& window, TimePoint now) const;
 
     RetryBudgetSettings settings;
-    std::size_t instances { 1 };
+    std::size_t sharers { FewestSharers };
     std::map<std::string, Window, std::less<>> windows;
 };
 
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -164,16 +164,14 @@
     co_await this->finishUnserved(call);
 }
 
-// A long prompt waits here while every engine reads one, as engines would read it last; but not so long that its
-// objective is lost.
+// A long prompt waits here while engines would hold up others by it, as long as its own objective allows.
 asio::awaitable<std::optional<TargetChoice>> ServingGateway::chooseInTime(Call& call)
 {
-    const auto placeBy = this->parts.clock.now()
-        + std::min(call.route->objective / 2, std::max(Duration::zero(), this->remaining(call) / 2));
+    const auto objectiveAt = std::min(call.receivedAt + call.route->objective * 3 / 4, call.deadline);
     while (true) {
         const auto now = this->parts.clock.now();
-        auto choice = this->chooser.choose({ *call.route, *call.service, call.terms.prompt, call.tried }, now);
-        if (!choice || !choice->shouldWait || now >= placeBy)
+        auto choice = this->chooser.choose({ *call.route, *call.service, call.terms.prompt, call.tried, now - call.receivedAt }, now);
+        if (!choice || !choice->shouldWait || now + 2 * choice->soonest >= objectiveAt)
             co_return choice;
         asio::steady_timer timer { this->parts.context, PlacementRetryPeriod };
         co_await timer.async_wait(asio::use_awaitable);
@@ -199,11 +197,23 @@
 // A repeatable request leaves time for another target when this one stays silent.
 Duration ServingGateway::firstByteTimeout(const Call& call, const TargetChoice& choice) const
 {
-    const auto left = this->remaining(call);
-    const bool isLast = !call.route->mayRunAgain() || call.runs + 1 >= call.route->maximumAttempts;
-    if (isLast)
-        return left;
-    return std::min(left, 2 * choice.expected + call.route->objective);
+    if (!this->mayLeave(call))
+        return this->remaining(call);
+    return std::min(this->remaining(call), 2 * choice.expected + call.route->objective);
+}
+
+// Silence ends an answer only while another target can continue it.
+Duration ServingGateway::gapTimeout(const Call& call) const
+{
+    if (!this->mayLeave(call))
+        return this->remaining(call);
+    return std::max(LongestNormalGap, 3 * call.route->gapObjective);
+}
+
+bool ServingGateway::mayLeave(const Call& call) const
+{
+    return call.route->mayRunAgain() && call.runs + 1 < call.route->maximumAttempts && call.tries < MaximumTries
+        && this->parts.budget.left(call.service->name, this->parts.clock.now()) >= 1;
 }
 
 std::vector<LedgerEntry> ServingGateway::noteWork(const TargetChoice& choice)
@@ -313,7 +323,7 @@
     auto timeout = this->firstByteTimeout(call, choice);
     while (true) {
         auto piece = co_await answer.readSome(std::min(timeout, this->remaining(call)));
-        timeout = std::max(LongestNormalGap, 3 * call.route->gapObjective);
+        timeout = this->gapTimeout(call);
         if (!piece) {
             this->noteOutcome(call, choice, SendOutcome::Failed, name(piece.error()));
             co_return Attempt::MayHaveRun;
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -77,6 +77,8 @@
     bool maySendAgain(Call& call, Attempt last);
     Duration remaining(const Call& call) const;
     Duration firstByteTimeout(const Call& call, const TargetChoice& choice) const;
+    Duration gapTimeout(const Call& call) const;
+    bool mayLeave(const Call& call) const; // Whether another target may take over from the present one.
     std::vector<LedgerEntry> noteWork(const TargetChoice& choice);
     void noteOutcome(Call& call, const TargetChoice& choice, SendOutcome outcome, std::string_view detail);
     void finish(Call& call, std::string_view outcome, unsigned status);
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -199,12 +199,6 @@
         this->log.write("readiness", { { "ready", isReady } });
     }
 
-    // Shares the slack with the peers that are known and as many again that may be starting.
-    void updateBudget()
-    {
-        this->budget.setInstances(2 * (this->peers.livePeers() + 1));
-    }
-
     asio::awaitable<void> keepHouse()
     {
         while (true) {
@@ -212,7 +206,7 @@
             this->updateReadiness();
             this->client.closeStaleConnections();
             this->health.expire(this->clock.now());
-            this->updateBudget();
+            this->budget.noteInstances(this->peers.livePeers() + 1);
         }
     }
 
@@ -261,6 +255,24 @@
     asio::co_spawn(state.context, state.keepHouse(), asio::detached);
 }
 
+void ServingNode::reload(const ServingNodeSettings& settings)
+{
+    auto& state = *this->state;
+    const bool needsRestart = settings.callersAddress != state.settings.callersAddress
+        || settings.readyAddress != state.settings.readyAddress || settings.peersAddress != state.settings.peersAddress
+        || settings.metricsAddress != state.settings.metricsAddress;
+    state.settings.grace = settings.grace;
+    state.settings.retries = settings.retries;
+    state.budget.setSettings(settings.retries);
+    state.follower.setSettings(settings.follower);
+    state.log.write("settings_reloaded", { { "listeners_need_restart", needsRestart } });
+}
+
+void ServingNode::reportBadSettings(std::string_view problem)
+{
+    this->state->log.write("settings_rejected", { { "problem", problem } });
+}
+
 asio::awaitable<void> ServingNode::stopGracefully()
 {
     auto& state = *this->state;
--- a/src/serving/ServingNode.h
+++ b/src/serving/ServingNode.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -55,6 +56,12 @@
     // Binds the listeners and begins to follow the platform. Throws boost::system::system_error when it cannot bind.
     void start();
 
+    // Takes changed settings. Addresses of listeners need a restart, which is logged.
+    void reload(const ServingNodeSettings& settings);
+
+    // Logs that changed settings were not taken; the last good ones stay.
+    void reportBadSettings(std::string_view problem);
+
     // A planned stop: tells the balancer, serves on until it has moved callers away, finishes what runs, and stops the
     // context before the grace is over.
     boost::asio::awaitable<void> stopGracefully();
--- a/src/serving/TargetChooser.cpp
+++ b/src/serving/TargetChooser.cpp
@@ -17,6 +17,11 @@
 constexpr double RandomWeight = 0.05;
 constexpr double RandomMs = 15; // About one short prompt's reading.
 
+Duration durationFrom(double milliseconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli> { milliseconds });
+}
+
 }
 
 TargetChooser::TargetChooser(const TargetDirectory& targets, const LoadLedger& ledger, const TargetHealth& health,
@@ -73,7 +78,10 @@
     }
     if (!best)
         return std::nullopt;
-    return TargetChoice { *best, {}, {}, demand.route.objective };
+    TargetChoice choice;
+    choice.target = *best;
+    choice.expected = demand.route.objective;
+    return choice;
 }
 
 std::optional<TargetChoice> TargetChooser::chooseEngines(const ChoiceDemand& demand, TimePoint now)
@@ -90,10 +98,12 @@
         { *demand.prompt, demand.route.objective, demand.route.gapObjective, demand.service.tightestGap }, candidates);
     if (!plan)
         return std::nullopt;
-    TargetChoice choice { *candidates[plan->writer].target, {},
-        { plan->readMs, demand.prompt->promptTokens + demand.prompt->maximumOutputTokens, plan->isLong, true,
-            demand.route.gapObjective },
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli> { plan->expectedMs }) };
+    TargetChoice choice;
+    choice.target = *candidates[plan->writer].target;
+    choice.work = { plan->readMs, demand.prompt->promptTokens + demand.prompt->maximumOutputTokens, plan->isLong, true,
+        demand.route.gapObjective, plan->weight };
+    choice.expected = durationFrom(plan->expectedMs);
+    choice.soonest = durationFrom(plan->soonestMs);
     choice.shouldWait = plan->shouldWait;
     for (const auto index : plan->helpers)
         choice.helpers.push_back(*candidates[index].target);
--- a/src/serving/TargetChooser.h
+++ b/src/serving/TargetChooser.h
@@ -24,6 +24,7 @@
     std::vector<TargetEntry> helpers; // Read parts of its prompt.
     TargetWork work; // For the answering target; helpers have the same without the memory.
     Duration expected {}; // Until the first byte of the answer.
+    Duration soonest {}; // The same if no target had other work.
     bool shouldWait { false }; // A better choice will be there shortly.
 };
 
@@ -33,6 +34,7 @@
     const ServiceProfile& service;
     std::optional<PromptSize> prompt;
     const std::set<std::string>& excluded; // Targets that were tried already.
+    Duration elapsed {}; // Of the objective, while the request waited.
 };
 
 // Chooses targets from what the view, the ledger and the judgement of targets say. Has no I/O.
--- a/src/serving/ViewFollower.cpp
+++ b/src/serving/ViewFollower.cpp
@@ -41,6 +41,11 @@
     asio::co_spawn(this->context, this->followTargets(), asio::detached);
 }
 
+void ViewFollower::setSettings(const ViewFollowerSettings& settings)
+{
+    this->settings = settings;
+}
+
 const std::optional<KeyedRecord>& ViewFollower::configurationRecord() const
 {
     return this->newestConfiguration;
--- a/src/serving/ViewFollower.h
+++ b/src/serving/ViewFollower.h
@@ -34,6 +34,9 @@
 
     void start(std::function<void()> configurationChanged);
 
+    // Takes effect with the next call to the platform.
+    void setSettings(const ViewFollowerSettings& settings);
+
     // The newest configuration record that was taken, for peers that the platform turns away.
     const std::optional<KeyedRecord>& configurationRecord() const;
 
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -302,6 +302,7 @@
     5: i64 memoryTokens
     6: i32 answers
     7: i32 tightestGapMs // Of the answers; 0 without any.
+    8: double answerWeight
 }
 
 // Instance to instance on the serving path, as one UDP datagram: what the sender has given to targets, and how new its
