--- a/src/programs/NodeMain.cpp
+++ b/src/programs/NodeMain.cpp
@@ -10,6 +10,7 @@
 
 #include "base/Program.h"
 #include "platform/HeaderFormat.h"
+#include "platform/OrderClient.h"
 #include "platform/RecordFormat.h"
 #include "platform/StoreClient.h"
 #include "serving/ServingNode.h"
@@ -23,6 +24,9 @@
 // The settings file may change without a signal; this is how often its time is looked at.
 constexpr Duration SettingsPollPeriod = std::chrono::seconds { 1 };
 
+// For an engine to answer an order; it needs no slot there.
+constexpr Duration OrderTimeout = std::chrono::milliseconds { 400 };
+
 // Applies the settings file again whenever it has changed or SIGHUP arrives.
 class SettingsWatcher {
 public:
@@ -98,7 +102,9 @@
     platform::StoreClient store { storeClient, values.text("platform", "address"), settings.storeTimeout };
     platform::HeaderFormat format;
     platform::RecordFormat records;
-    ServingNode node { context, clock, { store, records, format }, settings };
+    HttpClient orderClient { context.get_executor(), { .connectTimeout = OrderTimeout } };
+    platform::OrderClient orders { orderClient, OrderTimeout };
+    ServingNode node { context, clock, { store, records, format, orders }, settings };
     node.start();
     SettingsWatcher watcher { context, path, node };
     watcher.start();
--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -111,6 +111,9 @@
         std::unordered_map<std::uint64_t, TargetLoad> loads;
         for (const auto& record : notice->loads)
             loads.emplace(static_cast<std::uint64_t>(record.target), loadOf(record));
+        this->parts.waiting.applyPeer(notice->sender,
+            notice->waitingStartByMs < 0 ? TimePoint::max() : now + std::chrono::milliseconds { notice->waitingStartByMs },
+            now);
         this->parts.ledger.applyPeer(notice->sender, loads, now, std::chrono::milliseconds { notice->validMs });
     }
 
@@ -161,6 +164,9 @@
         for (const auto& [target, load] : loads)
             notice.loads.push_back(recordOf(target, load));
         this->didTellLoad = !loads.empty();
+        const auto urgent = this->parts.waiting.mostUrgent();
+        notice.waitingStartByMs
+            = urgent == TimePoint::max() ? -1 : std::max<std::int64_t>(0, milliseconds(urgent - now));
         notice.peers = this->exchange.introductions();
         auto bytes = encode(notice);
         if (bytes.size() <= MaximumNoticeBytes)
--- a/src/serving/PeerRunner.h
+++ b/src/serving/PeerRunner.h
@@ -16,6 +16,7 @@
 #include "serving/LoadLedger.h"
 #include "serving/PeerExchange.h"
 #include "serving/ViewFollower.h"
+#include "serving/WaitingPrompts.h"
 
 namespace marigoldpaddle {
 
@@ -28,6 +29,7 @@
         ServingView& view;
         ViewFollower& follower;
         LoadLedger& ledger;
+        WaitingPrompts& waiting;
         EventLog& log;
         MetricsRegistry& metrics;
     };
--- a/src/serving/PromptPlacement.cpp
+++ b/src/serving/PromptPlacement.cpp
@@ -19,14 +19,16 @@
 // Of the objective to the first token, what reading may use; the rest is for waiting and the network.
 constexpr double ReadShareOfObjective = 0.5;
 // Preference of short answers for one end of a zone's engines, from one end to the other. Beside FullBatchMs it fills
-// an engine to two thirds before the next of seven is begun, so that the other end stays free of short answers.
+// an engine to half before the next of seven is begun, and all of them to three quarters at a crest.
 constexpr double ShortEndMs = 300;
 // Preference of long prompts for the other end: decides between engines that are equally good.
 constexpr double LongEndMs = 30;
 // Network and price of another availability zone.
 constexpr double RemoteZoneMs = 8;
-// The cost of a place rises with the square of the engine's occupancy, up to this for a full batch.
-constexpr double FullBatchMs = 100;
+// The cost of a place rises with the fourth power of the engine's occupancy, up to this for a full batch.
+constexpr double FullBatchMs = 600;
+// Prompts that are late already leave the rest of a batch to those that are not.
+constexpr double LateOccupancy = 0.85;
 // What a short prompt suffers from a long read on its engine, besides waiting for it.
 constexpr double BesideLongReadMs = 120;
 // An engine whose batch or memory is full makes the next request wait for one of its answers to end.
@@ -37,8 +39,11 @@
 constexpr double HeldUpAnswerMs = 300;
 // Any other answer on the engine is slowed a little.
 constexpr double SlowedAnswerMs = 5;
-// The older of two long reads is finished last, and every further one comes before it.
+// The older of two long reads waits for the newer one. With more of them it would be put off again and again.
 constexpr double StackedReadMs = 3000;
+constexpr unsigned BearableStack = 4;
+// Of an engine's memory, what a prompt that needs several engines takes: other answers go on beside it.
+constexpr double UsableShareOfMemory = 0.65;
 // Each further engine has to be reached and waited for: about one round trip and the rest of a pass.
 constexpr double PerHelperMs = 10;
 // Reading beyond its share of the objective puts the prompt itself at risk.
@@ -100,6 +105,13 @@
     return this->passMs(candidate.load) + partMs > usable;
 }
 
+double PromptPlacement::stackingCost(const EngineCandidate& candidate, double partMs) const
+{
+    if (candidate.load.longReads == 0)
+        return 0;
+    return candidate.load.longReads <= BearableStack ? partMs : StackedReadMs * candidate.load.longReads;
+}
+
 // Returns each candidate's place among those of its availability zone, from 0 to 1.
 std::vector<double> PromptPlacement::zonePositions(std::span<const EngineCandidate> candidates) const
 {
@@ -118,7 +130,7 @@
     const PromptDemand& demand, std::span<const EngineCandidate> candidates) const
 {
     const auto tokens = demand.size.promptTokens + demand.size.maximumOutputTokens;
-    if (candidates.empty() || (this->profile.memoryTokens > 0 && tokens > this->profile.memoryTokens))
+    if (candidates.empty() || this->holdersFor(tokens) > std::min(candidates.size(), MaximumHelpers + 1))
         return std::nullopt;
     return this->isLong(demand) ? this->planLong(demand, candidates) : this->planShort(demand, candidates);
 }
@@ -134,7 +146,7 @@
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const auto& candidate = candidates[index];
         const auto occupancy = static_cast<double>(candidate.load.running) / std::max(1U, this->profile.batchSlots);
-        auto cost = candidate.load.backlogMs + FullBatchMs * occupancy * occupancy + ShortEndMs * positions[index]
+        auto cost = candidate.load.backlogMs + FullBatchMs * std::pow(occupancy, 4) + ShortEndMs * positions[index]
             + candidate.penaltyMs + (candidate.isLocal ? 0 : RemoteZoneMs)
             + candidate.load.longReads * BesideLongReadMs;
         // Short prompts that arrive within one pass are read one after the other before the next tokens are written.
@@ -151,24 +163,40 @@
     PromptPlan plan;
     plan.writer = best;
     plan.readMs = read;
+    plan.writerTokens = tokens;
     plan.weight = this->weight(demand.size.promptTokens);
     plan.expectedMs = load.backlogMs + plan.readMs + 2 * this->passMs(load);
-    plan.soonestMs = plan.readMs;
+    plan.soonestMs = plan.readMs + 2 * this->passMs({});
+    plan.isLate = plan.soonestMs > Milliseconds(demand.objective).count();
+    const auto occupancy = static_cast<double>(load.running) / std::max(1U, this->profile.batchSlots);
+    plan.shouldWait = occupancy >= (plan.isLate ? LateOccupancy : 1);
     return plan;
 }
 
+// Returns the engines that have to keep a part of a prompt in memory.
+std::size_t PromptPlacement::holdersFor(std::int64_t tokens) const
+{
+    if (this->profile.memoryTokens == 0 || tokens <= this->profile.memoryTokens)
+        return 1;
+    const auto usable = UsableShareOfMemory * static_cast<double>(this->profile.memoryTokens);
+    return static_cast<std::size_t>(std::ceil(static_cast<double>(tokens) / usable));
+}
+
 // Reads the prompt in a number of parts on the engines that bear them best.
 PromptPlacement::SplitRead PromptPlacement::split(const PromptDemand& demand,
     std::span<const EngineCandidate> candidates, std::span<const double> positions, std::size_t parts) const
 {
-    const auto tokens = demand.size.promptTokens + demand.size.maximumOutputTokens;
+    const auto wholeTokens = demand.size.promptTokens + demand.size.maximumOutputTokens;
+    const auto holders = this->holdersFor(wholeTokens);
+    const auto tokens = wholeTokens / static_cast<std::int64_t>(holders);
     const auto partMs = this->readMs(demand.size.promptTokens) / static_cast<double>(parts);
     std::vector<double> costs(candidates.size());
     std::vector<double> writerCosts(candidates.size());
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const auto& candidate = candidates[index];
-        const auto perAnswer = this->holdsUpAnswers(candidate, partMs) ? HeldUpAnswerMs : SlowedAnswerMs;
-        costs[index] = perAnswer * candidate.load.answerWeight + StackedReadMs * candidate.load.longReads
+        const bool holdsUp = this->holdsUpAnswers(candidate, partMs + candidate.load.backlogMs);
+        const auto perAnswer = holdsUp ? HeldUpAnswerMs : SlowedAnswerMs;
+        costs[index] = perAnswer * candidate.load.answerWeight + this->stackingCost(candidate, partMs)
             + candidate.load.backlogMs + LongEndMs * (1 - positions[index]) + candidate.penaltyMs
             + (candidate.isLocal ? 0 : RemoteZoneMs);
         // Its answer shares the engine with whatever is read or answered there.
@@ -181,6 +209,10 @@
     std::vector<std::size_t> order(candidates.size());
     std::iota(order.begin(), order.end(), std::size_t { 0 });
     std::ranges::sort(order, {}, [&](std::size_t index) { return costs[index]; });
+    // Those that keep a part of the prompt come first.
+    const auto canHold = [&](std::size_t index) { return index != read.writer && this->hasRoom(candidates[index], tokens); };
+    if (holders > 1)
+        std::ranges::stable_partition(order, canHold);
     read.helpers.assign(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(parts - 1));
 
     read.costMs = writerCosts[read.writer];
@@ -193,7 +225,9 @@
     }
     read.expectedMs += partMs;
     const auto usable = ReadShareOfObjective * Milliseconds(demand.objective).count();
-    read.costMs += partMs + LateReadWeight * std::max(0.0, read.expectedMs - usable);
+    read.costMs += partMs;
+    if (usable > 0)
+        read.costMs += LateReadWeight * std::max(0.0, read.expectedMs - usable);
     if (read.expectedMs > LateShareOfObjective * Milliseconds(demand.objective).count())
         read.costMs += HeldUpAnswerMs * this->weight(demand.size.promptTokens);
     return read;
@@ -204,7 +238,9 @@
 {
     const auto positions = this->zonePositions(candidates);
     SplitRead best;
-    for (std::size_t parts = 1; parts <= std::min(candidates.size(), MaximumHelpers + 1); ++parts) {
+    const auto tokens = demand.size.promptTokens + demand.size.maximumOutputTokens;
+    const auto holders = this->holdersFor(tokens);
+    for (std::size_t parts = holders; parts <= std::min(candidates.size(), MaximumHelpers + 1); ++parts) {
         auto read = this->split(demand, candidates, positions, parts);
         if (read.costMs < best.costMs)
             best = std::move(read);
@@ -214,11 +250,15 @@
     PromptPlan plan;
     plan.writer = best.writer;
     plan.helpers = best.helpers;
+    plan.tickets = holders - 1;
+    plan.tokensPerTicket = holders > 1 ? tokens / static_cast<std::int64_t>(holders) + 1 : 0;
+    plan.writerTokens = tokens - plan.tokensPerTicket * static_cast<std::int64_t>(plan.tickets);
     plan.readMs = whole / static_cast<double>(best.helpers.size() + 1);
     plan.weight = this->weight(demand.size.promptTokens);
     plan.expectedMs = best.expectedMs + 2 * this->passMs(candidates[best.writer].load);
     plan.soonestMs = whole / mostParts + 2 * this->passMs({});
     plan.isLong = true;
+    plan.isLate = plan.soonestMs > Milliseconds(demand.objective).count();
     plan.shouldWait = best.disturbsOthers
         || plan.expectedMs > LateShareOfObjective * Milliseconds(demand.objective).count();
     return plan;
--- a/src/serving/PromptPlacement.h
+++ b/src/serving/PromptPlacement.h
@@ -15,7 +15,7 @@
 // A prompt that needs engines.
 struct PromptDemand {
     PromptSize size;
-    Duration objective {}; // To the first token.
+    Duration objective {}; // What is left of it, to the first token.
     Duration gapObjective {}; // Between events of its answer.
     Duration tightestGap {}; // The shortest pause that any answer on these engines may have.
 };
@@ -32,11 +32,15 @@
 struct PromptPlan {
     std::size_t writer { 0 };
     std::vector<std::size_t> helpers;
+    std::int64_t tokensPerTicket { 0 }; // Memory that each of the first `tickets` helpers has to set aside.
+    std::size_t tickets { 0 };
+    std::int64_t writerTokens { 0 }; // What is left for the writer to hold.
     double readMs { 0 }; // For each part.
     double weight { 1 }; // Of the answer, against those of others.
     double expectedMs { 0 }; // Until the first token.
     double soonestMs { 0 }; // The same if all engines were free.
     bool isLong { false };
+    bool isLate { false }; // Even the soonest first token comes after the objective.
     bool shouldWait {
         false
     }; // The plan disturbs others, or there is no free engine; a better one may come up shortly.
@@ -49,9 +53,10 @@
 // older one last. Load patterns that the placement answers:
 // - Short prompts beside long ones: short answers gather at one end of each availability zone's engines, long reads at
 //   the other, and a long read avoids engines whose answers it would hold up beyond the gap that they may have.
-// - A crest of long prompts: each is read by as many engines as it takes to hold up nobody, an engine reads one at a
-//   time, and prompts wait at their instance, oldest objective first served by an engine that becomes free.
-// - A crest of short prompts: these spread over all engines, as the ends are only preferences.
+// - A crest of long prompts: each is read by as many engines as it takes to hold up nobody, an engine has
+//   few at a time, and a prompt waits at its instance while none is free enough.
+// - A crest of short prompts: these spread over all engines, as the ends are only preferences. Beyond the engines' places
+//   they wait at their instance, and those that are late already leave the last places to those that are not.
 class PromptPlacement {
 public:
     explicit PromptPlacement(const EngineProfile& profile);
@@ -66,7 +71,8 @@
     // Whether reading the prompt in one piece holds up short answers for longer than they may pause.
     bool isLong(const PromptDemand& demand) const;
 
-    // Empty when no engine has the memory for the prompt, or there is none.
+    // Empty when all engines together do not have the memory for the prompt, or there is none. A prompt that is larger than
+    // the memory of one engine is kept by several.
     std::optional<PromptPlan> plan(const PromptDemand& demand, std::span<const EngineCandidate> candidates) const;
 
 private:
@@ -75,9 +81,11 @@
     double passMs(const TargetLoad& load) const;
     bool hasRoom(const EngineCandidate& candidate, std::int64_t tokens) const;
     bool holdsUpAnswers(const EngineCandidate& candidate, double partMs) const;
+    double stackingCost(const EngineCandidate& candidate, double partMs) const;
     std::vector<double> zonePositions(std::span<const EngineCandidate> candidates) const;
     std::optional<PromptPlan> planShort(const PromptDemand& demand, std::span<const EngineCandidate> candidates) const;
     std::optional<PromptPlan> planLong(const PromptDemand& demand, std::span<const EngineCandidate> candidates) const;
+    std::size_t holdersFor(std::int64_t tokens) const;
     SplitRead split(const PromptDemand& demand, std::span<const EngineCandidate> candidates,
         std::span<const double> positions, std::size_t parts) const;
 
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -1,6 +1,7 @@
 #include "serving/ServingGateway.h"
 
 #include <algorithm>
+#include <random>
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -19,12 +20,15 @@
 // When a refused caller may come back if nothing better is known: a full engine has ended an answer by then.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds { 300 };
 // Waiting prompts look for a free engine this often; a part of a long read takes some hundred milliseconds.
-constexpr Duration PlacementRetryPeriod = std::chrono::milliseconds { 20 };
+constexpr Duration PlacementRetryPeriod = std::chrono::milliseconds { 10 };
+// A short prompt that is late waits for a place for so many objectives, or a quarter of its time if that is shorter.
+constexpr int LatePatienceObjectives = 5;
 // Engines that lose a helper stall for so long before they give up; a shorter silence is no sign of a fault.
 constexpr Duration LongestNormalGap = std::chrono::milliseconds { 1500 };
 // Short prompts go before long ones in an engine's queue; 5 is the middle.
 constexpr int ShortUrgency = 3;
 constexpr int LongUrgency = 6;
+constexpr int LateUrgency = 8; // Nothing is lost by letting others go first.
 
 bool isSuccess(unsigned status)
 {
@@ -54,6 +58,28 @@
     return "invalid";
 }
 
+// Keeps a prompt among those that wait, for as long as it exists.
+class WaitingPlace {
+public:
+    WaitingPlace(WaitingPrompts& waiting, TimePoint startBy)
+        : waiting(waiting)
+        , entry(waiting.add(startBy))
+    {
+    }
+
+    ~WaitingPlace()
+    {
+        this->waiting.remove(this->entry);
+    }
+
+    WaitingPlace(const WaitingPlace&) = delete;
+    WaitingPlace& operator=(const WaitingPlace&) = delete;
+
+private:
+    WaitingPrompts& waiting;
+    WaitingPrompts::Entry entry;
+};
+
 class SendNote final : public SendGate {
 public:
     bool mayWrite() override
@@ -96,6 +122,7 @@
 ServingGateway::ServingGateway(const Parts& parts, TargetChooser chooser)
     : parts(parts)
     , chooser(std::move(chooser))
+    , ticketPrefix(parts.instance + '-' + std::to_string(std::random_device {}()) + '-')
 {
 }
 
@@ -164,15 +191,36 @@
     co_await this->finishUnserved(call);
 }
 
-// A long prompt waits here while engines would hold up others by it, as long as its own objective allows.
+// A prompt waits here while it would hold up others or find no place: a long one as long as its own objective allows, a
+// short one some objectives longer, as engines queue in the order of arrival and would make all that follow late.
 asio::awaitable<std::optional<TargetChoice>> ServingGateway::chooseInTime(Call& call)
 {
-    const auto objectiveAt = std::min(call.receivedAt + call.route->objective * 3 / 4, call.deadline);
+    const auto& objective = call.route->objective;
+    const auto longBy = std::min(call.receivedAt + objective * 3 / 4, call.deadline);
+    const auto shortBy = std::min(
+        call.receivedAt + LatePatienceObjectives * objective, call.receivedAt + (call.deadline - call.receivedAt) / 4);
+    std::optional<WaitingPlace> place; // Among the long prompts.
+    std::optional<TimePoint> readySince;
     while (true) {
         const auto now = this->parts.clock.now();
-        auto choice = this->chooser.choose({ *call.route, *call.service, call.terms.prompt, call.tried, now - call.receivedAt }, now);
-        if (!choice || !choice->shouldWait || now + 2 * choice->soonest >= objectiveAt)
+        auto choice = this->chooser.choose(
+            { *call.route, *call.service, call.terms.prompt, call.tried, now - call.receivedAt }, now);
+        if (!choice)
             co_return choice;
+        const auto startBy = choice->work.isLong ? longBy - 2 * choice->soonest : shortBy;
+        if (now >= startBy)
+            co_return choice;
+        if (!choice->shouldWait) {
+            readySince = readySince.value_or(now);
+            if (!choice->work.isLong || this->parts.waiting.isNext(startBy, now)
+                || now - *readySince >= WaitingPrompts::Courtesy)
+                co_return choice;
+        }
+        if (choice->work.isLong && !place) {
+            place.emplace(this->parts.waiting, startBy);
+            if (this->notifyPlaced)
+                this->notifyPlaced();
+        }
         asio::steady_timer timer { this->parts.context, PlacementRetryPeriod };
         co_await timer.async_wait(asio::use_awaitable);
     }
@@ -203,11 +251,14 @@
 }
 
 // Silence ends an answer only while another target can continue it.
-Duration ServingGateway::gapTimeout(const Call& call) const
+// A target that reads a long prompt is silent for as long.
+Duration ServingGateway::gapTimeout(const Call& call, const std::string& target) const
 {
     if (!this->mayLeave(call))
         return this->remaining(call);
-    return std::max(LongestNormalGap, 3 * call.route->gapObjective);
+    const auto load = this->parts.ledger.total(target, this->parts.clock.now());
+    const auto reading = std::chrono::duration<double, std::milli> { 2 * load.backlogMs };
+    return std::max(LongestNormalGap, 3 * call.route->gapObjective) + std::chrono::duration_cast<Duration>(reading);
 }
 
 bool ServingGateway::mayLeave(const Call& call) const
@@ -222,9 +273,11 @@
     std::vector<LedgerEntry> work;
     work.reserve(1 + choice.helpers.size());
     work.emplace_back(this->parts.ledger, choice.target.id, choice.work, now);
-    for (const auto& helper : choice.helpers)
-        work.emplace_back(
-            this->parts.ledger, helper.id, TargetWork { choice.work.readMs, 0, choice.work.isLong, false }, now);
+    for (std::size_t part = 0; part < choice.helpers.size(); ++part) {
+        const auto tokens = part < choice.tickets ? choice.tokensPerTicket : 0;
+        const TargetWork reading { choice.work.readMs, tokens, choice.work.isLong, false };
+        work.emplace_back(this->parts.ledger, choice.helpers[part].id, reading, now);
+    }
     if (choice.work.readMs > 0 && this->notifyPlaced)
         this->notifyPlaced();
     return work;
@@ -247,9 +300,14 @@
     if (call.stream)
         terms.lastEventId = call.stream->lastId();
     if (call.terms.prompt)
-        terms.urgency = choice.work.isLong ? LongUrgency : ShortUrgency;
+        terms.urgency = choice.isLate ? LateUrgency : choice.work.isLong ? LongUrgency : ShortUrgency;
     for (const auto& helper : choice.helpers)
         terms.helpers.push_back({ helper.address, {} });
+    MemoryLease lease { { this->parts.context, this->parts.memory, this->parts.log, this->parts.memoryHold },
+        call.terms.attemptId };
+    if (!co_await this->reserveMemory(call, choice, lease, terms))
+        co_return Attempt::NotSent;
+    terms.remaining = this->remaining(call);
     if (call.tries == 1)
         this->parts.budget.noteFirst(call.service->name, now);
 
@@ -288,6 +346,25 @@
     co_return ended;
 }
 
+// Sets memory aside at the first helpers and names it in the terms. False when one of them has no room; the lease then
+// gives back what the others set aside.
+asio::awaitable<bool> ServingGateway::reserveMemory(
+    Call& call, const TargetChoice& choice, MemoryLease& lease, SendTerms& terms)
+{
+    for (std::size_t part = 0; part < choice.tickets; ++part) {
+        const auto& engine = choice.helpers[part];
+        MemoryTicket ticket { this->ticketPrefix + std::to_string(++this->lastTicket), choice.tokensPerTicket };
+        terms.helpers[part].ticket = ticket.id;
+        if (co_await lease.add(engine, ticket) == MemoryOutcome::Done)
+            continue;
+        // The next try leaves out this engine, not the one that was to answer.
+        call.tried.erase(choice.target.id);
+        call.tried.insert(engine.id);
+        co_return false;
+    }
+    co_return true;
+}
+
 asio::awaitable<ServingGateway::Attempt> ServingGateway::relayWhole(
     Call& call, HttpCall& answer, const std::string& target)
 {
@@ -323,7 +400,7 @@
     auto timeout = this->firstByteTimeout(call, choice);
     while (true) {
         auto piece = co_await answer.readSome(std::min(timeout, this->remaining(call)));
-        timeout = this->gapTimeout(call);
+        timeout = this->gapTimeout(call, choice.target.id);
         if (!piece) {
             this->noteOutcome(call, choice, SendOutcome::Failed, name(piece.error()));
             co_return Attempt::MayHaveRun;
@@ -342,7 +419,7 @@
         if (!call.isAnswering && (isEnd || !events.empty())) {
             call.isAnswering = true;
             std::ranges::for_each(work, &LedgerEntry::noteRead);
-            while (work.size() > 1)
+            while (work.size() > 1 + choice.tickets)
                 work.pop_back();
             this->parts.metrics.histogram("marigold_first_event_seconds").record(now - call.receivedAt);
             this->parts.log.write("first_event",
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -20,10 +20,12 @@
 #include "serving/CallFormat.h"
 #include "serving/EventStream.h"
 #include "serving/LoadLedger.h"
+#include "serving/MemoryLease.h"
 #include "serving/RetryBudget.h"
 #include "serving/ServingView.h"
 #include "serving/TargetChooser.h"
 #include "serving/TargetHealth.h"
+#include "serving/WaitingPrompts.h"
 
 namespace marigoldpaddle {
 
@@ -37,11 +39,15 @@
         const CallFormat& format;
         ServingView& view;
         LoadLedger& ledger;
+        WaitingPrompts& waiting;
         TargetHealth& health;
         RetryBudget& budget;
         HttpClient& client;
+        EngineMemory& memory;
         EventLog& log;
         MetricsRegistry& metrics;
+        std::string instance; // Begins the names of memory tickets.
+        Duration memoryHold {}; // For engines to keep memory that nobody renews.
     };
 
     // Everything that the parts refer to must outlive the gateway.
@@ -68,6 +74,7 @@
     boost::asio::awaitable<void> forward(Call& call);
     boost::asio::awaitable<std::optional<TargetChoice>> chooseInTime(Call& call);
     boost::asio::awaitable<Attempt> send(Call& call, const TargetChoice& choice);
+    boost::asio::awaitable<bool> reserveMemory(Call& call, const TargetChoice& choice, MemoryLease& lease, SendTerms& terms);
     boost::asio::awaitable<Attempt> relayWhole(Call& call, HttpCall& answer, const std::string& target);
     boost::asio::awaitable<Attempt> relayStream(
         Call& call, HttpCall& answer, const TargetChoice& choice, std::vector<LedgerEntry>& work);
@@ -77,7 +84,7 @@
     bool maySendAgain(Call& call, Attempt last);
     Duration remaining(const Call& call) const;
     Duration firstByteTimeout(const Call& call, const TargetChoice& choice) const;
-    Duration gapTimeout(const Call& call) const;
+    Duration gapTimeout(const Call& call, const std::string& target) const;
     bool mayLeave(const Call& call) const; // Whether another target may take over from the present one.
     std::vector<LedgerEntry> noteWork(const TargetChoice& choice);
     void noteOutcome(Call& call, const TargetChoice& choice, SendOutcome outcome, std::string_view detail);
@@ -86,6 +93,8 @@
     Parts parts;
     TargetChooser chooser;
     std::function<void()> notifyPlaced;
+    std::string ticketPrefix; // Differs between starts of an instance.
+    std::uint64_t lastTicket { 0 };
 };
 
 }
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -47,6 +47,8 @@
         "time until a change of the configuration is in force" },
     { "bounds", "drain_ms", SettingKind::Milliseconds, 100, 600'000, "2000", "time that a leaving target serves on" },
     { "bounds", "grace_s", SettingKind::Real, 0.1, 600, "8", "time from the stop signal to the kill, in seconds" },
+    { "bounds", "memory_free_ms", SettingKind::Milliseconds, 200, 600'000, "4000",
+        "time until memory that no request uses must be free" },
     { "retries", "ratio", SettingKind::Real, 0, 10, "0.2", "further sends for each first one" },
     { "retries", "window_s", SettingKind::Real, 0.1, 600, "10", "window of the retry budget, in seconds" },
     { "retries", "slack", SettingKind::Real, 0, 1'000'000, "0",
@@ -148,6 +150,7 @@
     settings.peersAddress = values.text("peers", "address");
     settings.seeds = seedsFrom(values.text("peers", "seeds"), settings.peersAddress);
     settings.storeTimeout = values.milliseconds("platform", "timeout_ms");
+    settings.memoryHold = values.milliseconds("bounds", "memory_free_ms") * 3 / 4;
     settings.grace = seconds(values.real("bounds", "grace_s"));
     settings.follower.configurationWait = values.milliseconds("bounds", "configuration_ms") / 2;
     settings.follower.targetsPeriod = values.milliseconds("bounds", "drain_ms") * 3 / 10;
@@ -170,11 +173,11 @@
         , budget(settings.retries)
         , follower(
               context, clock, platform.store, platform.records, this->view, this->log, this->metrics, settings.follower)
-        , gateway({ context, clock, platform.format, this->view, this->ledger, this->health, this->budget, this->client,
-                      this->log, this->metrics },
+        , gateway({ context, clock, platform.format, this->view, this->ledger, this->waiting, this->health, this->budget, this->client,
+                      platform.memory, this->log, this->metrics, settings.instance, settings.memoryHold },
               TargetChooser { this->view.targets, this->ledger, this->health, settings.availabilityZone,
                   std::mt19937_64 { std::random_device {}() } })
-        , peers({ context, clock, this->view, this->follower, this->ledger, this->log, this->metrics },
+        , peers({ context, clock, this->view, this->follower, this->ledger, this->waiting, this->log, this->metrics },
               settings.peersAddress, settings.seeds)
         , readyHandler(this->isReady)
         , metricsHandler(this->metrics)
@@ -217,6 +220,7 @@
     MetricsRegistry metrics;
     ServingView view;
     LoadLedger ledger;
+    WaitingPrompts waiting;
     TargetHealth health;
     HttpClient client;
     RetryBudget budget;
--- a/src/serving/ServingNode.h
+++ b/src/serving/ServingNode.h
@@ -13,6 +13,7 @@
 
 #include "base/Settings.h"
 #include "serving/CallFormat.h"
+#include "serving/EngineMemory.h"
 #include "serving/PlatformStore.h"
 #include "serving/RetryBudget.h"
 #include "serving/ViewFollower.h"
@@ -28,6 +29,7 @@
     std::string peersAddress; // "IP:port", UDP and TCP, for other instances.
     std::vector<std::string> seeds; // Addresses of other instances, on the same port; may be stale.
     Duration storeTimeout {}; // For the platform to answer a call.
+    Duration memoryHold {}; // For engines to keep memory that nobody renews.
     Duration grace {}; // From the stop signal to the kill.
     ViewFollowerSettings follower;
     RetryBudgetSettings retries;
@@ -39,6 +41,7 @@
     PlatformStore& store;
     const RecordDecoder& records;
     const CallFormat& format;
+    EngineMemory& memory;
 };
 
 // The keys of the settings file, for checks and --help.
--- a/src/serving/TargetChooser.cpp
+++ b/src/serving/TargetChooser.cpp
@@ -100,10 +100,13 @@
         return std::nullopt;
     TargetChoice choice;
     choice.target = *candidates[plan->writer].target;
-    choice.work = { plan->readMs, demand.prompt->promptTokens + demand.prompt->maximumOutputTokens, plan->isLong, true,
+    choice.work = { plan->readMs, plan->writerTokens, plan->isLong, true,
         demand.route.gapObjective, plan->weight };
+    choice.tickets = plan->tickets;
+    choice.tokensPerTicket = plan->tokensPerTicket;
     choice.expected = durationFrom(plan->expectedMs);
     choice.soonest = durationFrom(plan->soonestMs);
+    choice.isLate = plan->isLate;
     choice.shouldWait = plan->shouldWait;
     for (const auto index : plan->helpers)
         choice.helpers.push_back(*candidates[index].target);
--- a/src/serving/TargetChooser.h
+++ b/src/serving/TargetChooser.h
@@ -22,9 +22,12 @@
 struct TargetChoice {
     TargetEntry target; // Answers the request.
     std::vector<TargetEntry> helpers; // Read parts of its prompt.
+    std::size_t tickets { 0 }; // The first helpers, which also have to set memory aside.
+    std::int64_t tokensPerTicket { 0 };
     TargetWork work; // For the answering target; helpers have the same without the memory.
     Duration expected {}; // Until the first byte of the answer.
     Duration soonest {}; // The same if no target had other work.
+    bool isLate { false }; // The objective is lost whatever is chosen.
     bool shouldWait { false }; // A better choice will be there shortly.
 };
 
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -317,6 +317,7 @@
     7: bool leaving
     8: list<TargetLoadRecord> loads
     9: list<string> peers
+    10: i64 waitingStartByMs // When the most urgent prompt that waits at the sender must be placed; negative without one.
 }
 
 // Asks an instance for what it took from the platform: by an instance that the platform turns away.
