--- a/src/base/EventLog.cpp
+++ b/src/base/EventLog.cpp
@@ -93,7 +93,7 @@
 
 void EventLog::write(std::string_view event, std::initializer_list<LogField> fields)
 {
-    if (!this->fitsRate())
+    if (!this->sink || !this->fitsRate())
         return;
     fmt::memory_buffer line;
     fmt::format_to(std::back_inserter(line), "instance={} event={}", this->settings.instance, event);
@@ -110,12 +110,12 @@
 
 std::uint64_t EventLog::dropped() const
 {
-    return this->overRate + this->sink->pool->overrun_counter();
+    return this->overRate + (this->sink ? this->sink->pool->overrun_counter() : 0);
 }
 
-void EventLog::flush()
+void EventLog::close()
 {
-    this->sink->logger->flush();
+    this->sink.reset();
 }
 
 bool EventLog::fitsRate()
--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -37,7 +37,8 @@
     // Lines that were not written so far.
     std::uint64_t dropped() const;
 
-    void flush();
+    // Writes the waiting lines and ends the thread. Later lines are dropped.
+    void close();
 
 private:
     bool fitsRate();
--- a/src/base/HttpServer.cpp
+++ b/src/base/HttpServer.cpp
@@ -77,6 +77,11 @@
         this->stream.close();
     }
 
+    void close()
+    {
+        this->stream.close();
+    }
+
     void closeIfIdle()
     {
         if (!this->isAnswering)
@@ -315,6 +320,12 @@
     this->state->announcesClose = true;
 }
 
+void HttpServer::closeConnections()
+{
+    for (auto* session : this->state->sessions)
+        session->close();
+}
+
 asio::awaitable<void> HttpServer::drain()
 {
     auto state = this->state;
--- a/src/base/HttpServer.h
+++ b/src/base/HttpServer.h
@@ -80,6 +80,9 @@
     // From now on every answer announces that its connection closes. New connections and requests are still served.
     void announceClose();
 
+    // Closes every connection. Exchanges end as if their callers had left.
+    void closeConnections();
+
     // Closes the listener and idle connections, and returns when the last exchange has ended.
     boost::asio::awaitable<void> drain();
 
--- a/src/base/Program.cpp
+++ b/src/base/Program.cpp
@@ -98,7 +98,9 @@
     int argc, char** argv, const ProgramDescription& description, const std::function<int(const Settings&)>& run)
 {
     const std::function<int(const Settings&, const std::string&)> withPath
-        = [&](const Settings& settings, const std::string&) { return run(settings); };
+        = [&](const Settings& settings, const std::string&) {
+              return run(settings);
+          };
     return runProgram(argc, argv, description, withPath);
 }
 
--- a/src/programs/NodeMain.cpp
+++ b/src/programs/NodeMain.cpp
@@ -1,3 +1,4 @@
+#include <cstdlib>
 #include <filesystem>
 
 #include <boost/asio/co_spawn.hpp>
@@ -109,11 +110,12 @@
     SettingsWatcher watcher { context, path, node };
     watcher.start();
     asio::signal_set signals { context, SIGTERM, SIGINT };
-    signals.async_wait([&](const boost::system::error_code&, int) {
-        asio::co_spawn(context, node.stopGracefully(), asio::detached);
-    });
+    signals.async_wait(
+        [&](const boost::system::error_code&, int) { asio::co_spawn(context, node.stopGracefully(), asio::detached); });
     context.run();
-    return static_cast<int>(ExitCode::Success);
+    // Background tasks that are still suspended refer to the objects above, in no order that a destructor could follow.
+    // Nothing of theirs outlasts the process.
+    std::quick_exit(static_cast<int>(ExitCode::Success));
 }
 
 }
--- a/src/serving/EngineMemory.h
+++ b/src/serving/EngineMemory.h
@@ -29,7 +29,8 @@
 public:
     virtual ~EngineMemory() = default;
 
-    // Sets memory aside for `hold` from its arrival at the engine, or renews it. Whatever is not renewed lapses by itself.
+    // Sets memory aside for `hold` from its arrival at the engine, or renews it. Whatever is not renewed lapses by
+    // itself.
     virtual boost::asio::awaitable<MemoryOutcome> reserve(TargetEntry engine, MemoryTicket ticket, Duration hold) = 0;
 
     virtual boost::asio::awaitable<MemoryOutcome> release(TargetEntry engine, MemoryTicket ticket) = 0;
--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -112,7 +112,8 @@
         for (const auto& record : notice->loads)
             loads.emplace(static_cast<std::uint64_t>(record.target), loadOf(record));
         this->parts.waiting.applyPeer(notice->sender,
-            notice->waitingStartByMs < 0 ? TimePoint::max() : now + std::chrono::milliseconds { notice->waitingStartByMs },
+            notice->waitingStartByMs < 0 ? TimePoint::max()
+                                         : now + std::chrono::milliseconds { notice->waitingStartByMs },
             now);
         this->parts.ledger.applyPeer(notice->sender, loads, now, std::chrono::milliseconds { notice->validMs });
     }
--- a/src/serving/PromptPlacement.cpp
+++ b/src/serving/PromptPlacement.cpp
@@ -46,6 +46,8 @@
 constexpr double UsableShareOfMemory = 0.65;
 // Each further engine has to be reached and waited for: about one round trip and the rest of a pass.
 constexpr double PerHelperMs = 10;
+// A prompt of several engines' memory whose reading alone takes more than this share of its time is not placed.
+constexpr double HopelessShareOfTime = 0.5;
 // Reading beyond its share of the objective puts the prompt itself at risk.
 constexpr double LateReadWeight = 3;
 // Expected longer than this share of the objective, the prompt is late.
@@ -210,7 +212,9 @@
     std::iota(order.begin(), order.end(), std::size_t { 0 });
     std::ranges::sort(order, {}, [&](std::size_t index) { return costs[index]; });
     // Those that keep a part of the prompt come first.
-    const auto canHold = [&](std::size_t index) { return index != read.writer && this->hasRoom(candidates[index], tokens); };
+    const auto canHold = [&](std::size_t index) {
+        return index != read.writer && this->hasRoom(candidates[index], tokens);
+    };
     if (holders > 1)
         std::ranges::stable_partition(order, canHold);
     read.helpers.assign(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(parts - 1));
@@ -259,7 +263,8 @@
     plan.soonestMs = whole / mostParts + 2 * this->passMs({});
     plan.isLong = true;
     plan.isLate = plan.soonestMs > Milliseconds(demand.objective).count();
-    plan.shouldWait = best.disturbsOthers
+    plan.isHopeless = holders > 1 && plan.expectedMs > HopelessShareOfTime * Milliseconds(demand.remaining).count();
+    plan.shouldWait = plan.isHopeless || best.disturbsOthers
         || plan.expectedMs > LateShareOfObjective * Milliseconds(demand.objective).count();
     return plan;
 }
--- a/src/serving/PromptPlacement.h
+++ b/src/serving/PromptPlacement.h
@@ -16,7 +16,7 @@
 struct PromptDemand {
     PromptSize size;
     Duration objective {}; // What is left of it, to the first token.
-    Duration gapObjective {}; // Between events of its answer.
+    Duration remaining {}; // Until the caller stops waiting.
     Duration tightestGap {}; // The shortest pause that any answer on these engines may have.
 };
 
@@ -40,6 +40,7 @@
     double expectedMs { 0 }; // Until the first token.
     double soonestMs { 0 }; // The same if all engines were free.
     bool isLong { false };
+    bool isHopeless { false }; // Would take the engines from many others and come late all the same.
     bool isLate { false }; // Even the soonest first token comes after the objective.
     bool shouldWait {
         false
@@ -55,7 +56,10 @@
 //   the other, and a long read avoids engines whose answers it would hold up beyond the gap that they may have.
 // - A crest of long prompts: each is read by as many engines as it takes to hold up nobody, an engine has
 //   few at a time, and a prompt waits at its instance while none is free enough.
-// - A crest of short prompts: these spread over all engines, as the ends are only preferences. Beyond the engines' places
+// - Prompts of several engines' memory at a crest: one takes as much reading as dozens of others, so it is only placed
+//   while that leaves time for its answer, and turned away otherwise.
+// - A crest of short prompts: these spread over all engines, as the ends are only preferences. Beyond the engines'
+// places
 //   they wait at their instance, and those that are late already leave the last places to those that are not.
 class PromptPlacement {
 public:
@@ -64,15 +68,15 @@
     // Time for one engine to read a whole prompt, in milliseconds.
     double readMs(std::int64_t tokens) const;
 
-    // What an answer to the prompt is worth: it grows with the time that engines spend on it, all of which is wasted when
-    // the answer comes late.
+    // What an answer to the prompt is worth: it grows with the time that engines spend on it, all of which is wasted
+    // when the answer comes late.
     double weight(std::int64_t tokens) const;
 
     // Whether reading the prompt in one piece holds up short answers for longer than they may pause.
     bool isLong(const PromptDemand& demand) const;
 
-    // Empty when all engines together do not have the memory for the prompt, or there is none. A prompt that is larger than
-    // the memory of one engine is kept by several.
+    // Empty when all engines together do not have the memory for the prompt, or there is none. A prompt that is larger
+    // than the memory of one engine is kept by several.
     std::optional<PromptPlan> plan(const PromptDemand& demand, std::span<const EngineCandidate> candidates) const;
 
 private:
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -204,10 +204,13 @@
     while (true) {
         const auto now = this->parts.clock.now();
         auto choice = this->chooser.choose(
-            { *call.route, *call.service, call.terms.prompt, call.tried, now - call.receivedAt }, now);
+            { *call.route, *call.service, call.terms.prompt, call.tried, now - call.receivedAt, this->remaining(call) },
+            now);
         if (!choice)
             co_return choice;
         const auto startBy = choice->work.isLong ? longBy - 2 * choice->soonest : shortBy;
+        if (now >= startBy && choice->isHopeless)
+            co_return std::nullopt;
         if (now >= startBy)
             co_return choice;
         if (!choice->shouldWait) {
@@ -398,6 +401,7 @@
         call.stream.emplace(call.stream->lastId());
     auto& stream = *call.stream;
     auto timeout = this->firstByteTimeout(call, choice);
+    bool didBegin = false; // This attempt has brought events.
     while (true) {
         auto piece = co_await answer.readSome(std::min(timeout, this->remaining(call)));
         timeout = this->gapTimeout(call, choice.target.id);
@@ -406,30 +410,28 @@
             co_return Attempt::MayHaveRun;
         }
         const bool isEnd = piece.value().empty();
-        const auto events = stream.take(piece.value());
-        if (stream.isBroken() || (isEnd && stream.isInsideEvent())) {
-            answer.discard();
-            this->noteOutcome(call, choice, SendOutcome::Failed, "broken_events");
-            co_return Attempt::MayHaveRun;
-        }
         const auto now = this->parts.clock.now();
         if (call.isAnswering && !isEnd)
             call.longestGap = std::max(call.longestGap, now - call.lastEventAt);
         call.lastEventAt = now;
-        if (!call.isAnswering && (isEnd || !events.empty())) {
+        const auto events = stream.take(piece.value());
+        if (!events.empty() && !didBegin) {
+            didBegin = true;
+            this->noteFirstEvents(call, choice, work);
+        }
+        if (!call.isAnswering && (!events.empty() || (isEnd && !stream.isBroken() && !stream.isInsideEvent()))) {
             call.isAnswering = true;
-            std::ranges::for_each(work, &LedgerEntry::noteRead);
-            while (work.size() > 1 + choice.tickets)
-                work.pop_back();
-            this->parts.metrics.histogram("marigold_first_event_seconds").record(now - call.receivedAt);
-            this->parts.log.write("first_event",
-                { { "id", call.terms.attemptId }, { "target", choice.target.id }, { "after_ms", now - call.receivedAt },
-                    { "prompt_tokens", call.terms.prompt.value_or(PromptSize {}).promptTokens } });
             if (!co_await call.exchange.beginStream(this->parts.format.headerForCaller(answer.header())))
                 break;
         }
+        // Whole events before a break are delivered: the next attempt continues after them.
         if (!events.empty() && !co_await call.exchange.write(events))
             break;
+        if (stream.isBroken() || (isEnd && stream.isInsideEvent())) {
+            answer.discard();
+            this->noteOutcome(call, choice, SendOutcome::Failed, "broken_events");
+            co_return Attempt::MayHaveRun;
+        }
         if (!isEnd)
             continue;
         const bool isDelivered = co_await call.exchange.endStream();
@@ -441,6 +443,20 @@
     co_return Attempt::Done;
 }
 
+// The prompt has been read: its helpers are free again, unless they keep a part of it.
+void ServingGateway::noteFirstEvents(Call& call, const TargetChoice& choice, std::vector<LedgerEntry>& work)
+{
+    std::ranges::for_each(work, &LedgerEntry::noteRead);
+    while (work.size() > 1 + choice.tickets)
+        work.pop_back();
+    const auto now = this->parts.clock.now();
+    if (!call.isAnswering)
+        this->parts.metrics.histogram("marigold_first_event_seconds").record(now - call.receivedAt);
+    this->parts.log.write("first_event",
+        { { "id", call.terms.attemptId }, { "target", choice.target.id }, { "after_ms", now - call.receivedAt },
+            { "prompt_tokens", call.terms.prompt.value_or(PromptSize {}).promptTokens } });
+}
+
 // The final answer of a call that no target has answered well. 503 promises that the request has not run.
 asio::awaitable<void> ServingGateway::finishUnserved(Call& call)
 {
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -74,10 +74,12 @@
     boost::asio::awaitable<void> forward(Call& call);
     boost::asio::awaitable<std::optional<TargetChoice>> chooseInTime(Call& call);
     boost::asio::awaitable<Attempt> send(Call& call, const TargetChoice& choice);
-    boost::asio::awaitable<bool> reserveMemory(Call& call, const TargetChoice& choice, MemoryLease& lease, SendTerms& terms);
+    boost::asio::awaitable<bool> reserveMemory(
+        Call& call, const TargetChoice& choice, MemoryLease& lease, SendTerms& terms);
     boost::asio::awaitable<Attempt> relayWhole(Call& call, HttpCall& answer, const std::string& target);
     boost::asio::awaitable<Attempt> relayStream(
         Call& call, HttpCall& answer, const TargetChoice& choice, std::vector<LedgerEntry>& work);
+    void noteFirstEvents(Call& call, const TargetChoice& choice, std::vector<LedgerEntry>& work);
     boost::asio::awaitable<void> finishUnserved(Call& call);
     boost::asio::awaitable<void> refuse(Call& call, unsigned status, std::string_view reason);
     boost::asio::awaitable<void> waitUntilDeadline(Call& call);
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -173,8 +173,9 @@
         , budget(settings.retries)
         , follower(
               context, clock, platform.store, platform.records, this->view, this->log, this->metrics, settings.follower)
-        , gateway({ context, clock, platform.format, this->view, this->ledger, this->waiting, this->health, this->budget, this->client,
-                      platform.memory, this->log, this->metrics, settings.instance, settings.memoryHold },
+        , gateway(
+              { context, clock, platform.format, this->view, this->ledger, this->waiting, this->health, this->budget,
+                  this->client, platform.memory, this->log, this->metrics, settings.instance, settings.memoryHold },
               TargetChooser { this->view.targets, this->ledger, this->health, settings.availabilityZone,
                   std::mt19937_64 { std::random_device {}() } })
         , peers({ context, clock, this->view, this->follower, this->ledger, this->waiting, this->log, this->metrics },
@@ -290,7 +291,11 @@
     while (state.callers.activeExchanges() > 0 && state.clock.now() < killAt)
         co_await state.pause(std::chrono::milliseconds { 20 });
     state.log.write("stopped", { { "cut_requests", std::uint64_t { state.callers.activeExchanges() } } });
-    state.log.flush();
+    // Requests in progress hold on to this node's parts; they have to end before it does.
+    state.callers.closeConnections();
+    while (state.callers.activeExchanges() > 0)
+        co_await state.pause(std::chrono::milliseconds { 1 });
+    state.log.close();
     state.context.stop();
 }
 
--- a/src/serving/TargetChooser.cpp
+++ b/src/serving/TargetChooser.cpp
@@ -94,18 +94,22 @@
             target->availabilityZone == this->availabilityZone });
     }
     const PromptPlacement placement { *demand.service.engine };
-    const auto plan = placement.plan(
-        { *demand.prompt, demand.route.objective, demand.route.gapObjective, demand.service.tightestGap }, candidates);
+    PromptDemand prompt;
+    prompt.size = *demand.prompt;
+    prompt.objective = std::max(Duration::zero(), demand.route.objective - demand.elapsed);
+    prompt.remaining = demand.remaining;
+    prompt.tightestGap = demand.service.tightestGap;
+    const auto plan = placement.plan(prompt, candidates);
     if (!plan)
         return std::nullopt;
     TargetChoice choice;
     choice.target = *candidates[plan->writer].target;
-    choice.work = { plan->readMs, plan->writerTokens, plan->isLong, true,
-        demand.route.gapObjective, plan->weight };
+    choice.work = { plan->readMs, plan->writerTokens, plan->isLong, true, demand.route.gapObjective, plan->weight };
     choice.tickets = plan->tickets;
     choice.tokensPerTicket = plan->tokensPerTicket;
     choice.expected = durationFrom(plan->expectedMs);
     choice.soonest = durationFrom(plan->soonestMs);
+    choice.isHopeless = plan->isHopeless;
     choice.isLate = plan->isLate;
     choice.shouldWait = plan->shouldWait;
     for (const auto index : plan->helpers)
--- a/src/serving/TargetChooser.h
+++ b/src/serving/TargetChooser.h
@@ -27,6 +27,7 @@
     TargetWork work; // For the answering target; helpers have the same without the memory.
     Duration expected {}; // Until the first byte of the answer.
     Duration soonest {}; // The same if no target had other work.
+    bool isHopeless { false }; // To be turned away unless a better choice comes up in time.
     bool isLate { false }; // The objective is lost whatever is chosen.
     bool shouldWait { false }; // A better choice will be there shortly.
 };
@@ -38,6 +39,7 @@
     std::optional<PromptSize> prompt;
     const std::set<std::string>& excluded; // Targets that were tried already.
     Duration elapsed {}; // Of the objective, while the request waited.
+    Duration remaining {}; // Until the caller stops waiting.
 };
 
 // Chooses targets from what the view, the ledger and the judgement of targets say. Has no I/O.
--- a/src/serving/WaitingPrompts.h
+++ b/src/serving/WaitingPrompts.h
@@ -9,9 +9,9 @@
 
 namespace marigoldpaddle {
 
-// Orders the long prompts that wait at all instances by when they must be placed at the latest. Engines that become free
-// go to the most urgent one: without an order every waiting instance takes some of them, and all prompts are read slowly
-// by few engines each. A pure core.
+// Orders the long prompts that wait at all instances by when they must be placed at the latest. Engines that become
+// free go to the most urgent one: without an order every waiting instance takes some of them, and all prompts are read
+// slowly by few engines each. A pure core.
 class WaitingPrompts {
 public:
     // What a peer said counts for so long: two of its notices may be lost meanwhile.
--- /dev/null
+++ b/test/MemoryLease_test.cpp
@@ -0,0 +1,117 @@
+#include "serving/MemoryLease.h"
+
+#include <map>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <gtest/gtest.h>
+
+namespace marigoldpaddle {
+namespace {
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+class FakeMemory final : public EngineMemory {
+public:
+    asio::awaitable<MemoryOutcome> reserve(TargetEntry engine, MemoryTicket ticket, Duration) override
+    {
+        ++this->reserved[ticket.id];
+        co_return this->outcomes.contains(engine.id) ? this->outcomes.at(engine.id) : MemoryOutcome::Done;
+    }
+
+    asio::awaitable<MemoryOutcome> release(TargetEntry, MemoryTicket ticket) override
+    {
+        ++this->released[ticket.id];
+        co_return MemoryOutcome::Done;
+    }
+
+    std::map<std::string, MemoryOutcome> outcomes;
+    std::map<std::string, int> reserved;
+    std::map<std::string, int> released;
+};
+
+class MemoryLeaseTest : public testing::Test {
+protected:
+    MemoryOutcome add(MemoryLease& lease, const std::string& engine, const std::string& ticket)
+    {
+        auto outcome = MemoryOutcome::Unknown;
+        TargetEntry entry;
+        entry.id = engine;
+        const MemoryTicket wanted { ticket, 1000 };
+        asio::co_spawn(
+            this->context, [&]() -> asio::awaitable<void> { outcome = co_await lease.add(entry, wanted); },
+            asio::detached);
+        this->context.restart();
+        this->context.poll();
+        return outcome;
+    }
+
+    void runFor(Duration duration)
+    {
+        this->context.restart();
+        this->context.run_for(duration);
+    }
+
+    SteadyClock clock;
+    EventLog log { this->clock, { "test", 0, 16 } };
+    FakeMemory memory;
+    asio::io_context context { 1 };
+};
+
+TEST_F(MemoryLeaseTest, TicketsAreGivenBackWhenTheLeaseEnds)
+{
+    {
+        MemoryLease lease { { this->context, this->memory, this->log, 3s }, "request" };
+        EXPECT_EQ(this->add(lease, "e1", "t1"), MemoryOutcome::Done);
+        EXPECT_EQ(this->add(lease, "e2", "t2"), MemoryOutcome::Done);
+    }
+    this->context.restart();
+    this->context.poll();
+    EXPECT_EQ(this->memory.released["t1"], 1);
+    EXPECT_EQ(this->memory.released["t2"], 1);
+}
+
+TEST_F(MemoryLeaseTest, RefusedTicketIsNotGivenBackAndTheOthersAre)
+{
+    this->memory.outcomes["e2"] = MemoryOutcome::Refused;
+    {
+        MemoryLease lease { { this->context, this->memory, this->log, 3s }, "request" };
+        this->add(lease, "e1", "t1");
+        EXPECT_EQ(this->add(lease, "e2", "t2"), MemoryOutcome::Refused);
+    }
+    this->context.restart();
+    this->context.poll();
+    EXPECT_EQ(this->memory.released["t1"], 1);
+    EXPECT_EQ(this->memory.released["t2"], 0);
+}
+
+// The order may be carried out although its answer was lost.
+TEST_F(MemoryLeaseTest, TicketWithoutAnAnswerIsGivenBack)
+{
+    this->memory.outcomes["e1"] = MemoryOutcome::Unknown;
+    {
+        MemoryLease lease { { this->context, this->memory, this->log, 3s }, "request" };
+        EXPECT_EQ(this->add(lease, "e1", "t1"), MemoryOutcome::Unknown);
+    }
+    this->context.restart();
+    this->context.poll();
+    EXPECT_EQ(this->memory.released["t1"], 1);
+}
+
+TEST_F(MemoryLeaseTest, TicketsAreRenewedWhileTheLeaseLastsAndNotAfterwards)
+{
+    {
+        MemoryLease lease { { this->context, this->memory, this->log, 30ms }, "request" };
+        this->add(lease, "e1", "t1");
+        while (this->memory.reserved["t1"] < 3)
+            this->runFor(5ms);
+    }
+    this->runFor(50ms);
+    const auto renewals = this->memory.reserved["t1"];
+    this->runFor(50ms);
+    EXPECT_EQ(this->memory.reserved["t1"], renewals);
+}
+
+}
+}
--- /dev/null
+++ b/test/PlatformFormat_test.cpp
@@ -0,0 +1,218 @@
+#include <gtest/gtest.h>
+
+#include "platform/HeaderFormat.h"
+#include "platform/RecordFormat.h"
+
+namespace marigoldpaddle {
+namespace {
+
+using namespace std::chrono_literals;
+namespace http = boost::beast::http;
+
+class HeaderFormatTest : public testing::Test {
+protected:
+    HeaderFormatTest()
+    {
+        this->request.method(http::verb::post);
+        this->request.target("/p/q?r=1");
+        this->request.version(11);
+        this->request.set("Host", "a.example");
+        this->request.set("Marigoldpaddle-Attempt-Id", "9c41");
+        this->request.set("Marigoldpaddle-Token-Usage", "1460,80");
+        this->request.set("Marigoldpaddle-Prompt-Prefix", "5c1e:800,91bd:660");
+        this->request.set("Marigoldpaddle-Deadline-Remaining", "10000");
+        this->request.set("Authorization", "Token secret");
+        this->request.set("X-Own", "kept");
+        this->request.body() = "body";
+        this->request.content_length(4);
+    }
+
+    platform::HeaderFormat format;
+    HttpRequest request;
+    SendTerms terms { "i-1", 9s, "workspace", 3, std::nullopt, {} };
+};
+
+TEST_F(HeaderFormatTest, CallerTermsAreRead)
+{
+    const auto terms = this->format.callerTerms(this->request);
+    EXPECT_EQ(terms.attemptId, "9c41");
+    EXPECT_EQ(terms.remaining, Duration { 10s });
+    EXPECT_EQ(terms.apiKey, "secret");
+    ASSERT_TRUE(terms.prompt);
+    EXPECT_EQ(terms.prompt->promptTokens, 1460);
+    EXPECT_EQ(terms.prompt->maximumOutputTokens, 80);
+    EXPECT_FALSE(terms.lastEventId);
+}
+
+TEST_F(HeaderFormatTest, MalformedNumbersCountAsAbsent)
+{
+    this->request.set("Marigoldpaddle-Deadline-Remaining", "soon");
+    this->request.set("Marigoldpaddle-Token-Usage", "many,80");
+    const auto terms = this->format.callerTerms(this->request);
+    EXPECT_FALSE(terms.remaining);
+    EXPECT_FALSE(terms.prompt);
+}
+
+TEST_F(HeaderFormatTest, RequestIsPassedOnUnchangedButForOwnHeaders)
+{
+    const auto sent = this->format.requestFor(this->request, this->terms);
+    EXPECT_EQ(sent.method(), http::verb::post);
+    EXPECT_EQ(sent.target(), "/p/q?r=1");
+    EXPECT_EQ(sent.body(), "body");
+    EXPECT_EQ(sent["Host"], "a.example");
+    EXPECT_EQ(sent["X-Own"], "kept");
+    EXPECT_EQ(sent["Marigoldpaddle-Token-Usage"], "1460,80");
+    EXPECT_EQ(sent["Marigoldpaddle-Prompt-Prefix"], "5c1e:800,91bd:660");
+    EXPECT_EQ(sent["Marigoldpaddle-Deadline-Remaining"], "9000");
+    EXPECT_EQ(sent["Marigoldpaddle-Expect-Instance"], "i-1");
+    EXPECT_EQ(sent["Marigoldpaddle-Request-Urgency"], "3");
+    EXPECT_EQ(sent["Content-Length"], "4");
+}
+
+TEST_F(HeaderFormatTest, KeyIsNeverPassedOn)
+{
+    const auto sent = this->format.requestFor(this->request, this->terms);
+    EXPECT_EQ(sent.find(http::field::authorization), sent.end());
+}
+
+TEST_F(HeaderFormatTest, ForgedWorkspaceIsReplaced)
+{
+    this->request.set("Marigoldpaddle-Tenant", "somebody-else");
+    EXPECT_EQ(this->format.requestFor(this->request, this->terms)["Marigoldpaddle-Tenant"], "workspace");
+    this->terms.workspace.clear();
+    const auto sent = this->format.requestFor(this->request, this->terms);
+    EXPECT_EQ(sent.find("Marigoldpaddle-Tenant"), sent.end());
+}
+
+TEST_F(HeaderFormatTest, HeadersOfTheCallersConnectionAreNotPassedOn)
+{
+    this->request.set("Connection", "close, X-Hop");
+    this->request.set("X-Hop", "here");
+    this->request.set("Keep-Alive", "timeout=5");
+    const auto sent = this->format.requestFor(this->request, this->terms);
+    EXPECT_EQ(sent.find("X-Hop"), sent.end());
+    EXPECT_EQ(sent.find("Keep-Alive"), sent.end());
+}
+
+TEST_F(HeaderFormatTest, ResumedStreamNamesItsLastEvent)
+{
+    this->request.set("Last-Event-Id", "3");
+    this->terms.lastEventId = 12;
+    EXPECT_EQ(this->format.requestFor(this->request, this->terms)["Last-Event-Id"], "12");
+}
+
+TEST_F(HeaderFormatTest, HelpersAreListedWithTheirTickets)
+{
+    this->terms.helpers = { { "10.2.64.3:8080", "t81" }, { "10.2.64.5:8080", "" } };
+    EXPECT_EQ(this->format.requestFor(this->request, this->terms)["Marigoldpaddle-Helpers"],
+        "10.2.64.3:8080/t81,10.2.64.5:8080");
+}
+
+TEST_F(HeaderFormatTest, AnswerThatStatesNoRunIsTold)
+{
+    HttpResponseHeader header { http::status::service_unavailable, 11 };
+    EXPECT_FALSE(this->format.answerTerms(header).didNotRun);
+    header.set("Marigoldpaddle-Not-Executed", "1");
+    EXPECT_TRUE(this->format.answerTerms(header).didNotRun);
+}
+
+TEST_F(HeaderFormatTest, AnswerOfAnotherTargetIsTold)
+{
+    const HttpResponseHeader header { http::status::misdirected_request, 11 };
+    EXPECT_TRUE(this->format.answerTerms(header).isOtherTarget);
+    EXPECT_TRUE(this->format.answerTerms(header).didNotRun);
+}
+
+TEST_F(HeaderFormatTest, RefusalSaysWhenToComeBack)
+{
+    const auto answer = this->format.ownAnswer(503, "no_target", 300ms);
+    EXPECT_EQ(answer["Retry-After"], "0.30");
+    EXPECT_EQ(answer.body(), "{\"error\":\"no_target\"}");
+}
+
+class RecordFormatTest : public testing::Test {
+protected:
+    std::optional<ServingConfiguration> configuration(std::string document)
+    {
+        return this->format.configuration({ "config", std::move(document) }, this->problem);
+    }
+
+    std::optional<TargetEntry> target(std::string document)
+    {
+        return this->format.target({ "i-1", std::move(document) }, this->problem);
+    }
+
+    platform::RecordFormat format;
+    std::string problem;
+};
+
+TEST_F(RecordFormatTest, ConfigurationIsDecoded)
+{
+    const auto values = this->configuration(R"({"version":7,
+        "routes":[{"name":"r","host":"A.example","pathPrefix":"/p/","kind":"stream","timeoutMs":10000,
+            "targetLatencyMs":300,"trafficSplit":[{"service":"s","weight":90},{"service":"t","weight":10}],
+            "maxAttempts":2,"streamResume":true,"gapTargetMs":200}],
+        "services":[{"name":"s","maxConnections":274,"engine":{"slots":16,"kvCapacity":450000,"stride":46,
+            "read_per_s":256000.0,"step_ms":0.925}}],
+        "limits":{"maxHeaderBytes":100,"idleTimeoutMs":15000},
+        "tenants":[{"name":"w","apiKeys":["k1","k2"]}]})");
+    ASSERT_TRUE(values) << this->problem;
+    EXPECT_EQ(values->version, 7U);
+    ASSERT_EQ(values->routes.size(), 1U);
+    EXPECT_EQ(values->routes[0].host, "a.example");
+    EXPECT_TRUE(values->routes[0].mayRunAgain());
+    EXPECT_EQ(values->routes[0].shares.size(), 2U);
+    EXPECT_EQ(values->service("s")->engine->promptTokensPerMs, 256);
+    EXPECT_EQ(values->limits.headerBytes, 100U);
+    EXPECT_TRUE(values->requiresKeys);
+    EXPECT_EQ(values->workspaceByKey.at("k2"), "w");
+}
+
+TEST_F(RecordFormatTest, UnknownKindIsTreatedAsUnrepeatable)
+{
+    const auto values = this->configuration(R"({"version":1,"routes":[{"name":"r","kind":"new"}]})");
+    ASSERT_TRUE(values);
+    EXPECT_FALSE(values->routes[0].mayRunAgain());
+}
+
+TEST_F(RecordFormatTest, StreamThatMayNotBeResumedIsUnrepeatable)
+{
+    const auto values = this->configuration(R"({"version":1,"routes":[{"name":"r","kind":"stream"}]})");
+    ASSERT_TRUE(values);
+    EXPECT_FALSE(values->routes[0].mayRunAgain());
+}
+
+TEST_F(RecordFormatTest, ConfigurationThatCannotBeReadIsRejectedWithTheReason)
+{
+    EXPECT_FALSE(this->configuration("{"));
+    EXPECT_FALSE(this->problem.empty());
+    EXPECT_FALSE(this->configuration("[]"));
+    EXPECT_FALSE(this->configuration("{\"routes\":[]}"));
+    EXPECT_FALSE(this->format.configuration({ "config", std::nullopt }, this->problem));
+}
+
+TEST_F(RecordFormatTest, TargetIsDecoded)
+{
+    const auto entry = this->target(R"({"service":"s","address":"10.0.0.9:8080","zone":"a","slots":16,
+        "state":"draining","born":1784600000123,"coldRemainingMs":0})");
+    ASSERT_TRUE(entry) << this->problem;
+    EXPECT_EQ(entry->id, "i-1");
+    EXPECT_TRUE(entry->isLeaving);
+    EXPECT_EQ(entry->born, 1784600000123U);
+    EXPECT_EQ(entry->slots, 16U);
+}
+
+TEST_F(RecordFormatTest, EntriesOfOtherWritersNameNoTarget)
+{
+    for (const auto* document : { "", "nonsense", "[]", "{}", R"({"service":7,"address":"10.0.0.9:1","state":"ready"})",
+             R"({"service":"s","address":"10.0.0.9","state":"ready"})",
+             R"({"service":"s","address":"10.0.0.9:1","state":"asleep"})",
+             R"({"service":"s","address":"10.0.0.9:1"})" }) {
+        this->problem.clear();
+        EXPECT_FALSE(this->target(document)) << document;
+        EXPECT_FALSE(this->problem.empty()) << document;
+    }
+}
+
+}
+}
--- /dev/null
+++ b/test/PromptPlacement_test.cpp
@@ -0,0 +1,220 @@
+#include "serving/PromptPlacement.h"
+
+#include <algorithm>
+#include <set>
+
+#include <gtest/gtest.h>
+
+namespace marigoldpaddle {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Engines of three availability zones with the profile of a 70-billion-parameter model.
+class PromptPlacementTest : public testing::Test {
+protected:
+    PromptPlacementTest()
+    {
+        for (const auto* zone : { "a", "b", "c" }) {
+            for (int number = 0; number < 7; ++number) {
+                TargetEntry entry;
+                entry.id = std::string { zone } + std::to_string(number);
+                entry.availabilityZone = zone;
+                this->entries.push_back(entry);
+            }
+        }
+        for (const auto& entry : this->entries)
+            this->engines.push_back({ &entry, {}, 0, entry.availabilityZone == "a" });
+    }
+
+    static EngineProfile profile()
+    {
+        EngineProfile engine;
+        engine.batchSlots = 16;
+        engine.memoryTokens = 450'000;
+        engine.stepsPerPass = 46;
+        engine.stepMs = 0.925;
+        engine.stepMsPerRequest = 0.00483;
+        engine.stepMsPerThousandContextTokens = 0.00254;
+        engine.promptTokensPerMs = 256;
+        engine.msPerMillionPairs = 0.0917;
+        return engine;
+    }
+
+    static PromptDemand demand(std::int64_t tokens, Duration objective)
+    {
+        return { { tokens, 1600 }, objective, 10s, 200ms };
+    }
+
+    static PromptDemand shortPrompt()
+    {
+        return demand(5000, 300ms);
+    }
+
+    static PromptDemand longPrompt()
+    {
+        return demand(210'000, 3s);
+    }
+
+    void addAnswers(std::size_t engine, unsigned count, Duration gap)
+    {
+        auto& load = this->engines[engine].load;
+        load.running += count;
+        load.answers += count;
+        load.answerWeight += count;
+        load.tightestGap = std::min(load.tightestGap, gap);
+    }
+
+    void addLongRead(std::size_t engine, double readMs)
+    {
+        auto& load = this->engines[engine].load;
+        ++load.running;
+        ++load.longReads;
+        load.backlogMs += readMs;
+    }
+
+    std::vector<TargetEntry> entries;
+    std::vector<EngineCandidate> engines;
+    PromptPlacement placement { profile() };
+};
+
+TEST_F(PromptPlacementTest, ReadingTimeGrowsWithTheSquareOfLongPrompts)
+{
+    EXPECT_NEAR(this->placement.readMs(5000), 20.7, 0.5);
+    EXPECT_NEAR(this->placement.readMs(210'000), 2842, 10);
+    EXPECT_NEAR(this->placement.readMs(1'000'000), 49'756, 100);
+}
+
+TEST_F(PromptPlacementTest, NoEnginesGiveNoPlan)
+{
+    EXPECT_FALSE(this->placement.plan(shortPrompt(), {}));
+}
+
+TEST_F(PromptPlacementTest, ShortPromptsFillAnEngineOfTheOwnZoneFirst)
+{
+    const auto first = this->placement.plan(shortPrompt(), this->engines);
+    ASSERT_TRUE(first);
+    EXPECT_EQ(this->engines[first->writer].target->id, "a0");
+    this->addAnswers(0, 5, 200ms);
+    EXPECT_EQ(this->placement.plan(shortPrompt(), this->engines)->writer, first->writer);
+    EXPECT_FALSE(first->isLong);
+}
+
+TEST_F(PromptPlacementTest, ShortPromptsSpreadBeforeABatchIsFull)
+{
+    this->addAnswers(0, 13, 200ms);
+    EXPECT_NE(this->placement.plan(shortPrompt(), this->engines)->writer, 0U);
+}
+
+TEST_F(PromptPlacementTest, ShortPromptAvoidsAnEngineThatReadsALongOne)
+{
+    this->addLongRead(0, 400);
+    EXPECT_NE(this->placement.plan(shortPrompt(), this->engines)->writer, 0U);
+}
+
+TEST_F(PromptPlacementTest, ShortPromptWaitsWhileAllBatchesAreFull)
+{
+    for (std::size_t engine = 0; engine < this->engines.size(); ++engine)
+        this->addAnswers(engine, 16, 200ms);
+    EXPECT_TRUE(this->placement.plan(shortPrompt(), this->engines)->shouldWait);
+}
+
+TEST_F(PromptPlacementTest, LateShortPromptLeavesTheLastPlacesToOthers)
+{
+    for (std::size_t engine = 0; engine < this->engines.size(); ++engine)
+        this->addAnswers(engine, 15, 200ms);
+    auto late = shortPrompt();
+    EXPECT_FALSE(this->placement.plan(late, this->engines)->shouldWait);
+    late.objective = 20ms;
+    EXPECT_TRUE(this->placement.plan(late, this->engines)->isLate);
+    EXPECT_TRUE(this->placement.plan(late, this->engines)->shouldWait);
+}
+
+TEST_F(PromptPlacementTest, LongPromptOnIdleEnginesIsReadByManyWithinItsObjective)
+{
+    const auto plan = this->placement.plan(longPrompt(), this->engines);
+    ASSERT_TRUE(plan);
+    EXPECT_TRUE(plan->isLong);
+    EXPECT_FALSE(plan->shouldWait);
+    EXPECT_GE(plan->helpers.size(), 6U);
+    EXPECT_LE(plan->helpers.size(), 16U);
+    EXPECT_LT(plan->expectedMs, 1500);
+}
+
+TEST_F(PromptPlacementTest, HelpersAreDistinctAndNotTheWriter)
+{
+    const auto plan = this->placement.plan(longPrompt(), this->engines);
+    std::set<std::size_t> all { plan->helpers.begin(), plan->helpers.end() };
+    all.insert(plan->writer);
+    EXPECT_EQ(all.size(), plan->helpers.size() + 1);
+}
+
+TEST_F(PromptPlacementTest, LongReadAvoidsEnginesWhoseShortAnswersItWouldHoldUp)
+{
+    for (const std::size_t engine : { 0U, 1U, 7U, 8U, 14U, 15U })
+        this->addAnswers(engine, 10, 200ms);
+    const auto plan = this->placement.plan(longPrompt(), this->engines);
+    ASSERT_TRUE(plan);
+    EXPECT_EQ(this->engines[plan->writer].load.answers, 0U);
+    for (const auto helper : plan->helpers)
+        EXPECT_EQ(this->engines[helper].load.answers, 0U) << this->engines[helper].target->id;
+}
+
+TEST_F(PromptPlacementTest, LongReadStaysWithAnswersThatBearThePause)
+{
+    for (std::size_t engine = 0; engine < this->engines.size(); ++engine)
+        this->addAnswers(engine, 1, 800ms);
+    const auto plan = this->placement.plan(longPrompt(), this->engines);
+    ASSERT_TRUE(plan);
+    EXPECT_FALSE(plan->shouldWait);
+}
+
+TEST_F(PromptPlacementTest, LongPromptWaitsRatherThanHoldUpShortAnswersEverywhere)
+{
+    for (std::size_t engine = 0; engine < this->engines.size(); ++engine)
+        this->addAnswers(engine, 10, 200ms);
+    EXPECT_TRUE(this->placement.plan(longPrompt(), this->engines)->shouldWait);
+}
+
+TEST_F(PromptPlacementTest, PlanCountsOnlyWhatIsLeftOfTheObjective)
+{
+    auto waited = longPrompt();
+    for (std::size_t engine = 3; engine < this->engines.size(); ++engine)
+        this->addAnswers(engine, 2, 200ms);
+    const auto early = this->placement.plan(waited, this->engines);
+    waited.objective = 1s;
+    const auto late = this->placement.plan(waited, this->engines);
+    EXPECT_GE(late->helpers.size(), early->helpers.size());
+}
+
+TEST_F(PromptPlacementTest, PromptBeyondOneEngineIsKeptBySeveral)
+{
+    const auto plan = this->placement.plan(demand(800'000, 3s), this->engines);
+    ASSERT_TRUE(plan);
+    EXPECT_GE(plan->tickets, 1U);
+    EXPECT_LE(plan->tickets, plan->helpers.size());
+    EXPECT_LE(plan->tokensPerTicket, 450'000);
+    EXPECT_LE(plan->writerTokens, 450'000);
+    EXPECT_GE(plan->writerTokens + plan->tokensPerTicket * static_cast<std::int64_t>(plan->tickets), 801'600);
+}
+
+TEST_F(PromptPlacementTest, PromptBeyondAllEnginesTogetherGetsNoPlan)
+{
+    EXPECT_FALSE(this->placement.plan(demand(20'000'000, 3s), this->engines));
+}
+
+TEST_F(PromptPlacementTest, PromptBeyondOneEngineIsHopelessWhenReadingTakesMostOfItsTime)
+{
+    for (std::size_t engine = 4; engine < this->engines.size(); ++engine)
+        this->addLongRead(engine, 5000);
+    EXPECT_TRUE(this->placement.plan(demand(1'000'000, 3s), this->engines)->isHopeless);
+}
+
+TEST_F(PromptPlacementTest, AnswersWeighByTheReadingSpentOnThem)
+{
+    EXPECT_NEAR(this->placement.weight(5000), 1.1, 0.05);
+    EXPECT_NEAR(this->placement.weight(210'000), 15.2, 0.5);
+}
+
+}
+}
--- /dev/null
+++ b/test/ServingGateway_test.cpp
@@ -0,0 +1,417 @@
+#include "serving/ServingGateway.h"
+
+#include <deque>
+#include <functional>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <gtest/gtest.h>
+
+#include "platform/HeaderFormat.h"
+
+namespace marigoldpaddle {
+namespace {
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+// A target whose next answers are scripted. Notes what it got.
+class ScriptedTarget final : public HttpHandler {
+public:
+    using Reaction = std::function<asio::awaitable<void>(HttpExchange&)>;
+
+    explicit ScriptedTarget(asio::io_context& context)
+        : server(context, *this)
+        , address("127.0.0.1:" + std::to_string(this->server.listen("127.0.0.1:0")))
+    {
+    }
+
+    asio::awaitable<void> handle(HttpExchange& exchange) override
+    {
+        this->received.push_back(exchange.request());
+        if (this->script.empty())
+            co_return;
+        const auto reaction = this->script.front();
+        if (this->script.size() > 1)
+            this->script.pop_front();
+        co_await reaction(exchange);
+    }
+
+    HttpResponse describeFault(HttpFault) override
+    {
+        return makeResponse(400, "text/plain", "fault");
+    }
+
+    HttpServer server;
+    std::string address;
+    std::deque<Reaction> script;
+    std::vector<HttpRequest> received;
+};
+
+HttpResponse answer(const HttpExchange& exchange, unsigned status, std::string body, bool isSealed = true)
+{
+    auto response = makeResponse(status, "text/plain", std::move(body));
+    response.set("Marigoldpaddle-Attempt-Id", exchange.request()["Marigoldpaddle-Attempt-Id"]);
+    if (isSealed)
+        response.set("Marigoldpaddle-Server-Seal", "seal");
+    return response;
+}
+
+ScriptedTarget::Reaction whole(unsigned status, std::string body, bool isSealed = true)
+{
+    return [=](HttpExchange& exchange) -> asio::awaitable<void> {
+        auto response = answer(exchange, status, body, isSealed);
+        co_await exchange.respond(std::move(response));
+    };
+}
+
+ScriptedTarget::Reaction declined()
+{
+    return [](HttpExchange& exchange) -> asio::awaitable<void> {
+        auto response = answer(exchange, 503, "", false);
+        response.set("Marigoldpaddle-Not-Executed", "1");
+        co_await exchange.respond(std::move(response));
+    };
+}
+
+// Sends events and then ends the answer, or breaks off.
+ScriptedTarget::Reaction events(std::string text, bool isWhole)
+{
+    return [=](HttpExchange& exchange) -> asio::awaitable<void> {
+        HttpResponseHeader header { answer(exchange, 200, "").base() };
+        header.erase(http::field::content_length);
+        header.set(http::field::content_type, "text/event-stream");
+        co_await exchange.beginStream(header);
+        co_await exchange.write(text);
+        if (isWhole)
+            co_await exchange.endStream();
+    };
+}
+
+ScriptedTarget::Reaction breakOff()
+{
+    return [](HttpExchange&) -> asio::awaitable<void> {
+        co_return;
+    };
+}
+
+class NoMemory final : public EngineMemory {
+public:
+    asio::awaitable<MemoryOutcome> reserve(TargetEntry, MemoryTicket, Duration) override
+    {
+        co_return MemoryOutcome::Refused;
+    }
+
+    asio::awaitable<MemoryOutcome> release(TargetEntry, MemoryTicket) override
+    {
+        co_return MemoryOutcome::Done;
+    }
+};
+
+// The gateway between a caller and two scripted targets, all over loopback.
+class ServingGatewayTest : public testing::Test {
+protected:
+    ServingGatewayTest()
+    {
+        this->first.script = { whole(200, "first") };
+        this->second.script = { whole(200, "second") };
+        this->configure();
+        this->list("t1", this->first.address);
+        this->address = "127.0.0.1:" + std::to_string(this->server.listen("127.0.0.1:0"));
+    }
+
+    void configure(std::uint64_t version = 1)
+    {
+        ServingConfiguration values;
+        values.version = version;
+        values.services["s"].name = "s";
+        values.requiresKeys = true;
+        values.workspaceByKey = { { "key", "workspace" } };
+        values.routes = { this->route("safe", RouteKind::Repeatable), this->route("unsafe", RouteKind::Unrepeatable),
+            this->route("stream", RouteKind::Stream) };
+        values.routes[2].isResumable = true;
+        this->view.install(std::move(values));
+    }
+
+    Route route(const std::string& name, RouteKind kind)
+    {
+        Route route;
+        route.name = name;
+        route.host = "a.example";
+        route.pathPrefix = "/" + name + "/";
+        route.kind = kind;
+        route.timeout = 5s;
+        route.objective = 300ms;
+        route.gapObjective = 200ms;
+        route.maximumAttempts = 2;
+        route.shares = { { "s", 1 } };
+        return route;
+    }
+
+    void list(const std::string& id, const std::string& address)
+    {
+        TargetEntry entry;
+        entry.id = id;
+        entry.service = "s";
+        entry.address = address;
+        entry.availabilityZone = "a";
+        this->view.targets.upsert(entry, this->clock.now());
+    }
+
+    HttpRequest request(const std::string& path)
+    {
+        auto request = makeRequest(http::verb::post, path, "body");
+        request.set(http::field::host, "a.example");
+        request.set(http::field::authorization, "Token key");
+        request.set("Marigoldpaddle-Attempt-Id", "attempt");
+        request.set("Marigoldpaddle-Deadline-Remaining", "5000");
+        return request;
+    }
+
+    // Sends a request as a caller would and runs everything until its answer is there.
+    HttpResult<HttpResponse> call(HttpRequest request)
+    {
+        std::optional<HttpResult<HttpResponse>> result;
+        asio::co_spawn(
+            this->context,
+            [&]() -> asio::awaitable<void> {
+                result = co_await this->caller.call(this->address, std::move(request), 10s);
+                this->context.stop();
+            },
+            asio::detached);
+        this->context.restart();
+        this->context.run();
+        return *result;
+    }
+
+    unsigned status(const std::string& path)
+    {
+        const auto answered = this->call(this->request(path));
+        return answered ? answered.value().result_int() : 0;
+    }
+
+    asio::io_context context { 1 };
+    SteadyClock clock;
+    platform::HeaderFormat format;
+    ServingView view;
+    LoadLedger ledger;
+    WaitingPrompts waiting;
+    TargetHealth health;
+    RetryBudget budget { { 0.2, 10s, 1000 } };
+    HttpClient client { this->context.get_executor() };
+    HttpClient caller { this->context.get_executor() };
+    NoMemory memory;
+    EventLog log { this->clock, { "test", 0, 16 } };
+    MetricsRegistry metrics;
+    ScriptedTarget first { this->context };
+    ScriptedTarget second { this->context };
+    ServingGateway gateway { { this->context, this->clock, this->format, this->view, this->ledger, this->waiting,
+                                 this->health, this->budget, this->client, this->memory, this->log, this->metrics,
+                                 "test", 3s },
+        TargetChooser { this->view.targets, this->ledger, this->health, "a", std::mt19937_64 { 1 } } };
+    HttpServer server { this->context, this->gateway };
+    std::string address;
+};
+
+TEST_F(ServingGatewayTest, AnswerIsPassedOnWithItsSeal)
+{
+    const auto answered = this->call(this->request("/safe/x?q=1"));
+    ASSERT_TRUE(answered);
+    EXPECT_EQ(answered.value().result_int(), 200U);
+    EXPECT_EQ(answered.value().body(), "first");
+    EXPECT_EQ(answered.value()["Marigoldpaddle-Server-Seal"], "seal");
+    ASSERT_EQ(this->first.received.size(), 1U);
+    EXPECT_EQ(this->first.received[0].target(), "/safe/x?q=1");
+    EXPECT_EQ(this->first.received[0].body(), "body");
+    EXPECT_EQ(this->first.received[0]["Marigoldpaddle-Tenant"], "workspace");
+}
+
+TEST_F(ServingGatewayTest, LoadIsGivenBackWhenTheAnswerHasEnded)
+{
+    this->status("/safe/x");
+    EXPECT_TRUE(this->ledger.own(this->clock.now()).empty());
+}
+
+TEST_F(ServingGatewayTest, UnknownRouteGets404AndReachesNoTarget)
+{
+    EXPECT_EQ(this->status("/none/"), 404U);
+    EXPECT_TRUE(this->first.received.empty());
+}
+
+TEST_F(ServingGatewayTest, UnknownKeyGets401AndReachesNoTarget)
+{
+    auto request = this->request("/safe/x");
+    request.set(http::field::authorization, "Token other");
+    EXPECT_EQ(this->call(std::move(request)).value().result_int(), 401U);
+    EXPECT_TRUE(this->first.received.empty());
+}
+
+TEST_F(ServingGatewayTest, FailedRepeatableRequestIsSentToAnotherTarget)
+{
+    this->list("t2", this->second.address);
+    this->first.script = { whole(500, "no") };
+    this->second.script = { whole(200, "yes") };
+    for (int call = 0; call < 8; ++call)
+        EXPECT_EQ(this->status("/safe/x"), 200U);
+}
+
+TEST_F(ServingGatewayTest, UnrepeatableRequestRunsOnceWhenItsTargetFails)
+{
+    this->list("t2", this->second.address);
+    this->first.script = { whole(500, "no") };
+    this->second.script = { whole(500, "no") };
+    const auto answered = this->call(this->request("/unsafe/x"));
+    EXPECT_EQ(answered.value().result_int(), 500U);
+    EXPECT_EQ(answered.value()["Marigoldpaddle-Server-Seal"], "seal");
+    EXPECT_EQ(this->first.received.size() + this->second.received.size(), 1U);
+}
+
+TEST_F(ServingGatewayTest, UnrepeatableRequestWithoutAnAnswerIsNotCalledUnrun)
+{
+    this->list("t2", this->second.address);
+    this->first.script = { breakOff() };
+    this->second.script = { breakOff() };
+    EXPECT_EQ(this->status("/unsafe/x"), 502U);
+    EXPECT_EQ(this->first.received.size() + this->second.received.size(), 1U);
+}
+
+TEST_F(ServingGatewayTest, UnrepeatableRequestThatDidNotRunIsSentElsewhere)
+{
+    this->list("t2", this->second.address);
+    this->first.script = { declined() };
+    EXPECT_EQ(this->status("/unsafe/x"), 200U);
+}
+
+TEST_F(ServingGatewayTest, RequestThatNoTargetRanIsRefusedWithATimeToComeBack)
+{
+    this->first.script = { declined() };
+    const auto answered = this->call(this->request("/unsafe/x"));
+    EXPECT_EQ(answered.value().result_int(), 503U);
+    EXPECT_FALSE(answered.value()["Retry-After"].empty());
+}
+
+TEST_F(ServingGatewayTest, SuccessWithoutASealIsNeverPassedOn)
+{
+    this->first.script = { whole(200, "forged", false) };
+    EXPECT_EQ(this->status("/unsafe/x"), 502U);
+}
+
+TEST_F(ServingGatewayTest, AnswerToAnotherRequestIsNeverPassedOn)
+{
+    this->first.script = { [](HttpExchange& exchange) -> asio::awaitable<void> {
+        auto response = answer(exchange, 200, "theirs");
+        response.set("Marigoldpaddle-Attempt-Id", "other");
+        co_await exchange.respond(std::move(response));
+    } };
+    EXPECT_EQ(this->status("/unsafe/x"), 502U);
+}
+
+TEST_F(ServingGatewayTest, TargetWhoseAddressIsAnothersGetsNoMoreRequests)
+{
+    this->list("t2", this->second.address);
+    this->first.script = { [](HttpExchange& exchange) -> asio::awaitable<void> {
+        auto response = answer(exchange, 421, "", false);
+        co_await exchange.respond(std::move(response));
+    } };
+    for (int call = 0; call < 8; ++call)
+        EXPECT_EQ(this->status("/unsafe/x"), 200U);
+    EXPECT_LE(this->first.received.size(), 1U);
+}
+
+TEST_F(ServingGatewayTest, StreamIsPassedOnWhole)
+{
+    this->first.script = { events("id: 1\n\nid: 2\n\n", true) };
+    EXPECT_EQ(this->call(this->request("/stream/x")).value().body(), "id: 1\n\nid: 2\n\n");
+}
+
+TEST_F(ServingGatewayTest, BrokenStreamContinuesAtAnotherTargetWithoutAGapOrARepetition)
+{
+    this->list("t2", this->second.address);
+    const auto breaksOff = events("id: 1\n\nid: 2\n\nid: 3\nda", false);
+    const auto continues = [](HttpExchange& exchange) -> asio::awaitable<void> {
+        const auto isResumed = exchange.request()["Last-Event-Id"] == "2";
+        const auto reaction
+            = isResumed ? events("id: 3\n\nid: 4\n\n", true) : events("id: 1\n\nid: 2\n\nid: 3\nda", false);
+        co_await reaction(exchange);
+    };
+    this->first.script = { continues };
+    this->second.script = { continues };
+    EXPECT_EQ(this->call(this->request("/stream/x")).value().body(), "id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n");
+    EXPECT_EQ(this->first.received.size() + this->second.received.size(), 2U);
+}
+
+TEST_F(ServingGatewayTest, StreamThatCannotContinueIsNeverEndedAsWhole)
+{
+    this->first.script = { events("id: 1\n\nid: 2\nda", false) };
+    EXPECT_FALSE(this->call(this->request("/stream/x")));
+}
+
+TEST_F(ServingGatewayTest, EventsOutOfOrderAreNotPassedOn)
+{
+    this->first.script = { events("id: 1\n\nid: 3\n\n", true) };
+    EXPECT_FALSE(this->call(this->request("/stream/x")));
+}
+
+// The events before the gap arrive in one piece with it; the continuation must not skip them.
+TEST_F(ServingGatewayTest, StreamWithAGapContinuesAfterTheLastEventThatWasDelivered)
+{
+    this->list("t2", this->second.address);
+    const auto serve = [](HttpExchange& exchange) -> asio::awaitable<void> {
+        const auto isResumed = exchange.request()["Last-Event-Id"] == "1";
+        const auto reaction = isResumed ? events("id: 2\n\nid: 3\n\n", true) : events("id: 1\n\nid: 3\n\n", true);
+        co_await reaction(exchange);
+    };
+    this->first.script = { serve };
+    this->second.script = { serve };
+    EXPECT_EQ(this->call(this->request("/stream/x")).value().body(), "id: 1\n\nid: 2\n\nid: 3\n\n");
+}
+
+TEST_F(ServingGatewayTest, RequestBeyondTheRetryBudgetIsNotRepeated)
+{
+    this->list("t2", this->second.address);
+    this->budget.setSettings({ 0, 10s, 0 });
+    this->first.script = { whole(500, "no") };
+    this->second.script = { whole(500, "no") };
+    EXPECT_EQ(this->status("/safe/x"), 500U);
+    EXPECT_EQ(this->first.received.size() + this->second.received.size(), 1U);
+}
+
+TEST_F(ServingGatewayTest, SilentTargetOfTheLastAttemptIsHeardUntilTheDeadline)
+{
+    this->first.script = { [this](HttpExchange& exchange) -> asio::awaitable<void> {
+        asio::steady_timer timer { this->context, 700ms };
+        co_await timer.async_wait(asio::use_awaitable);
+        auto response = answer(exchange, 200, "late");
+        co_await exchange.respond(std::move(response));
+    } };
+    EXPECT_EQ(this->call(this->request("/unsafe/x")).value().body(), "late");
+}
+
+TEST_F(ServingGatewayTest, CallGivenUpAtItsDeadlineGetsItsAnswerAndIsNotCalledUnrun)
+{
+    this->first.script = { [this](HttpExchange&) -> asio::awaitable<void> {
+        asio::steady_timer timer { this->context, 1s };
+        co_await timer.async_wait(asio::use_awaitable);
+    } };
+    auto request = this->request("/unsafe/x");
+    request.set("Marigoldpaddle-Deadline-Remaining", "200");
+    EXPECT_EQ(this->call(std::move(request)).value().result_int(), 504U);
+}
+
+TEST_F(ServingGatewayTest, InstanceWithoutAConfigurationPromisesNotToHaveRunTheRequest)
+{
+    ServingView empty;
+    ServingGateway unconfigured { { this->context, this->clock, this->format, empty, this->ledger, this->waiting,
+                                      this->health, this->budget, this->client, this->memory, this->log, this->metrics,
+                                      "test", 3s },
+        TargetChooser { empty.targets, this->ledger, this->health, "a", std::mt19937_64 { 1 } } };
+    HttpServer other { this->context, unconfigured };
+    this->address = "127.0.0.1:" + std::to_string(other.listen("127.0.0.1:0"));
+    EXPECT_EQ(this->status("/safe/x"), 503U);
+}
+
+}
+}
