Let late long prompts wait for a good plan, blame no target for callers that leave, explain a request from logs

Targets that answer others are no longer left out for one silent request. - Short prompts beyond the engines' places come back after 0.8 to 3 s instead of making all that follow late.

--- a/src/programs/ControlOptions.cpp
+++ b/src/programs/ControlOptions.cpp
@@ -26,6 +26,7 @@
   history                   list the last changes, accepted and refused
   status                    show the offset in force at every instance
   targets                   list the targets
+  explain ID FILE...        print what the logs of instances say about one request; needs no platform
 
 A directory holds one NAME.ini for each preset; a folder NAME with several .ini files is one preset too, each section in
 one of them. Sections that the files no longer hold are removed from the preset.
@@ -56,9 +57,9 @@
     bool needsPlatform { true };
 };
 
-constexpr CommandForm Commands[]
-    = { { "validate", 1, 1, false }, { "diff", 1, 1 }, { "apply", 1, 1 }, { "use", 1, 1 }, { "delete", 1, 1 },
-          { "show", 1, 2 }, { "list", 0, 0 }, { "history", 0, 0 }, { "status", 0, 0 }, { "targets", 0, 0 } };
+constexpr CommandForm Commands[] = { { "validate", 1, 1, false }, { "diff", 1, 1 }, { "apply", 1, 1 }, { "use", 1, 1 },
+    { "delete", 1, 1 }, { "show", 1, 2 }, { "list", 0, 0 }, { "history", 0, 0 }, { "status", 0, 0 },
+    { "targets", 0, 0 }, { "explain", 2, 10'000, false } };
 
 constexpr option LongOptions[] = { { "platform", required_argument, nullptr, 'p' },
     { "based-on", required_argument, nullptr, 'b' }, { "limit", required_argument, nullptr, 'n' },
--- a/src/programs/MarigoldctlMain.cpp
+++ b/src/programs/MarigoldctlMain.cpp
@@ -1,4 +1,8 @@
+#include <algorithm>
+#include <fstream>
 #include <iostream>
+#include <iterator>
+#include <ranges>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -8,6 +12,7 @@
 #include "base/Settings.h"
 #include "logservice/HttpPlatformLog.h"
 #include "programs/ControlSession.h"
+#include "programs/LogStory.h"
 #include "rpc/RpcClient.h"
 
 using namespace marigoldpaddle;
@@ -67,8 +72,34 @@
 
 }
 
+namespace {
+
+ControlExit explain(const ControlOptions& options)
+{
+    LogStory story { options.arguments.front() };
+    for (const auto& path : options.arguments | std::views::drop(1)) {
+        std::ifstream log { path };
+        if (!log) {
+            std::cerr << "marigoldctl: cannot read " << path << '\n';
+            return ControlExit::Invalid;
+        }
+        story.read(log);
+    }
+    const auto lines = story.lines();
+    if (lines.empty()) {
+        std::cerr << "marigoldctl: no line names request " << options.arguments.front() << '\n';
+        return ControlExit::Different;
+    }
+    std::ranges::copy(lines, std::ostream_iterator<std::string> { std::cout, "\n" });
+    return ControlExit::Success;
+}
+
+}
+
 int main(int argc, char** argv)
 {
     const auto parsed = parseControlOptions(argc, argv, std::cout, std::cerr);
+    if (!parsed.exit && parsed.options.command == "explain")
+        return static_cast<int>(explain(parsed.options));
     return parsed.exit ? static_cast<int>(*parsed.exit) : run(parsed.options);
 }
--- a/src/serving/PromptPlacement.cpp
+++ b/src/serving/PromptPlacement.cpp
@@ -41,7 +41,7 @@
 constexpr double SlowedAnswerMs = 5;
 // The older of two long reads waits for the newer one. With more of them it would be put off again and again.
 constexpr double StackedReadMs = 3000;
-constexpr unsigned BearableStack = 4;
+constexpr unsigned BearableStack = 1;
 // Of an engine's memory, what a prompt that needs several engines takes: other answers go on beside it.
 constexpr double UsableShareOfMemory = 0.65;
 // Each further engine has to be reached and waited for: about one round trip and the rest of a pass.
@@ -210,13 +210,11 @@
     costs[read.writer] = std::numeric_limits<double>::infinity();
     std::vector<std::size_t> order(candidates.size());
     std::iota(order.begin(), order.end(), std::size_t { 0 });
-    std::ranges::sort(order, {}, [&](std::size_t index) { return costs[index]; });
     // Those that keep a part of the prompt come first.
-    const auto canHold = [&](std::size_t index) {
-        return index != read.writer && this->hasRoom(candidates[index], tokens);
+    const auto keepsNone = [&](std::size_t index) {
+        return index == read.writer || (holders > 1 && !this->hasRoom(candidates[index], tokens));
     };
-    if (holders > 1)
-        std::ranges::stable_partition(order, canHold);
+    std::ranges::sort(order, {}, [&](std::size_t index) { return std::pair { keepsNone(index), costs[index] }; });
     read.helpers.assign(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(parts - 1));
 
     read.costMs = writerCosts[read.writer];
--- a/src/serving/ServingConfiguration.cpp
+++ b/src/serving/ServingConfiguration.cpp
@@ -29,8 +29,7 @@
     for (const auto& route : configuration.routes)
         this->byHost[route.host].push_back(&route);
     for (auto& [host, routes] : this->byHost)
-        std::ranges::stable_sort(
-            routes, std::ranges::greater {}, [](const Route* route) { return route->pathPrefix.size(); });
+        std::ranges::sort(routes, std::ranges::greater {}, [](const Route* route) { return route->pathPrefix.size(); });
 }
 
 const Route* RouteTable::find(std::string_view host, std::string_view target) const
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -23,6 +23,9 @@
 constexpr Duration PlacementRetryPeriod = std::chrono::milliseconds { 10 };
 // A short prompt that is late waits for a place for so many objectives, or a quarter of its time if that is shorter.
 constexpr int LatePatienceObjectives = 5;
+// Callers that find no place come back after an answer's length or some more.
+constexpr Duration ShortestReturn = std::chrono::milliseconds { 800 };
+constexpr Duration LongestReturn = std::chrono::seconds { 3 };
 // Engines that lose a helper stall for so long before they give up; a shorter silence is no sign of a fault.
 constexpr Duration LongestNormalGap = std::chrono::milliseconds { 1500 };
 // Short prompts go before long ones in an engine's queue; 5 is the middle.
@@ -111,17 +114,20 @@
     std::set<std::string> tried;
     unsigned tries { 0 };
     unsigned runs { 0 }; // Attempts that may have run.
+    std::optional<Duration> retryAfter; // When a refused caller may come back, if better known than usual.
     std::optional<HttpResponse> targetFailure; // Passed on when nothing better comes.
     std::optional<EventStream> stream; // Once events may reach the caller.
     TimePoint lastEventAt {};
     Duration longestGap {}; // Between two pieces of the answer.
     bool isAnswering { false }; // The caller has bytes of its answer, or is about to.
+    bool isAbandoned { false }; // The caller has left or its time is over: whatever ends now says nothing of a target.
     bool didFinish { false };
 };
 
 ServingGateway::ServingGateway(const Parts& parts, TargetChooser chooser)
     : parts(parts)
     , chooser(std::move(chooser))
+    , random(std::random_device {}())
     , ticketPrefix(parts.instance + '-' + std::to_string(std::random_device {}()) + '-')
 {
 }
@@ -149,7 +155,7 @@
     call.deadline = call.receivedAt + patience - AnswerMargin;
 
     const auto first
-        = co_await (this->forward(call) || exchange.waitUntilCallerIsGone() || this->waitUntilDeadline(call));
+        = co_await (this->forward(call) || this->waitUntilCallerIsGone(call) || this->waitUntilDeadline(call));
     if (first.index() == 1)
         this->finish(call, "caller_gone", 0);
     else if (first.index() == 2 && !call.isAnswering)
@@ -199,6 +205,8 @@
     const auto longBy = std::min(call.receivedAt + objective * 3 / 4, call.deadline);
     const auto shortBy = std::min(
         call.receivedAt + LatePatienceObjectives * objective, call.receivedAt + (call.deadline - call.receivedAt) / 4);
+    // A long prompt that is late anyway gives way to those that are not, and is not read by few engines in large parts.
+    const auto lateBy = call.receivedAt + (call.deadline - call.receivedAt) / 2;
     std::optional<WaitingPlace> place; // Among the long prompts.
     std::optional<TimePoint> readySince;
     while (true) {
@@ -211,15 +219,23 @@
         const auto startBy = choice->work.isLong ? longBy - 2 * choice->soonest : shortBy;
         if (now >= startBy && choice->isHopeless)
             co_return std::nullopt;
-        if (now >= startBy)
+        const bool isLost = choice->work.isLong && now + choice->expected > call.receivedAt + objective;
+        if (now >= (isLost ? lateBy : startBy))
             co_return choice;
+        // Beyond the engines' places nothing is gained by a queue: all who follow would be late as well.
+        if (choice->isLate && choice->shouldWait && !choice->work.isLong && this->mayComeBack(call)) {
+            call.retryAfter = this->spreadRetryAfter(call);
+            co_return std::nullopt;
+        }
         if (!choice->shouldWait) {
             readySince = readySince.value_or(now);
-            if (!choice->work.isLong || this->parts.waiting.isNext(startBy, now)
+            if (!choice->work.isLong || this->parts.waiting.isNext(isLost ? lateBy : startBy, now)
                 || now - *readySince >= WaitingPrompts::Courtesy)
                 co_return choice;
         }
-        if (choice->work.isLong && !place) {
+        if (isLost)
+            place.reset();
+        if (choice->work.isLong && !isLost && !place) {
             place.emplace(this->parts.waiting, startBy);
             if (this->notifyPlaced)
                 this->notifyPlaced();
@@ -229,6 +245,20 @@
     }
 }
 
+// Callers come back within a third of the time that they have left.
+bool ServingGateway::mayComeBack(const Call& call) const
+{
+    return call.runs == 0 && this->remaining(call) / 3 >= ShortestReturn;
+}
+
+// Spreads the return of callers that a crest has turned away, so that they do not make another.
+Duration ServingGateway::spreadRetryAfter(const Call& call)
+{
+    const auto longest = std::min(LongestReturn, this->remaining(call) / 3);
+    std::uniform_real_distribution<double> share { 0, 1 };
+    return ShortestReturn + std::chrono::duration_cast<Duration>((longest - ShortestReturn) * share(this->random));
+}
+
 bool ServingGateway::maySendAgain(Call& call, Attempt last)
 {
     if (call.tries >= MaximumTries || this->remaining(call) <= Duration::zero())
@@ -414,6 +444,7 @@
         if (call.isAnswering && !isEnd)
             call.longestGap = std::max(call.longestGap, now - call.lastEventAt);
         call.lastEventAt = now;
+        this->parts.health.noteAlive(choice.target.id, now);
         const auto events = stream.take(piece.value());
         if (!events.empty() && !didBegin) {
             didBegin = true;
@@ -480,7 +511,8 @@
 asio::awaitable<void> ServingGateway::refuse(Call& call, unsigned status, std::string_view reason)
 {
     call.isAnswering = true;
-    const auto retryAfter = status == 503 ? std::optional { DefaultRetryAfter } : std::nullopt;
+    const auto retryAfter
+        = status == 503 ? std::optional { call.retryAfter.value_or(DefaultRetryAfter) } : std::nullopt;
     co_await call.exchange.respond(this->parts.format.ownAnswer(status, reason, retryAfter));
     this->parts.metrics.counter("marigold_refusals_total", "reason=\"" + std::string { reason } + "\"").increment();
     this->finish(call, reason, status);
@@ -490,10 +522,19 @@
 {
     asio::steady_timer timer { this->parts.context, call.deadline };
     co_await timer.async_wait(asio::use_awaitable);
+    call.isAbandoned = true;
+}
+
+asio::awaitable<void> ServingGateway::waitUntilCallerIsGone(Call& call)
+{
+    co_await call.exchange.waitUntilCallerIsGone();
+    call.isAbandoned = true;
 }
 
 void ServingGateway::noteOutcome(Call& call, const TargetChoice& choice, SendOutcome outcome, std::string_view detail)
 {
+    if (call.isAbandoned)
+        return;
     const auto now = this->parts.clock.now();
     this->parts.health.note(choice.target.id, outcome, now);
     if (outcome == SendOutcome::Answered)
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -83,6 +84,9 @@
     boost::asio::awaitable<void> finishUnserved(Call& call);
     boost::asio::awaitable<void> refuse(Call& call, unsigned status, std::string_view reason);
     boost::asio::awaitable<void> waitUntilDeadline(Call& call);
+    boost::asio::awaitable<void> waitUntilCallerIsGone(Call& call);
+    bool mayComeBack(const Call& call) const;
+    Duration spreadRetryAfter(const Call& call);
     bool maySendAgain(Call& call, Attempt last);
     Duration remaining(const Call& call) const;
     Duration firstByteTimeout(const Call& call, const TargetChoice& choice) const;
@@ -95,6 +99,7 @@
     Parts parts;
     TargetChooser chooser;
     std::function<void()> notifyPlaced;
+    std::mt19937_64 random;
     std::string ticketPrefix; // Differs between starts of an instance.
     std::uint64_t lastTicket { 0 };
 };
--- a/src/serving/TargetHealth.cpp
+++ b/src/serving/TargetHealth.cpp
@@ -18,6 +18,8 @@
 constexpr Duration LongestEjection = std::chrono::milliseconds { 4800 };
 // Sends that are declined keep others away for this long: a full queue drains within some passes.
 constexpr Duration DeclinedPause = std::chrono::milliseconds { 100 };
+// A target that has sent something within this time is there: some passes of an engine.
+constexpr Duration AliveLifetime = std::chrono::milliseconds { 500 };
 constexpr Duration RecordLifetime = std::chrono::minutes { 1 };
 
 }
@@ -34,13 +36,21 @@
         record.unreachableInRow = 0;
     if (outcome == SendOutcome::Declined)
         record.ejectedUntil = std::max(record.ejectedUntil, now + DeclinedPause);
-    if (outcome == SendOutcome::Unreachable) {
+    if (outcome == SendOutcome::Unreachable && now - record.aliveAt > AliveLifetime) {
         const auto pause = FirstEjection * (1U << std::min(record.unreachableInRow, 3U));
         record.ejectedUntil = now + std::min<Duration>(pause, LongestEjection);
         ++record.unreachableInRow;
     }
 }
 
+void TargetHealth::noteAlive(std::string_view target, TimePoint now)
+{
+    auto found = this->records.find(target);
+    if (found == this->records.end())
+        found = this->records.emplace(target, Record {}).first;
+    found->second.aliveAt = now;
+}
+
 bool TargetHealth::isEjected(std::string_view target, TimePoint now) const
 {
     const auto found = this->records.find(target);
@@ -58,7 +68,8 @@
 
 void TargetHealth::expire(TimePoint now)
 {
-    std::erase_if(this->records, [&](const auto& item) { return now - item.second.updatedAt > RecordLifetime; });
+    std::erase_if(this->records,
+        [&](const auto& item) { return now - std::max(item.second.updatedAt, item.second.aliveAt) > RecordLifetime; });
 }
 
 }
--- a/src/serving/TargetHealth.h
+++ b/src/serving/TargetHealth.h
@@ -22,6 +22,9 @@
 public:
     void note(std::string_view target, SendOutcome outcome, TimePoint now);
 
+    // The target has just sent something. One that answers others is busy, not gone, when it lets a request wait.
+    void noteAlive(std::string_view target, TimePoint now);
+
     // Whether sends to it are pointless for now. After a pause one request finds out whether it is back.
     bool isEjected(std::string_view target, TimePoint now) const;
 
@@ -37,6 +40,7 @@
         unsigned unreachableInRow { 0 };
         TimePoint ejectedUntil {};
         TimePoint updatedAt {};
+        TimePoint aliveAt {};
     };
 
     std::map<std::string, Record, std::less<>> records;
