--- a/src/serving/LoadLedger.cpp
+++ b/src/serving/LoadLedger.cpp
@@ -101,6 +101,11 @@
     return sum;
 }
 
+bool LoadLedger::knowsPeers(TimePoint now) const
+{
+    return std::ranges::any_of(this->peers, [&](const auto& item) { return now < item.second.validUntil; });
+}
+
 std::unordered_map<std::uint64_t, TargetLoad> LoadLedger::own(TimePoint now) const
 {
     std::unordered_map<std::uint64_t, TargetLoad> loads;
--- a/src/serving/LoadLedger.h
+++ b/src/serving/LoadLedger.h
@@ -57,6 +57,9 @@
     // Returns everything that is known to be at a target.
     TargetLoad total(std::string_view target, TimePoint now) const;
 
+    // Whether the loads of any peer are known.
+    bool knowsPeers(TimePoint now) const;
+
     // Returns the loads of this instance alone, by hash of the target.
     std::unordered_map<std::uint64_t, TargetLoad> own(TimePoint now) const;
 
--- a/src/serving/PeerExchange.cpp
+++ b/src/serving/PeerExchange.cpp
@@ -1,6 +1,7 @@
 #include "serving/PeerExchange.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace marigoldpaddle {
 
@@ -33,6 +34,8 @@
     const bool isLaterIncarnation = notice.incarnation > peer.incarnation;
     if (!isLaterIncarnation && (notice.incarnation < peer.incarnation || notice.sequence <= peer.sequence))
         return false;
+    if (!notice.leaving && (isLaterIncarnation || !this->isLive(peer, now)))
+        this->newcomers.push_back(notice.sender);
     peer.incarnation = notice.incarnation;
     peer.sequence = notice.sequence;
     peer.configurationVersion = static_cast<std::uint64_t>(notice.configurationVersion);
@@ -44,6 +47,16 @@
     return true;
 }
 
+PeerCommands PeerExchange::greet(TimePoint now)
+{
+    PeerCommands commands;
+    for (auto& address : std::exchange(this->newcomers, {})) {
+        this->peers[address].triedAt = now;
+        commands.push_back(SendNotice { std::move(address) });
+    }
+    return commands;
+}
+
 bool PeerExchange::isLive(const Peer& peer, TimePoint now) const
 {
     return peer.heardAt != TimePoint {} && now - peer.heardAt < peer.validity;
@@ -107,8 +120,11 @@
 
 void PeerExchange::tryContacts(PeerCommands& commands, TimePoint now)
 {
+    if (this->startedAt == TimePoint {})
+        this->startedAt = now;
+    const auto period = now - this->startedAt < FirstContacts ? FirstContactPeriod : ContactPeriod;
     for (auto& [address, peer] : this->peers) {
-        if (this->isLive(peer, now) || now - peer.triedAt < ContactPeriod)
+        if (this->isLive(peer, now) || now - peer.triedAt < period)
             continue;
         peer.triedAt = now;
         commands.push_back(SendNotice { address });
--- a/src/serving/PeerExchange.h
+++ b/src/serving/PeerExchange.h
@@ -53,6 +53,9 @@
     static constexpr double NudgesPerSecond = 50;
     // Contacts that never answered, or fell silent, are tried this often.
     static constexpr Duration ContactPeriod = std::chrono::seconds { 1 };
+    // Until the first answer of a peer, which may be starting as well.
+    static constexpr Duration FirstContactPeriod = std::chrono::milliseconds { 100 };
+    static constexpr Duration FirstContacts = std::chrono::seconds { 3 };
     static constexpr Duration ForgetAfter = std::chrono::seconds { 60 };
     // A view of the targets that is older is refreshed from a peer with a newer one.
     static constexpr Duration StaleTargets = std::chrono::milliseconds { 1200 };
@@ -64,6 +67,9 @@
     // Takes a notice. False when it is older than one that was taken, or from this instance itself.
     bool receive(const wire::LoadNotice& notice, TimePoint now);
 
+    // Answers a peer that was not live before at once, so that instances which start together soon know each other.
+    PeerCommands greet(TimePoint now);
+
     // Lets time pass. `didChange` tells whether the loads changed since the last notice.
     PeerCommands tick(const OwnKnowledge& own, bool didChange, TimePoint now);
 
@@ -100,7 +106,9 @@
 
     std::string self;
     std::map<std::string, Peer, std::less<>> peers;
+    std::vector<std::string> newcomers; // Heard for the first time, or again after silence.
     std::mt19937_64 random;
+    TimePoint startedAt {};
     TimePoint lastTold {};
     TimePoint lastRefill {};
     double nudges { NudgeBurst };
--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -21,7 +21,7 @@
 
 namespace {
 
-constexpr Duration TickPeriod = std::chrono::milliseconds { 100 };
+constexpr Duration TickPeriod = PeerExchange::ShortestPeriod;
 constexpr Duration FetchTimeout = std::chrono::milliseconds { 400 };
 // The largest datagram that UDP carries over loopback and within a fragmenting network.
 constexpr std::size_t MaximumNoticeBytes = 16 * 1024;
@@ -108,6 +108,7 @@
         const auto now = this->parts.clock.now();
         if (!this->exchange.receive(*notice, now))
             return;
+        this->perform(this->exchange.greet(now));
         std::unordered_map<std::uint64_t, TargetLoad> loads;
         for (const auto& record : notice->loads)
             loads.emplace(static_cast<std::uint64_t>(record.target), loadOf(record));
--- a/src/serving/TargetChooser.cpp
+++ b/src/serving/TargetChooser.cpp
@@ -16,6 +16,9 @@
 // Candidates this close are chosen by chance, so that instances with the same knowledge spread out.
 constexpr double RandomWeight = 0.05;
 constexpr double RandomMs = 15; // About one short prompt's reading.
+// Without the peers' loads, as right after all instances were killed, every instance would fill the same engines: the
+// choice is left to chance over the whole preference for one end.
+constexpr double LonelyRandomMs = 400;
 
 Duration durationFrom(double milliseconds)
 {
@@ -87,7 +90,7 @@
 std::optional<TargetChoice> TargetChooser::chooseEngines(const ChoiceDemand& demand, TimePoint now)
 {
     std::vector<EngineCandidate> candidates;
-    std::uniform_real_distribution<double> chance { 0, RandomMs };
+    std::uniform_real_distribution<double> chance { 0, this->ledger.knowsPeers(now) ? RandomMs : LonelyRandomMs };
     for (const auto* target : this->usable(demand, now)) {
         candidates.push_back({ target, this->ledger.total(target->id, now),
             FailurePenaltyMs * this->health.failureShare(target->id, now) + chance(this->random),
--- /dev/null
+++ b/test/TargetChooser_test.cpp
@@ -0,0 +1,127 @@
+#include "serving/TargetChooser.h"
+
+#include <map>
+
+#include <gtest/gtest.h>
+
+namespace marigoldpaddle {
+namespace {
+
+using namespace std::chrono_literals;
+
+class TargetChooserTest : public testing::Test {
+protected:
+    TargetChooserTest()
+    {
+        this->route.objective = 300ms;
+        this->route.gapObjective = 200ms;
+        this->engines.name = "engines";
+        this->engines.tightestGap = 200ms;
+        this->engines.engine = EngineProfile { 16, 450'000, 46, 0.925, 0.00483, 0.00254, 256, 0.0917 };
+        this->plain.name = "plain";
+        for (int number = 0; number < 21; ++number)
+            this->list("e" + std::to_string(100 + number), "engines", number < 7 ? "a" : number < 14 ? "b" : "c");
+        for (int number = 0; number < 3; ++number)
+            this->list("p" + std::to_string(number), "plain", "a");
+    }
+
+    void list(const std::string& id, const std::string& service, const std::string& zone)
+    {
+        TargetEntry entry;
+        entry.id = id;
+        entry.service = service;
+        entry.availabilityZone = zone;
+        entry.slots = 6;
+        this->targets.upsert(entry, this->now);
+    }
+
+    TargetChooser chooser(const LoadLedger& ledger, std::uint64_t seed)
+    {
+        return { this->targets, ledger, this->health, "a", std::mt19937_64 { seed } };
+    }
+
+    std::optional<TargetChoice> choosePlain(TargetChooser& chooser)
+    {
+        return chooser.choose({ this->route, this->plain, std::nullopt, this->tried, {}, 10s }, this->now);
+    }
+
+    TimePoint now { 1h };
+    TargetDirectory targets;
+    TargetHealth health;
+    LoadLedger ledger;
+    Route route;
+    ServiceProfile engines;
+    ServiceProfile plain;
+    std::set<std::string> tried;
+};
+
+// After all instances were killed, the callers' requests arrive at all of them at once, and none knows the others'
+// loads.
+TEST_F(TargetChooserTest, InstancesThatStartTogetherDoNotFillTheSameEngines)
+{
+    std::map<std::string, unsigned> requests;
+    for (std::uint64_t instance = 0; instance < 8; ++instance) {
+        LoadLedger own;
+        TargetChooser chooser { this->targets, own, this->health, std::string(1, static_cast<char>('a' + instance % 3)),
+            std::mt19937_64 { instance } };
+        for (int request = 0; request < 12; ++request) {
+            const auto choice = chooser.choose(
+                { this->route, this->engines, PromptSize { 5000, 1600 }, this->tried, {}, 10s }, this->now);
+            ASSERT_TRUE(choice);
+            // Each is read before the next one comes, and still being answered.
+            own.noteRead(own.begin(choice->target.id, choice->work, this->now));
+            ++requests[choice->target.id];
+        }
+    }
+    // 96 requests have 336 places: none has to wait for an answer to end.
+    for (const auto& [engine, count] : requests)
+        EXPECT_LE(count, 16U) << engine;
+}
+
+TEST_F(TargetChooserTest, TriedTargetsAreNotChosenAgain)
+{
+    auto chooser = this->chooser(this->ledger, 1);
+    this->tried = { "p0", "p1" };
+    EXPECT_EQ(this->choosePlain(chooser)->target.id, "p2");
+    this->tried.insert("p2");
+    EXPECT_FALSE(this->choosePlain(chooser));
+}
+
+TEST_F(TargetChooserTest, FailingTargetIsAvoided)
+{
+    for (int send = 0; send < 10; ++send)
+        this->health.note("p0", SendOutcome::Failed, this->now);
+    auto chooser = this->chooser(this->ledger, 1);
+    for (int call = 0; call < 50; ++call)
+        EXPECT_NE(this->choosePlain(chooser)->target.id, "p0");
+}
+
+TEST_F(TargetChooserTest, EjectedTargetIsUsedWhenThereIsNoOther)
+{
+    for (const auto* id : { "p0", "p1", "p2" })
+        this->health.note(id, SendOutcome::Unreachable, this->now);
+    auto chooser = this->chooser(this->ledger, 1);
+    EXPECT_TRUE(this->choosePlain(chooser));
+}
+
+TEST_F(TargetChooserTest, BusierTargetIsAvoided)
+{
+    for (int request = 0; request < 3; ++request)
+        this->ledger.begin("p1", {}, this->now);
+    auto chooser = this->chooser(this->ledger, 1);
+    for (int call = 0; call < 50; ++call)
+        EXPECT_NE(this->choosePlain(chooser)->target.id, "p1");
+}
+
+TEST_F(TargetChooserTest, ServicesAreChosenByTheirWeights)
+{
+    this->route.shares = { { "s", 90 }, { "t", 10 } };
+    auto chooser = this->chooser(this->ledger, 1);
+    int chosen = 0;
+    for (int call = 0; call < 1000; ++call)
+        chosen += chooser.chooseService(this->route) == "s" ? 1 : 0;
+    EXPECT_NEAR(chosen, 900, 40);
+}
+
+}
+}
