--- a/src/serving/PeerExchange.h
+++ b/src/serving/PeerExchange.h
@@ -58,7 +58,7 @@
     static constexpr Duration FirstContacts = std::chrono::seconds { 3 };
     static constexpr Duration ForgetAfter = std::chrono::seconds { 60 };
     // A view of the targets that is older is refreshed from a peer with a newer one.
-    static constexpr Duration StaleTargets = std::chrono::milliseconds { 1200 };
+    static constexpr Duration StaleTargets = std::chrono::milliseconds { 1500 };
     static constexpr Duration FetchPause = std::chrono::milliseconds { 400 };
 
     // `self` is the address that peers reach this instance at; `seeds` are addresses that may be stale.
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -137,6 +137,12 @@
     this->notifyPlaced = std::move(notify);
 }
 
+void ServingGateway::beginStop(TimePoint intakeUntil, TimePoint endsAt)
+{
+    this->intakeUntil = intakeUntil;
+    this->endsAt = endsAt;
+}
+
 asio::awaitable<void> ServingGateway::handle(HttpExchange& exchange)
 {
     using namespace asio::experimental::awaitable_operators;
@@ -153,6 +159,8 @@
         co_return co_await this->refuse(call, 401, "unknown_key");
     const auto patience = std::min(call.route->timeout, call.terms.remaining.value_or(call.route->timeout));
     call.deadline = call.receivedAt + patience - AnswerMargin;
+    if (call.receivedAt >= this->intakeUntil && call.deadline > this->endsAt)
+        co_return co_await this->refuse(call, 503, "stopping");
 
     const auto first
         = co_await (this->forward(call) || this->waitUntilCallerIsGone(call) || this->waitUntilDeadline(call));
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -57,6 +57,9 @@
     // `notify` is called when a prompt was placed, so that peers hear of it before they place their own.
     void onPromptPlaced(std::function<void()> notify);
 
+    // A planned stop: from `intakeUntil` on, requests whose time is not over before `endsAt` are turned away.
+    void beginStop(TimePoint intakeUntil, TimePoint endsAt);
+
     boost::asio::awaitable<void> handle(HttpExchange& exchange) override;
     HttpResponse describeFault(HttpFault fault) override;
 
@@ -99,6 +102,8 @@
     Parts parts;
     TargetChooser chooser;
     std::function<void()> notifyPlaced;
+    TimePoint intakeUntil { TimePoint::max() };
+    TimePoint endsAt { TimePoint::max() };
     std::mt19937_64 random;
     std::string ticketPrefix; // Differs between starts of an instance.
     std::uint64_t lastTicket { 0 };
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -24,6 +24,8 @@
 
 // The balancer asks once a second and needs two misses.
 constexpr Duration BalancerNotice = std::chrono::milliseconds { 3300 };
+// Callers that the balancer has not moved away by then may get requests cut.
+constexpr Duration StopIntake = std::chrono::milliseconds { 2800 };
 // Before the kill, to end what is left in order.
 constexpr Duration ExitMargin = std::chrono::milliseconds { 300 };
 constexpr Duration HousekeepingPeriod = std::chrono::seconds { 1 };
@@ -152,8 +154,8 @@
     settings.storeTimeout = values.milliseconds("platform", "timeout_ms");
     settings.memoryHold = values.milliseconds("bounds", "memory_free_ms") * 3 / 4;
     settings.grace = seconds(values.real("bounds", "grace_s"));
-    settings.follower.configurationWait = values.milliseconds("bounds", "configuration_ms") / 2;
-    settings.follower.targetsPeriod = values.milliseconds("bounds", "drain_ms") * 3 / 10;
+    settings.follower.configurationWait = values.milliseconds("bounds", "configuration_ms") * 7 / 10;
+    settings.follower.targetsPeriod = values.milliseconds("bounds", "drain_ms") * 9 / 20;
     settings.retries.ratio = values.real("retries", "ratio");
     settings.retries.window = seconds(values.real("retries", "window_s"));
     settings.retries.slack = values.real("retries", "slack");
@@ -285,6 +287,7 @@
     state.isStopping = true;
     state.updateReadiness();
     state.callers.announceClose();
+    state.gateway.beginStop(state.clock.now() + std::min(StopIntake, state.settings.grace / 3), killAt);
     state.peers.announceStop();
     state.log.write("stopping", { { "requests", std::uint64_t { state.callers.activeExchanges() } } });
     co_await state.pause(std::min(BalancerNotice, state.settings.grace / 2));
--- a/src/serving/TargetChooser.cpp
+++ b/src/serving/TargetChooser.cpp
@@ -16,9 +16,10 @@
 // Candidates this close are chosen by chance, so that instances with the same knowledge spread out.
 constexpr double RandomWeight = 0.05;
 constexpr double RandomMs = 15; // About one short prompt's reading.
-// Without the peers' loads, as right after all instances were killed, every instance would fill the same engines: the
-// choice is left to chance over the whole preference for one end.
-constexpr double LonelyRandomMs = 400;
+// Right after a start without the peers' loads, as when all instances were killed, every instance would fill the same
+// engines: the choice is left to chance, which outweighs every preference. Peers are heard within a second.
+constexpr double StartRandomMs = 1500;
+constexpr Duration StartPeriod = std::chrono::seconds { 2 };
 
 Duration durationFrom(double milliseconds)
 {
@@ -90,7 +91,9 @@
 std::optional<TargetChoice> TargetChooser::chooseEngines(const ChoiceDemand& demand, TimePoint now)
 {
     std::vector<EngineCandidate> candidates;
-    std::uniform_real_distribution<double> chance { 0, this->ledger.knowsPeers(now) ? RandomMs : LonelyRandomMs };
+    this->firstChoiceAt = this->firstChoiceAt.value_or(now);
+    const bool isStarting = now - *this->firstChoiceAt < StartPeriod && !this->ledger.knowsPeers(now);
+    std::uniform_real_distribution<double> chance { 0, isStarting ? StartRandomMs : RandomMs };
     for (const auto* target : this->usable(demand, now)) {
         candidates.push_back({ target, this->ledger.total(target->id, now),
             FailurePenaltyMs * this->health.failureShare(target->id, now) + chance(this->random),
--- a/src/serving/TargetChooser.h
+++ b/src/serving/TargetChooser.h
@@ -65,6 +65,7 @@
     const TargetHealth& health;
     std::string availabilityZone;
     std::mt19937_64 random;
+    std::optional<TimePoint> firstChoiceAt; // Of an engine.
 };
 
 }
--- a/src/serving/ViewFollower.h
+++ b/src/serving/ViewFollower.h
@@ -18,9 +18,10 @@
 namespace marigoldpaddle {
 
 struct ViewFollowerSettings {
-    Duration configurationWait { std::chrono::seconds { 1 } }; // Half of the time in which a change must be in force.
-    Duration targetsPeriod { std::chrono::milliseconds {
-        600 } }; // A third of the time that a leaving target serves on.
+    // Less than a change may take to be in force.
+    Duration configurationWait { std::chrono::milliseconds { 1400 } };
+    // Less than half of the time that a leaving target serves on.
+    Duration targetsPeriod { std::chrono::milliseconds { 900 } };
     Duration retryPause { std::chrono::milliseconds { 250 } }; // After a failed call.
 };
 
--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -401,6 +401,23 @@
     EXPECT_EQ(this->call(std::move(request)).value().result_int(), 504U);
 }
 
+// Where many instances stop at once, the balancer sends callers to those that stop as well.
+TEST_F(ServingGatewayTest, StoppingInstanceTurnsAwayWhatItCouldNotFinish)
+{
+    this->gateway.beginStop(this->clock.now(), this->clock.now() + 2s);
+    EXPECT_EQ(this->status("/stream/x"), 503U);
+    EXPECT_TRUE(this->first.received.empty());
+    auto request = this->request("/safe/x");
+    request.set("Marigoldpaddle-Deadline-Remaining", "500");
+    EXPECT_EQ(this->call(std::move(request)).value().result_int(), 200U);
+}
+
+TEST_F(ServingGatewayTest, StoppingInstanceTakesAllRequestsUntilTheBalancerHasMovedOn)
+{
+    this->gateway.beginStop(this->clock.now() + 10s, this->clock.now() + 11s);
+    EXPECT_EQ(this->status("/safe/x"), 200U);
+}
+
 TEST_F(ServingGatewayTest, InstanceWithoutAConfigurationPromisesNotToHaveRunTheRequest)
 {
     ServingView empty;
