--- a/src/serving/PromptPlacement.cpp
+++ b/src/serving/PromptPlacement.cpp
@@ -62,6 +62,7 @@
     double costMs { std::numeric_limits<double>::infinity() };
     double expectedMs { 0 };
     bool disturbsOthers { false };
+    double heldUpWeight { 0 }; // Of all answers that the reading holds up beyond their gap.
 };
 
 PromptPlacement::PromptPlacement(const EngineProfile& profile)
@@ -220,7 +221,14 @@
     read.costMs = writerCosts[read.writer];
     read.expectedMs = candidates[read.writer].load.backlogMs;
     read.disturbsOthers = writerCosts[read.writer] >= HeldUpAnswerMs;
+    const auto heldUp = [&](std::size_t index) {
+        const auto& candidate = candidates[index];
+        const bool holdsUp = this->holdsUpAnswers(candidate, partMs + candidate.load.backlogMs);
+        return holdsUp ? candidate.load.answerWeight : 0;
+    };
+    read.heldUpWeight = heldUp(read.writer);
     for (const auto helper : read.helpers) {
+        read.heldUpWeight += heldUp(helper);
         read.costMs += costs[helper] + PerHelperMs;
         read.expectedMs = std::max(read.expectedMs, candidates[helper].load.backlogMs);
         read.disturbsOthers |= costs[helper] >= HeldUpAnswerMs;
@@ -260,6 +268,7 @@
     plan.expectedMs = best.expectedMs + 2 * this->passMs(candidates[best.writer].load);
     plan.soonestMs = whole / mostParts + 2 * this->passMs({});
     plan.isLong = true;
+    plan.isHarmful = best.heldUpWeight > plan.weight;
     plan.isLate = plan.soonestMs > Milliseconds(demand.objective).count();
     plan.isHopeless = holders > 1 && plan.expectedMs > HopelessShareOfTime * Milliseconds(demand.remaining).count();
     plan.shouldWait = plan.isHopeless || best.disturbsOthers
--- a/src/serving/PromptPlacement.h
+++ b/src/serving/PromptPlacement.h
@@ -40,6 +40,7 @@
     double expectedMs { 0 }; // Until the first token.
     double soonestMs { 0 }; // The same if all engines were free.
     bool isLong { false };
+    bool isHarmful { false }; // Holds up answers that are worth more than this one.
     bool isHopeless { false }; // Would take the engines from many others and come late all the same.
     bool isLate { false }; // Even the soonest first token comes after the objective.
     bool shouldWait {
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -227,7 +227,8 @@
         const auto startBy = choice->work.isLong ? longBy - 2 * choice->soonest : shortBy;
         if (now >= startBy && choice->isHopeless)
             co_return std::nullopt;
-        const bool isLost = choice->work.isLong && now + choice->expected > call.receivedAt + objective;
+        const bool comesLate = now + choice->expected > call.receivedAt + objective;
+        const bool isLost = choice->work.isLong && (comesLate || choice->isHarmful);
         if (now >= (isLost ? lateBy : startBy))
             co_return choice;
         // Beyond the engines' places nothing is gained by a queue: all who follow would be late as well.
--- a/src/serving/TargetChooser.cpp
+++ b/src/serving/TargetChooser.cpp
@@ -116,6 +116,7 @@
     choice.expected = durationFrom(plan->expectedMs);
     choice.soonest = durationFrom(plan->soonestMs);
     choice.isHopeless = plan->isHopeless;
+    choice.isHarmful = plan->isHarmful;
     choice.isLate = plan->isLate;
     choice.shouldWait = plan->shouldWait;
     for (const auto index : plan->helpers)
--- a/src/serving/TargetChooser.h
+++ b/src/serving/TargetChooser.h
@@ -28,6 +28,7 @@
     Duration expected {}; // Until the first byte of the answer.
     Duration soonest {}; // The same if no target had other work.
     bool isHopeless { false }; // To be turned away unless a better choice comes up in time.
+    bool isHarmful { false }; // Makes more answers late than it saves.
     bool isLate { false }; // The objective is lost whatever is chosen.
     bool shouldWait { false }; // A better choice will be there shortly.
 };
