--- a/test/PromptPlacement_test.cpp
+++ b/test/PromptPlacement_test.cpp
@@ -176,6 +176,21 @@
     EXPECT_TRUE(this->placement.plan(longPrompt(), this->engines)->shouldWait);
 }
 
+// The crest of short prompts, with one long prompt whose time to be placed has come.
+TEST_F(PromptPlacementTest, LongReadThatHoldsUpMoreThanItIsWorthIsHarmful)
+{
+    for (std::size_t engine = 0; engine < this->engines.size(); ++engine)
+        this->addAnswers(engine, 16, 200ms);
+    EXPECT_TRUE(this->placement.plan(longPrompt(), this->engines)->isHarmful);
+}
+
+TEST_F(PromptPlacementTest, LongReadBesideFewShortAnswersIsNotHarmful)
+{
+    for (std::size_t engine = 0; engine < this->engines.size(); ++engine)
+        this->addAnswers(engine, 1, 200ms);
+    EXPECT_FALSE(this->placement.plan(longPrompt(), this->engines)->isHarmful);
+}
+
 TEST_F(PromptPlacementTest, PlanCountsOnlyWhatIsLeftOfTheObjective)
 {
     auto waited = longPrompt();
