--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -120,6 +120,7 @@
     TimePoint lastEventAt {};
     Duration longestGap {}; // Between two pieces of the answer.
     bool isAnswering { false }; // The caller has bytes of its answer, or is about to.
+    bool foundNoPlace { false }; // There are targets, and none could take it in time.
     bool isAbandoned { false }; // The caller has left or its time is over: whatever ends now says nothing of a target.
     bool didFinish { false };
 };
@@ -225,8 +226,10 @@
         if (!choice)
             co_return choice;
         const auto startBy = choice->work.isLong ? longBy - 2 * choice->soonest : shortBy;
-        if (now >= startBy && choice->isHopeless)
+        if (now >= startBy && choice->isHopeless) {
+            this->noteNotPlaced(call, *choice);
             co_return std::nullopt;
+        }
         const bool comesLate = now + choice->expected > call.receivedAt + objective;
         const bool isLost = choice->work.isLong && (comesLate || choice->isHarmful);
         if (now >= (isLost ? lateBy : startBy))
@@ -234,6 +237,7 @@
         // Beyond the engines' places nothing is gained by a queue: all who follow would be late as well.
         if (choice->isLate && choice->shouldWait && !choice->work.isLong && this->mayComeBack(call)) {
             call.retryAfter = this->spreadRetryAfter(call);
+            this->noteNotPlaced(call, *choice);
             co_return std::nullopt;
         }
         if (!choice->shouldWait) {
@@ -254,6 +258,21 @@
     }
 }
 
+// Notes why a prompt for which there are targets is turned away.
+void ServingGateway::noteNotPlaced(Call& call, const TargetChoice& best)
+{
+    call.foundNoPlace = true;
+    const auto now = this->parts.clock.now();
+    this->parts.log.write("not_placed",
+        { { "id", call.terms.attemptId }, { "prompt_tokens", call.terms.prompt.value_or(PromptSize {}).promptTokens },
+            { "targets", static_cast<std::uint64_t>(this->parts.view.targets.available(call.service->name).size()) },
+            { "best_target", best.target.id },
+            { "running_there", std::uint64_t { this->parts.ledger.total(best.target.id, now).running } },
+            { "expected_ms", best.expected }, { "waited_ms", now - call.receivedAt },
+            { "objective_ms", call.route->objective },
+            { "retry_after_ms", call.retryAfter.value_or(DefaultRetryAfter) } });
+}
+
 // Callers come back within a third of the time that they have left.
 bool ServingGateway::mayComeBack(const Call& call) const
 {
@@ -514,7 +533,10 @@
     const bool isLate = this->remaining(call) <= Duration::zero();
     if (call.runs > 0 || (call.tries > 0 && isLate))
         co_return co_await this->refuse(call, isLate ? 504 : 502, "may_have_run");
-    co_await this->refuse(call, 503, call.tries > 0 ? "targets_declined" : "no_target");
+    co_await this->refuse(call, 503,
+        call.foundNoPlace    ? "no_place"
+            : call.tries > 0 ? "targets_declined"
+                             : "no_target");
 }
 
 asio::awaitable<void> ServingGateway::refuse(Call& call, unsigned status, std::string_view reason)
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -88,6 +88,7 @@
     boost::asio::awaitable<void> refuse(Call& call, unsigned status, std::string_view reason);
     boost::asio::awaitable<void> waitUntilDeadline(Call& call);
     boost::asio::awaitable<void> waitUntilCallerIsGone(Call& call);
+    void noteNotPlaced(Call& call, const TargetChoice& best);
     bool mayComeBack(const Call& call) const;
     Duration spreadRetryAfter(const Call& call);
     bool maySendAgain(Call& call, Attempt last);
--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -418,6 +418,22 @@
     EXPECT_EQ(this->status("/safe/x"), 200U);
 }
 
+// Engines whose places are all taken: a caller that cannot be served in time hears so at once, and when to come back.
+TEST_F(ServingGatewayTest, ShortPromptWithoutAPlaceIsTurnedAwayWhenItsObjectiveIsLost)
+{
+    ServingConfiguration values = this->view.configuration()->values;
+    values.version = 2;
+    values.services["s"].engine = EngineProfile { 1, 450'000, 46, 0.925, 0.00483, 0.00254, 256, 0.0917 };
+    this->view.install(std::move(values));
+    this->ledger.begin("t1", {}, this->clock.now());
+    auto request = this->request("/stream/x");
+    request.set("Marigoldpaddle-Token-Usage", "5000,100");
+    const auto answered = this->call(std::move(request));
+    EXPECT_EQ(answered.value().result_int(), 503U);
+    EXPECT_GE(std::stod(std::string { answered.value()["Retry-After"] }), 0.8);
+    EXPECT_TRUE(this->first.received.empty());
+}
+
 TEST_F(ServingGatewayTest, InstanceWithoutAConfigurationPromisesNotToHaveRunTheRequest)
 {
     ServingView empty;
