Split the gateway's attempts at targets from its decisions

Attempts (send, relay, memory) are in ServingGatewayRelay.cpp, the state of a call in ServingCall.h; no behaviour changes. Ruled out: a class of its own for attempts, which would need every part of the gateway and of the call. ServingGatewayTest (24) passes before and after.

--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -64,7 +64,10 @@
     HttpResponse describeFault(HttpFault fault) override;
 
 private:
-    struct Call;
+    struct Call; // See ServingCall.h.
+
+    // Targets that may be tried for one call, counting those that did not run it.
+    static constexpr unsigned MaximumTries = 4;
 
     // How one attempt at a target ended.
     enum class Attempt {
