--- a/src/serving/ViewFollower.cpp
+++ b/src/serving/ViewFollower.cpp
@@ -51,11 +51,6 @@
     return this->newestConfiguration;
 }
 
-bool ViewFollower::isConnected() const
-{
-    return std::ranges::all_of(this->connected, [](const auto& item) { return item.second; });
-}
-
 asio::awaitable<void> ViewFollower::followConfiguration()
 {
     std::optional<std::uint64_t> next;
--- a/src/serving/ViewFollower.h
+++ b/src/serving/ViewFollower.h
@@ -50,9 +50,6 @@
     // Takes a whole listing from a peer, unless this instance's own view is newer than `age`.
     void takeTargets(const std::vector<KeyedRecord>& records, Duration age, std::string_view source);
 
-    // Whether the last call to the platform succeeded.
-    bool isConnected() const;
-
 private:
     boost::asio::awaitable<void> followConfiguration();
     boost::asio::awaitable<void> followTargets();
