Turn away waiting prompts at a planned stop, answer what the stop ends

It is turned away with 503 as soon as the intake ends, and what still runs at the end of the grace gets 504 before its connection closes. Ruled out: requests taken after the intake (both were taken 2.3 s after SIGTERM).

--- a/src/serving/ServingCall.h
+++ b/src/serving/ServingCall.h
@@ -30,6 +30,7 @@
     Duration longestGap {}; // Between two pieces of the answer.
     bool isAnswering { false }; // The caller has bytes of its answer, or is about to.
     bool foundNoPlace { false }; // There are targets, and none could take it in time.
+    bool isStopped { false }; // The instance stops before it could have been placed.
     bool isAbandoned { false }; // The caller has left or its time is over: whatever ends now says nothing of a target.
     bool didFinish { false };
 };
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -6,6 +6,7 @@
 #include "serving/ServingCall.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -85,7 +86,7 @@
         co_return co_await this->refuse(call, 401, "unknown_key");
     const auto patience = std::min(call.route->timeout, call.terms.remaining.value_or(call.route->timeout));
     call.deadline = call.receivedAt + patience - AnswerMargin;
-    if (call.receivedAt >= this->intakeUntil && call.deadline > this->endsAt)
+    if (this->isPastIntake(call))
         co_return co_await this->refuse(call, 503, "stopping");
 
     const auto first
@@ -98,6 +99,18 @@
         this->finish(call, "cut_at_deadline", 0);
 }
 
+void ServingGateway::endRequests()
+{
+    for (auto* deadline : this->deadlines)
+        deadline->cancel();
+}
+
+// Whether the instance stops before the request's time is over, and too late to begin with it.
+bool ServingGateway::isPastIntake(const Call& call) const
+{
+    return this->parts.clock.now() >= this->intakeUntil && call.deadline > this->endsAt;
+}
+
 bool ServingGateway::admit(Call& call)
 {
     const auto& values = call.configuration->values;
@@ -151,6 +164,10 @@
             now);
         if (!choice)
             co_return choice;
+        if (call.tries == 0 && this->isPastIntake(call)) {
+            call.isStopped = true;
+            co_return std::nullopt;
+        }
         const auto startBy = choice->work.isLong ? longBy - 2 * choice->soonest : shortBy;
         if (now >= startBy && choice->isHopeless) {
             this->noteNotPlaced(call, *choice);
@@ -247,9 +264,10 @@
     if (call.runs > 0 || (call.tries > 0 && isLate))
         co_return co_await this->refuse(call, isLate ? 504 : 502, "may_have_run");
     co_await this->refuse(call, 503,
-        call.foundNoPlace    ? "no_place"
-            : call.tries > 0 ? "targets_declined"
-                             : "no_target");
+        call.isStopped          ? "stopping"
+            : call.foundNoPlace ? "no_place"
+            : call.tries > 0    ? "targets_declined"
+                                : "no_target");
 }
 
 asio::awaitable<void> ServingGateway::refuse(Call& call, unsigned status, std::string_view reason)
@@ -265,8 +283,12 @@
 asio::awaitable<void> ServingGateway::waitUntilDeadline(Call& call)
 {
     asio::steady_timer timer { this->parts.context, call.deadline };
-    co_await timer.async_wait(asio::use_awaitable);
+    this->deadlines.insert(&timer);
+    boost::system::error_code endedEarly;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, endedEarly));
+    this->deadlines.erase(&timer);
     call.isAbandoned = true;
+    call.deadline = std::min(call.deadline, this->parts.clock.now());
 }
 
 asio::awaitable<void> ServingGateway::waitUntilCallerIsGone(Call& call)
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <marigoldpaddle/Clock.h>
 
@@ -60,6 +61,9 @@
     // A planned stop: from `intakeUntil` on, requests whose time is not over before `endsAt` are turned away.
     void beginStop(TimePoint intakeUntil, TimePoint endsAt);
 
+    // Gives every request in progress its final answer now, as at its deadline.
+    void endRequests();
+
     boost::asio::awaitable<void> handle(HttpExchange& exchange) override;
     HttpResponse describeFault(HttpFault fault) override;
 
@@ -92,6 +96,7 @@
     boost::asio::awaitable<void> waitUntilDeadline(Call& call);
     boost::asio::awaitable<void> waitUntilCallerIsGone(Call& call);
     void noteNotPlaced(Call& call, const TargetChoice& best);
+    bool isPastIntake(const Call& call) const;
     bool mayComeBack(const Call& call) const;
     Duration spreadRetryAfter(const Call& call);
     bool maySendAgain(Call& call, Attempt last);
@@ -106,6 +111,7 @@
     Parts parts;
     TargetChooser chooser;
     std::function<void()> notifyPlaced;
+    std::set<boost::asio::steady_timer*> deadlines; // Of the requests in progress.
     TimePoint intakeUntil { TimePoint::max() };
     TimePoint endsAt { TimePoint::max() };
     std::mt19937_64 random;
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -28,6 +28,8 @@
 constexpr Duration StopIntake = std::chrono::milliseconds { 2800 };
 // Before the kill, to end what is left in order.
 constexpr Duration ExitMargin = std::chrono::milliseconds { 300 };
+// For the final answers of requests that the stop ends; a part of ExitMargin.
+constexpr Duration FinalAnswersPeriod = std::chrono::milliseconds { 100 };
 constexpr Duration HousekeepingPeriod = std::chrono::seconds { 1 };
 // A target in another zone takes a connection within some round trips; a lost first packet comes again after a second.
 constexpr Duration TargetConnectTimeout = std::chrono::milliseconds { 400 };
@@ -294,6 +296,8 @@
     while (state.callers.activeExchanges() > 0 && state.clock.now() < killAt)
         co_await state.pause(std::chrono::milliseconds { 20 });
     state.log.write("stopped", { { "cut_requests", std::uint64_t { state.callers.activeExchanges() } } });
+    state.gateway.endRequests();
+    co_await state.pause(FinalAnswersPeriod);
     // Requests in progress hold on to this node's parts; they have to end before it does.
     state.callers.closeConnections();
     while (state.callers.activeExchanges() > 0)
--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -412,6 +412,36 @@
     EXPECT_EQ(this->call(std::move(request)).value().result_int(), 200U);
 }
 
+// A long prompt that waits for engines when the instance stops has not run, and must not wait to its end.
+TEST_F(ServingGatewayTest, PromptThatWaitsForAPlaceIsTurnedAwayWhenTheInstanceStops)
+{
+    ServingConfiguration values = this->view.configuration()->values;
+    values.version = 2;
+    values.routes[2].objective = 3s;
+    values.services["s"].engine = EngineProfile { 16, 450'000, 46, 0.925, 0.00483, 0.00254, 256, 0.0917 };
+    this->view.install(std::move(values));
+    for (int answer = 0; answer < 16; ++answer)
+        this->ledger.noteRead(this->ledger.begin("t1", { 0, 0, false, true, 200ms }, this->clock.now()));
+    this->gateway.beginStop(this->clock.now() + 100ms, this->clock.now() + 2s);
+    auto request = this->request("/stream/x");
+    request.set("Marigoldpaddle-Token-Usage", "210000,1000");
+    const auto before = this->clock.now();
+    EXPECT_EQ(this->call(std::move(request)).value().result_int(), 503U);
+    EXPECT_LT(this->clock.now() - before, Duration { 1s });
+    EXPECT_TRUE(this->first.received.empty());
+}
+
+// The end of the grace: the target still works on the request.
+TEST_F(ServingGatewayTest, RequestThatTheStopEndsGetsAnAnswerAndIsNotCalledUnrun)
+{
+    this->first.script = { [this](HttpExchange&) -> asio::awaitable<void> {
+        this->gateway.endRequests();
+        asio::steady_timer timer { this->context, 500ms };
+        co_await timer.async_wait(asio::use_awaitable);
+    } };
+    EXPECT_EQ(this->status("/unsafe/x"), 504U);
+}
+
 TEST_F(ServingGatewayTest, StoppingInstanceTakesAllRequestsUntilTheBalancerHasMovedOn)
 {
     this->gateway.beginStop(this->clock.now() + 10s, this->clock.now() + 11s);
