Speak the platform's own protocol with the stand-ins; drop the private log protocol

Change: platform/ implements PlatformLog (StoreLog) and InstanceList (StoreInstanceList) with the store's log and keyed topics; src/logservice goes. StoreStandin speaks the part of the store that is used, with outages, silence, delay and lost answers. ServiceStandin answers with the platform's headers where asked. PlatformWorld runs a whole node against them in one thread; ServingNodeTest has 13 cases of serving and 10 of bad input. make demo shows three nodes on these stand-ins; the older demo is make demo-presets. ServingNode tells its bound ports ([listen] ports), so that tests and the demo take port 0.

The log takes records of at most 256 KiB: ConfigurationLimits::RecordBytes, the parts of checkpoints and the batches of claims are cut to fit, and the stand-in rejects larger ones.

Ruled out: keeping the private protocol beside the platform's for the older programs (two clients for one platform).

Conclusion: one client and one protocol for the platform.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 ROWS ?= *
 
-.PHONY: all packages build test check faults demo bench slopes format lint sanitize generate clean
+.PHONY: all packages build test check faults demo demo-presets bench slopes format lint sanitize generate clean
 
 all: build
 
@@ -33,6 +33,9 @@
 demo: build
 	@BUILD=$(BUILD) tools/demo
 
+demo-presets: build
+	@BUILD=$(BUILD) tools/demo-presets
+
 bench: build
 	@BUILD=$(BUILD) tools/run-bench
 
--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -19,12 +19,14 @@
 #include "base/HttpClient.h"
 #include "base/HttpServer.h"
 #include "dispatch/CellMap.h"
-#include "logservice/HttpPlatformLog.h"
 #include "membership/Ownership.h"
+#include "platform/RecordFormat.h"
+#include "platform/StoreClient.h"
+#include "platform/StoreInstanceList.h"
 #include "rpc/Codec.h"
 #include "rpc/Conversions.h"
 #include "standins/ConfigurationChanges.h"
-#include "standins/PlatformStandin.h"
+#include "standins/StoreStandin.h"
 
 using namespace marigoldpaddle;
 using namespace std::chrono_literals;
@@ -109,16 +111,18 @@
     asio::awaitable<void> measure()
     {
         for (int number = 0; number < this->instances; ++number)
-            co_await this->put("/instances/instance-" + std::to_string(number),
+            this->platform.put("keyed.instances", "instance-" + std::to_string(number),
                 R"({"zone":")" + zoneOf(number)
-                    + R"(","dispatcher":"10.20.30.40:7001","membership":"10.20.30.40:7000","incarnation":1796347705035})");
+                    + R"(","dispatcher":"10.20.30.40:7001","membership":"10.20.30.40:7000","born":1796347705035})");
         for (int number = 0; number < this->targets; ++number)
-            co_await this->put("/targets/engine-" + std::to_string(number),
-                R"({"kind":"engine","address":"10.20.30.40:8000","zone":")" + zoneOf(number)
-                    + R"(","serves":"model-3","memory_tokens":450000,"incarnation":1796347705035})");
-        auto request = makeRequest(http::verb::get, "/instances", {});
+            this->platform.put("keyed.servers", "engine-" + std::to_string(number),
+                R"({"service":"model-3","address":"10.20.30.40:8000","zone":")" + zoneOf(number)
+                    + R"(","state":"ready","slots":16,"born":1796347705035})");
+        auto request = makeRequest(http::verb::get, "/api/log-newest?topic=keyed.servers&part=0", {});
         auto raw = co_await this->client.call(this->address, std::move(request), 10s);
-        HttpInstanceList list { this->client, this->address, 10s };
+        platform::StoreClient store { this->client, this->address, 10s };
+        const platform::RecordFormat records;
+        platform::StoreInstanceList list { store, records };
         const auto start = processorSeconds();
         auto listing = co_await list.list();
         const auto milliseconds = 1000 * (processorSeconds() - start);
@@ -126,16 +130,8 @@
             milliseconds, listing ? "" : "could not be read");
     }
 
-    asio::awaitable<void> put(std::string path, std::string body)
-    {
-        auto request = makeRequest(http::verb::put, path, std::move(body));
-        auto answer = co_await this->client.call(this->address, std::move(request), 10s);
-        if (!answer || answer.value().result_int() >= 300)
-            std::printf("could not list %s\n", path.c_str());
-    }
-
     asio::io_context context { 1 };
-    standins::PlatformStandin platform;
+    standins::StoreStandin platform;
     HttpServer server;
     HttpClient client;
     std::string address;
--- a/bench/configuration_bench.cpp
+++ b/bench/configuration_bench.cpp
@@ -17,9 +17,9 @@
 #include "configuration/Checkpoint.h"
 #include "configuration/ConfigurationPublisher.h"
 #include "configuration/FollowerRuntime.h"
-#include "logservice/HttpPlatformLog.h"
+#include "platform/StoreLog.h"
 #include "standins/ConfigurationChanges.h"
-#include "standins/PlatformStandin.h"
+#include "standins/StoreStandin.h"
 
 using namespace marigoldpaddle;
 using namespace std::chrono_literals;
@@ -254,11 +254,11 @@
 
     asio::io_context context { 1 };
     SteadyClock clock;
-    standins::PlatformStandin standin;
+    standins::StoreStandin standin;
     HttpServer server;
     std::string address;
     HttpClient client;
-    HttpPlatformLog log;
+    platform::StoreLog log;
     NoPeers peers;
     MetricsRegistry metrics;
     std::vector<std::unique_ptr<CountingLog>> logs;
--- a/include/marigoldpaddle/ConfigurationChange.h
+++ b/include/marigoldpaddle/ConfigurationChange.h
@@ -20,7 +20,7 @@
 
 // Bounds of one change. A record beyond them is malformed.
 struct ConfigurationLimits {
-    static constexpr std::size_t RecordBytes = 4 * 1024 * 1024;
+    static constexpr std::size_t RecordBytes = 256 * 1024; // The platform's log takes no larger record.
     static constexpr std::size_t NameBytes = 200; // Of an id, a preset, a section or a key.
     static constexpr std::size_t ValueBytes = 64 * 1024;
 };
--- a/src/base/Reasons.cpp
+++ b/src/base/Reasons.cpp
@@ -1,3 +1,4 @@
+#include <marigoldpaddle/PlatformLog.h>
 #include <marigoldpaddle/Reasons.h>
 
 namespace marigoldpaddle {
@@ -110,4 +111,21 @@
     return "invalid";
 }
 
+std::string_view name(PlatformError error)
+{
+    switch (error) {
+    case PlatformError::Unreachable:
+        return "unreachable";
+    case PlatformError::NoAnswer:
+        return "no_answer";
+    case PlatformError::Rejected:
+        return "rejected";
+    case PlatformError::Trimmed:
+        return "trimmed";
+    case PlatformError::Malformed:
+        return "malformed";
+    }
+    return "invalid";
+}
+
 }
--- a/src/claims/ClaimCoordinator.h
+++ b/src/claims/ClaimCoordinator.h
@@ -32,7 +32,7 @@
     std::size_t settlementLimit { 16'384 }; // Settlements that wait for the log.
     std::size_t entryLimit { 1'000'000 }; // Keys that the ledger may hold.
     std::size_t batchItems { 1024 };
-    std::size_t batchBytes { 256 * 1024 }; // Outcomes and checkpoint parts of one record.
+    std::size_t batchBytes { 192 * 1024 }; // Outcomes and checkpoint parts of one record; the log takes 256 KiB.
     double appendsPerSecond { 240 }; // Shared by all instances; the rest of the log's appends is for other streams.
     double appendBurst { 4 };
     Duration tickPeriod { std::chrono::seconds { 30 } };
--- a/src/configuration/Checkpoint.cpp
+++ b/src/configuration/Checkpoint.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::string_view Marker = R"({"kind":"checkpoint")";
 constexpr std::string_view Placeholder = R"({"kind":"checkpoint"})";
-constexpr std::size_t PartBytes = 256 * 1024;
+constexpr std::size_t PartBytes = ConfigurationLimits::RecordBytes / 4; // Leaves room for escapes.
 constexpr std::size_t MaximumParts = 1024;
 constexpr std::size_t CheckpointsInAssembly = 4;
 
--- a/src/programs/DispatcherMain.cpp
+++ b/src/programs/DispatcherMain.cpp
@@ -7,7 +7,10 @@
 #include "base/InstanceSettings.h"
 #include "base/Program.h"
 #include "dispatch/Dispatcher.h"
-#include "logservice/HttpPlatformLog.h"
+#include "platform/RecordFormat.h"
+#include "platform/StoreClient.h"
+#include "platform/StoreInstanceList.h"
+#include "platform/StoreLog.h"
 #include "rpc/RpcServer.h"
 
 using namespace marigoldpaddle;
@@ -41,11 +44,13 @@
     boost::asio::io_context context { 1 };
     SteadyClock clock;
     HttpClient client { context.get_executor() };
-    const auto& platform = values.text("platform", "address");
+    const auto& address = values.text("platform", "address");
     const auto timeout = values.milliseconds("platform", "timeout_ms");
-    HttpPlatformLog log { client, platform, "configuration", timeout };
-    HttpPlatformLog claimLog { client, platform, "claims", timeout };
-    HttpInstanceList list { client, platform, timeout };
+    platform::StoreLog log { client, address, "configuration", timeout };
+    platform::StoreLog claimLog { client, address, "claims", timeout };
+    platform::StoreClient store { client, address, timeout };
+    platform::RecordFormat records;
+    platform::StoreInstanceList list { store, records };
     DispatcherSettings settings;
     const auto instance = instanceFrom(values);
     settings.instance = instance.id;
--- a/src/programs/MarigoldctlMain.cpp
+++ b/src/programs/MarigoldctlMain.cpp
@@ -10,7 +10,10 @@
 
 #include "base/HttpClient.h"
 #include "base/Settings.h"
-#include "logservice/HttpPlatformLog.h"
+#include "platform/RecordFormat.h"
+#include "platform/StoreClient.h"
+#include "platform/StoreInstanceList.h"
+#include "platform/StoreLog.h"
 #include "programs/ControlSession.h"
 #include "programs/LogStory.h"
 #include "rpc/RpcClient.h"
@@ -59,8 +62,10 @@
     SteadyClock clock;
     HttpClient client { context.get_executor() };
     RpcClient rpc { context.get_executor() };
-    HttpPlatformLog log { client, options.platform, "configuration", PlatformTimeout };
-    HttpInstanceList instances { client, options.platform, PlatformTimeout };
+    platform::StoreLog log { client, options.platform, "configuration", PlatformTimeout };
+    platform::StoreClient store { client, options.platform, PlatformTimeout };
+    platform::RecordFormat records;
+    platform::StoreInstanceList instances { store, records };
     RpcStatusSource statuses { rpc };
     RpcConfigurationPeers peers { rpc, StatusTimeout };
     ControlSession session { options, log, instances, statuses, peers, clock, std::cout, std::cerr };
--- a/src/programs/NodeMain.cpp
+++ b/src/programs/NodeMain.cpp
@@ -106,7 +106,12 @@
     HttpClient orderClient { context.get_executor(), { .connectTimeout = OrderTimeout } };
     platform::OrderClient orders { orderClient, OrderTimeout };
     ServingNode node { context, clock, { store, records, format, orders }, settings };
-    node.start();
+    const auto bound = node.start();
+    if (const auto& file = values.text("listen", "ports"); !file.empty()) {
+        const std::pair<std::string, std::uint16_t> ports[] { { "callers", bound.callers }, { "ready", bound.ready },
+            { "metrics", bound.metrics } };
+        writePorts(file, ports);
+    }
     SettingsWatcher watcher { context, path, node };
     watcher.start();
     asio::signal_set signals { context, SIGTERM, SIGINT };
--- a/src/serving/PlatformStore.h
+++ b/src/serving/PlatformStore.h
@@ -15,10 +15,10 @@
 
 namespace marigoldpaddle {
 
-// The keyed streams that the serving path follows.
 enum class KeyedStream {
     Configuration,
     Targets,
+    Instances, // Of this system; followed by the programs that share a membership.
 };
 
 // The newest record of a key. Without a value the key was removed.
@@ -54,6 +54,7 @@
     virtual std::optional<ServingConfiguration> configuration(const KeyedRecord& record, std::string& problem) const
         = 0;
     virtual std::optional<TargetEntry> target(const KeyedRecord& record, std::string& problem) const = 0;
+    virtual std::optional<InstanceDescription> instance(const KeyedRecord& record, std::string& problem) const = 0;
 };
 
 }
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -42,6 +42,8 @@
     { "listen", "callers", SettingKind::Address, 0, 0, std::nullopt, "address for callers" },
     { "listen", "ready", SettingKind::Address, 0, 0, std::nullopt, "address for the balancer's readiness checks" },
     { "listen", "metrics", SettingKind::Text, 0, 0, "", "address of the metrics; empty for none" },
+    { "listen", "ports", SettingKind::Text, 0, 0, "",
+        "file for the bound ports, once callers are taken; - for the standard output; empty for none" },
     { "peers", "address", SettingKind::Address, 0, 0, std::nullopt, "address for other instances, UDP and TCP" },
     { "peers", "seeds", SettingKind::Text, 0, 0, "",
         "addresses of some other instances, separated by commas; their ports are replaced by that of [peers] address" },
@@ -249,19 +251,21 @@
 
 ServingNode::~ServingNode() = default;
 
-void ServingNode::start()
+ServingNodePorts ServingNode::start()
 {
     auto& state = *this->state;
-    state.callers.listen(state.settings.callersAddress);
-    state.ready.listen(state.settings.readyAddress);
+    ServingNodePorts ports;
+    ports.callers = state.callers.listen(state.settings.callersAddress);
+    ports.ready = state.ready.listen(state.settings.readyAddress);
     if (!state.settings.metricsAddress.empty())
-        state.exposition.listen(state.settings.metricsAddress);
+        ports.metrics = state.exposition.listen(state.settings.metricsAddress);
     state.log.write(
         "started", { { "zone", state.settings.availabilityZone }, { "callers", state.settings.callersAddress } });
     state.follower.start([&state] { state.callers.setLimits(limitsFrom(state.view.configuration()->values.limits)); });
     state.peers.start();
     state.gateway.onPromptPlaced([&state] { state.peers.tellNow(); });
     asio::co_spawn(state.context, state.keepHouse(), asio::detached);
+    return ports;
 }
 
 void ServingNode::reload(const ServingNodeSettings& settings)
--- a/src/serving/ServingNode.h
+++ b/src/serving/ServingNode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <span>
 #include <string>
@@ -44,6 +45,13 @@
     EngineMemory& memory;
 };
 
+// Where the listeners of a node are bound; 0 for none.
+struct ServingNodePorts {
+    std::uint16_t callers { 0 };
+    std::uint16_t ready { 0 };
+    std::uint16_t metrics { 0 };
+};
+
 // The keys of the settings file, for checks and --help.
 std::span<const SettingSpecification> servingNodeSpecifications();
 ServingNodeSettings servingNodeSettingsFrom(const Settings& values);
@@ -57,7 +65,7 @@
     ~ServingNode();
 
     // Binds the listeners and begins to follow the platform. Throws boost::system::system_error when it cannot bind.
-    void start();
+    ServingNodePorts start();
 
     // Takes changed settings. Addresses of listeners need a restart, which is logged.
     void reload(const ServingNodeSettings& settings);
--- a/standins/ServiceMain.cpp
+++ b/standins/ServiceMain.cpp
@@ -4,11 +4,15 @@
 
 int main(int argc, char** argv)
 {
+    std::vector<SettingSpecification> settings { std::begin(standins::ListenSettings),
+        std::end(standins::ListenSettings) };
+    settings.push_back({ "service", "id", SettingKind::Text, 0, 0, "",
+        "id that the service is registered under on the users' platform; empty elsewhere" });
     const ProgramDescription description { "standin-service", "Stands in for an order service, for tests and the demo.",
-        standins::ListenSettings };
+        settings };
     return runProgram(argc, argv, description, [](const Settings& values) {
         boost::asio::io_context context { 1 };
-        standins::ServiceStandin service;
+        standins::ServiceStandin service { values.text("service", "id") };
         return standins::serveUntilStopped(context, service, values);
     });
 }
--- a/standins/ServiceStandin.cpp
+++ b/standins/ServiceStandin.cpp
@@ -3,6 +3,8 @@
 #include <boost/beast/http/verb.hpp>
 #include <boost/json.hpp>
 
+#include "platform/Names.h"
+
 namespace marigoldpaddle::standins {
 
 namespace asio = boost::asio;
@@ -30,7 +32,7 @@
     return true;
 }
 
-json::object toJson(const std::map<std::string, std::uint64_t>& counts)
+json::object toJson(const std::map<std::string, std::uint64_t, std::less<>>& counts)
 {
     json::object object;
     for (const auto& [name, count] : counts)
@@ -40,6 +42,11 @@
 
 }
 
+ServiceStandin::ServiceStandin(std::string id)
+    : id(std::move(id))
+{
+}
+
 asio::awaitable<void> ServiceStandin::handle(HttpExchange& exchange)
 {
     const auto& request = exchange.request();
@@ -51,6 +58,10 @@
     } else if (resource == "counts") {
         auto response = this->counts();
         co_await exchange.respond(std::move(response));
+    } else if (this->isOtherExpected(request)) {
+        auto response = jsonResponse(421, json::object {});
+        response.set(platform::NotExecutedHeader, "1");
+        co_await exchange.respond(std::move(response));
     } else {
         co_await this->handleOrder(exchange);
     }
@@ -67,6 +78,7 @@
     const auto isOrder = exchange.request().method() == http::verb::post;
     auto response = isOrder ? this->takeOrder(exchange.request())
                             : jsonResponse(StatusOk, json::object { { "orders", this->orders.size() } });
+    this->addPlatformHeaders(response, exchange.request());
     if (strikes(this->faults.dropAnswers))
         co_return;
     if (strikes(this->faults.truncateAnswers)) {
@@ -90,14 +102,36 @@
     return faultResponse(fault);
 }
 
+std::uint64_t ServiceStandin::runsOf(std::string_view request) const
+{
+    const auto found = this->runsByRequest.find(request);
+    return found == this->runsByRequest.end() ? 0 : found->second;
+}
+
 HttpResponse ServiceStandin::takeOrder(const HttpRequest& request)
 {
     ++this->runsByKey[fieldOf(request, "Idempotency-Key")];
-    ++this->runsByRequest[fieldOf(request, "X-Request-Id")];
+    const auto attempt = fieldOf(request, platform::AttemptIdHeader);
+    ++this->runsByRequest[attempt.empty() ? fieldOf(request, "X-Request-Id") : attempt];
     this->orders.push_back(request.body());
     return jsonResponse(StatusCreated, json::object { { "order", this->orders.size() }, { "state", "booked" } });
 }
 
+bool ServiceStandin::isOtherExpected(const HttpRequest& request) const
+{
+    const auto expected = fieldOf(request, platform::ExpectInstanceHeader);
+    return !expected.empty() && expected != this->id;
+}
+
+void ServiceStandin::addPlatformHeaders(HttpResponse& response, const HttpRequest& request) const
+{
+    const auto attempt = fieldOf(request, platform::AttemptIdHeader);
+    if (attempt.empty())
+        return;
+    response.set(platform::AttemptIdHeader, attempt);
+    response.set(platform::SealHeader, this->id);
+}
+
 HttpResponse ServiceStandin::counts() const
 {
     return jsonResponse(StatusOk,
--- a/standins/ServiceStandin.h
+++ b/standins/ServiceStandin.h
@@ -20,23 +20,34 @@
 };
 
 // Stands in for an order service. It repeats whatever it is asked to repeat: keeping an order from running twice is not
-// its job. `GET /counts` tells how often each order ran, by idempotency key and by request id; no fault touches it.
+// its job. A request with the platform's headers is answered with them, and declined if it expects another target.
+// `GET /counts` tells how often each order ran, by idempotency key and by request id; no fault touches it.
 class ServiceStandin final : public HttpHandler {
 public:
+    // `id` is what the service is registered under on the users' platform; empty elsewhere.
+    explicit ServiceStandin(std::string id = {});
+
     boost::asio::awaitable<void> handle(HttpExchange& exchange) override;
     HttpResponse describeFault(HttpFault fault) override;
 
+    // How often the order with this request or attempt id ran.
+    std::uint64_t runsOf(std::string_view request) const;
+
+    ServiceFaults faults;
+
 private:
     boost::asio::awaitable<void> handleOrder(HttpExchange& exchange);
     boost::asio::awaitable<void> waitUntilThawed();
     HttpResponse takeOrder(const HttpRequest& request);
+    bool isOtherExpected(const HttpRequest& request) const;
+    void addPlatformHeaders(HttpResponse& response, const HttpRequest& request) const;
     HttpResponse counts() const;
     HttpResponse setFaults(std::string_view body);
 
-    ServiceFaults faults;
+    std::string id;
     std::uint64_t received { 0 }; // Orders that arrived, whether or not they have run.
-    std::map<std::string, std::uint64_t> runsByKey;
-    std::map<std::string, std::uint64_t> runsByRequest;
+    std::map<std::string, std::uint64_t, std::less<>> runsByKey;
+    std::map<std::string, std::uint64_t, std::less<>> runsByRequest;
     std::vector<std::string> orders;
 };
 
--- /dev/null
+++ b/standins/StoreStandin.cpp
@@ -0,0 +1,199 @@
+#include "standins/StoreStandin.h"
+
+#include <algorithm>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <boost/json.hpp>
+
+#include "platform/LogFormat.h"
+#include "platform/Names.h"
+
+namespace marigoldpaddle::standins {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using namespace platform;
+
+namespace {
+
+constexpr std::string_view KeyedPrefix = "keyed.";
+constexpr std::size_t ItemsPerAnswer = 500;
+constexpr std::size_t RecordBytes = 262'144;
+
+// Only operators and targets write these.
+bool isForeign(std::string_view topic)
+{
+    return topic == ConfigurationTopic || topic == TargetsTopic;
+}
+
+std::string queryOf(const RequestPath& path, std::string_view key)
+{
+    const auto found = path.query.find(key);
+    return found == path.query.end() ? std::string {} : found->second;
+}
+
+}
+
+StoreStandin::StoreStandin(asio::io_context& context, std::size_t keptRecords)
+    : context(context)
+    , keptRecords(keptRecords)
+    , appended(context, TimePoint::max())
+{
+}
+
+asio::awaitable<void> StoreStandin::handle(HttpExchange& exchange)
+{
+    const auto& request = exchange.request();
+    const std::string target { request.target() };
+    const auto path = splitTarget(target);
+    const auto resource = target.substr(0, target.find('?'));
+    if (resource == "/standin/faults" || resource == "/standin/records") {
+        auto response = resource == "/standin/faults" ? this->setFaults(request.body()) : this->write(request, path);
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    if (this->faults.delayMs > 0)
+        co_await pause(std::chrono::milliseconds { this->faults.delayMs });
+    const auto isDown = resource == LogNewestPath ? this->faults.areTablesDown : this->faults.isLogDown;
+    if (isDown && this->faults.isSilent)
+        co_return co_await exchange.waitUntilCallerIsGone();
+    if (isDown) {
+        auto response = jsonResponse(503, json::object {});
+        co_await exchange.respond(std::move(response));
+    } else if (resource == LogAppendPath) {
+        co_await this->append(exchange, queryOf(path, "topic"));
+    } else if (resource == LogReadPath) {
+        co_await this->read(exchange, path);
+    } else {
+        auto response
+            = resource == LogNewestPath ? this->newest(path) : jsonResponse(404, json::object { { "error", "path" } });
+        co_await exchange.respond(std::move(response));
+    }
+}
+
+HttpResponse StoreStandin::describeFault(HttpFault fault)
+{
+    return faultResponse(fault);
+}
+
+void StoreStandin::put(const std::string& topic, const std::string& key, const std::string& value)
+{
+    this->add(topic, encodeKeyed(key, value));
+}
+
+void StoreStandin::trim(const std::string& topic, std::uint64_t offset)
+{
+    auto& kept = this->topics[topic];
+    while (kept.first < offset && !kept.records.empty()) {
+        kept.records.pop_front();
+        ++kept.first;
+    }
+}
+
+void StoreStandin::add(const std::string& name, std::string content)
+{
+    auto& topic = this->topics[name];
+    if (name.starts_with(KeyedPrefix)) {
+        const auto keyed = decodeKeyed(content);
+        if (keyed && keyed->value)
+            topic.newest[std::string { keyed->key }] = { std::string { *keyed->value }, topic.end() };
+        else if (keyed)
+            topic.newest.erase(std::string { keyed->key });
+    }
+    topic.records.push_back(std::move(content));
+    if (topic.records.size() > this->keptRecords)
+        this->trim(name, topic.first + 1);
+    this->appended.cancel();
+}
+
+asio::awaitable<void> StoreStandin::append(HttpExchange& exchange, std::string name)
+{
+    const auto records = decodeRecords(exchange.request().body());
+    const auto isTooLarge
+        = records && std::ranges::any_of(*records, [](const auto& each) { return each.size() > RecordBytes; });
+    if (!records || isTooLarge || name.empty() || isForeign(name)) {
+        auto response = jsonResponse(isForeign(name) ? 403 : 400, json::object {});
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    const auto offset = this->topics[name].end();
+    for (const auto record : *records)
+        this->add(name, std::string { record });
+    if (this->faults.dropAppendAnswers > 0) {
+        --this->faults.dropAppendAnswers;
+        co_return;
+    }
+    auto response = jsonResponse(200, json::object { { "offset", offset }, { "endOffset", offset + records->size() } });
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void> StoreStandin::read(HttpExchange& exchange, const RequestPath& path)
+{
+    const auto name = queryOf(path, "topic");
+    const auto from = path.number("from", 0);
+    const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds { path.number("waitMs", 0) };
+    boost::system::error_code ignored;
+    while (this->topics[name].end() <= from && std::chrono::steady_clock::now() < until && !this->faults.isLogDown) {
+        asio::steady_timer deadline { this->context, until };
+        deadline.async_wait([this](const boost::system::error_code& failure) {
+            if (!failure)
+                this->appended.cancel();
+        });
+        co_await this->appended.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    auto response = this->faults.isLogDown ? jsonResponse(503, json::object {}) : this->page(this->topics[name], from);
+    co_await exchange.respond(std::move(response));
+}
+
+HttpResponse StoreStandin::page(const Topic& topic, std::uint64_t from) const
+{
+    if (from < topic.first)
+        return jsonResponse(410, json::object { { "firstOffset", topic.first } });
+    auto body = encodeBounds(topic.end(), topic.first);
+    for (auto offset = from; offset < topic.end(); ++offset)
+        body += encodeRecord(topic.records.at(offset - topic.first));
+    return makeResponse(200, "application/octet-stream", std::move(body));
+}
+
+HttpResponse StoreStandin::newest(const RequestPath& path) const
+{
+    json::array items;
+    const auto topic = this->topics.find(queryOf(path, "topic"));
+    if (topic == this->topics.end())
+        return jsonResponse(200, json::object { { "items", items }, { "hasMore", false }, { "endOffset", 0 } });
+    const auto& newest = topic->second.newest;
+    auto next = newest.upper_bound(queryOf(path, "after"));
+    for (; next != newest.end() && items.size() < ItemsPerAnswer; ++next)
+        items.push_back(json::object {
+            { "key", next->first }, { "value", encodeBase64(next->second.value) }, { "offset", next->second.offset } });
+    return jsonResponse(200,
+        json::object {
+            { "items", std::move(items) }, { "hasMore", next != newest.end() }, { "endOffset", topic->second.end() } });
+}
+
+HttpResponse StoreStandin::write(const HttpRequest& request, const RequestPath& path)
+{
+    const auto topic = queryOf(path, "topic");
+    const auto key = queryOf(path, "key");
+    if (!topic.starts_with(KeyedPrefix) || key.empty())
+        return jsonResponse(400, json::object { { "error", "topic and key are required" } });
+    this->put(topic, key, request.method() == http::verb::delete_ ? std::string {} : request.body());
+    return jsonResponse(200, json::object { { "endOffset", this->topics[topic].end() } });
+}
+
+HttpResponse StoreStandin::setFaults(std::string_view body)
+{
+    const auto wanted = parseObject(body);
+    takeField(wanted, "log_down", this->faults.isLogDown);
+    takeField(wanted, "tables_down", this->faults.areTablesDown);
+    takeField(wanted, "silent", this->faults.isSilent);
+    takeField(wanted, "delay_ms", this->faults.delayMs);
+    takeField(wanted, "drop_append_answers", this->faults.dropAppendAnswers);
+    this->appended.cancel();
+    return jsonResponse(200, json::object {});
+}
+
+}
--- a/test/FaultsProcesses_test.cpp
+++ b/test/FaultsProcesses_test.cpp
@@ -99,7 +99,7 @@
 
 TEST_F(FaultsProcessesTest, KilledGatewayLeavesNoEngineMemoryBehindAlthoughTheInstanceListIsDown)
 {
-    this->world.post("platform", "/faults", R"({"list_down":true})");
+    this->world.post("platform", "/standin/faults", R"({"tables_down":true})");
     this->expectMemoryFreedAfterKilling({ "gateway-a" });
 }
 
@@ -191,7 +191,7 @@
     std::string leaving;
     const auto answer = this->world.stream("gateway-a", "kerb question", Tokens, [&] {
         leaving = this->busyEngine();
-        this->world.list("targets", leaving, "leaving", true);
+        this->world.list("keyed.servers", leaving, "state", "draining");
     });
     this->expectWhole(answer, "kerb question");
     ASSERT_TRUE(this->world.eventually(3s, [&] {
@@ -221,12 +221,12 @@
 
 TEST_F(FaultsProcessesTest, OrderWithTheLogDownIsRefusedAsNotRunAndRunsOnceAfterwards)
 {
-    this->world.post("platform", "/faults", R"({"log_down":true})");
+    this->world.post("platform", "/standin/faults", R"({"log_down":true})");
     const auto refused = this->world.order("gateway-a", "restock-2", "{}", 2s);
     EXPECT_THAT(refused.body, HasSubstr(R"("reason":"claims_unavailable")"));
     EXPECT_THAT(refused.body, HasSubstr(R"("ran":"no")"));
     EXPECT_THAT(this->world.get("orders", "/counts").body(), HasSubstr(R"("orders":0)"));
-    this->world.post("platform", "/faults", R"({"log_down":false})");
+    this->world.post("platform", "/standin/faults", R"({"log_down":false})");
     EXPECT_TRUE(
         this->world.eventually(15s, [&] { return this->world.order("gateway-b", "restock-2", "{}", 3s).isWhole; }));
     EXPECT_THAT(this->world.get("orders", "/counts").body(), HasSubstr(R"("orders":1)"));
@@ -285,7 +285,7 @@
 
 TEST_F(FaultsProcessesTest, DispatcherThatStartsWithTheLogDownTakesTheConfigurationFromItsPeer)
 {
-    this->world.post("platform", "/faults", R"({"log_down":true})");
+    this->world.post("platform", "/standin/faults", R"({"log_down":true})");
     this->world.process("dispatcher-a").signal(SIGKILL);
     this->world.process("dispatcher-a").wait();
     this->world.startDispatcher("a");
@@ -302,7 +302,7 @@
         return this->world.get(process, "/healthz").body().find("peak") != std::string::npos;
     };
     ASSERT_TRUE(this->world.eventually(8s, [&] { return hasPeak("dispatcher-a") && hasPeak("dispatcher-b"); }));
-    this->world.post("platform", "/faults", R"({"log_down":true})");
+    this->world.post("platform", "/standin/faults", R"({"log_down":true})");
     for (const auto* name : { "a", "b" }) {
         const auto dispatcher = std::string { "dispatcher-" } + name;
         this->world.process(dispatcher).signal(SIGKILL);
--- a/test/FollowerRuntime_test.cpp
+++ b/test/FollowerRuntime_test.cpp
@@ -6,10 +6,10 @@
 
 #include "base/HttpServer.h"
 #include "configuration/ConfigurationPublisher.h"
-#include "logservice/HttpPlatformLog.h"
+#include "platform/StoreLog.h"
 #include "rpc/RpcServer.h"
 #include "standins/ConfigurationChanges.h"
-#include "standins/PlatformStandin.h"
+#include "standins/StoreStandin.h"
 
 using namespace marigoldpaddle;
 using namespace marigoldpaddle::standins;
@@ -74,7 +74,7 @@
     {
         auto done = false;
         const auto post = [&]() -> boost::asio::awaitable<void> {
-            auto request = makeRequest(boost::beast::http::verb::post, "/faults", R"({"log_down":true})");
+            auto request = makeRequest(boost::beast::http::verb::post, "/standin/faults", R"({"log_down":true})");
             const auto answer = co_await this->client.call(this->platformAddress, std::move(request), 2s);
             EXPECT_TRUE(answer);
             done = true;
@@ -94,11 +94,11 @@
 
     boost::asio::io_context context { 1 };
     SteadyClock clock;
-    PlatformStandin platform { this->context, 1000 };
+    StoreStandin platform { this->context, 1000 };
     HttpServer platformServer;
     std::string platformAddress;
     HttpClient client;
-    HttpPlatformLog log;
+    platform::StoreLog log;
     FollowingInstance first;
     FollowingInstance second;
     ConfigurationState author;
--- /dev/null
+++ b/test/PlatformWorld.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "platform/HeaderFormat.h"
+#include "platform/OrderClient.h"
+#include "platform/RecordFormat.h"
+#include "platform/StoreClient.h"
+#include "serving/ServingNode.h"
+#include "standins/PlatformEngineStandin.h"
+#include "standins/ServiceStandin.h"
+#include "standins/StoreStandin.h"
+
+namespace marigoldpaddle::testing {
+
+// What a caller got.
+struct PlatformAnswer {
+    unsigned status { 0 };
+    std::string body;
+    std::map<std::string, std::string> headers; // Names in lower case.
+    bool isWhole { false };
+
+    // The ids of the events of a stream, in order.
+    std::vector<std::uint64_t> eventIds() const;
+};
+
+// An instance of the system on the stand-ins of the platform: store, engines, an order service; in one thread, over
+// loopback.
+class PlatformWorld {
+public:
+    PlatformWorld();
+    ~PlatformWorld();
+
+    // Adds an engine of the configured service and registers it. `settings` may change the default profile.
+    standins::PlatformEngineStandin& addEngine(
+        const std::string& id, const std::function<void(standins::PlatformEngineSettings&)>& change = {});
+    standins::ServiceStandin& addOrderService(const std::string& id);
+
+    // Writes a registration anew, e.g. list("engine-1", "model", "draining").
+    void list(const std::string& id, const std::string& service, const std::string& state);
+
+    // Writes the configuration. `extraRoutes` is appended to the list of routes, e.g. `,{"name":...}`.
+    void configure(std::uint64_t version, const std::string& extraRoutes = {});
+
+    // Starts the instance and waits until it is ready.
+    void startNode();
+    ServingNode& node();
+
+    // A prompt of the route `/ask/`.
+    PlatformAnswer ask(std::int64_t promptTokens, std::int64_t outputTokens = 100);
+    PlatformAnswer order(const std::string& attemptId);
+    PlatformAnswer call(const std::string& method, const std::string& target,
+        const std::vector<std::pair<std::string, std::string>>& headers, const std::string& body = {});
+
+    // Sends bytes as they are and returns all that comes back until the connection closes or `until` is in it.
+    std::string sendRaw(const std::string& bytes, const std::string& until);
+
+    // Runs the event loop until the condition holds. False when that takes implausibly long.
+    bool runUntil(const std::function<bool()>& condition);
+
+    // Runs the event loop for a time.
+    void pause(Duration time);
+
+    // Runs an operation to its end.
+    template <typename Value> Value run(boost::asio::awaitable<Value> operation);
+
+    std::vector<std::pair<std::string, std::string>> promptHeaders(
+        std::int64_t promptTokens, std::int64_t outputTokens = 100);
+    void beginAsking(PlatformAnswer& answer, std::int64_t promptTokens, std::int64_t outputTokens);
+    std::int64_t memoryUsed() const;
+    std::uint64_t runsOf(const std::string& engineId);
+
+    boost::asio::io_context context { 1 };
+    standins::StoreStandin store { this->context, 1000 };
+
+private:
+    // A stand-in and the address where it is served.
+    template <typename Standin> struct Served {
+        std::unique_ptr<Standin> standin;
+        std::unique_ptr<HttpServer> server;
+        std::string address;
+    };
+
+    boost::asio::awaitable<void> send(HttpRequest request, PlatformAnswer& answer);
+    HttpRequest request(const std::string& method, const std::string& target,
+        const std::vector<std::pair<std::string, std::string>>& headers, const std::string& body);
+
+    SteadyClock clock;
+    HttpServer storeServer;
+    std::string storeAddress;
+    HttpClient client;
+    HttpClient platformClient;
+    std::map<std::string, Served<standins::PlatformEngineStandin>> engines;
+    std::map<std::string, Served<standins::ServiceStandin>> services;
+    std::unique_ptr<platform::StoreClient> storeClient;
+    platform::HeaderFormat format;
+    platform::RecordFormat records;
+    std::unique_ptr<platform::OrderClient> orders;
+    std::unique_ptr<ServingNode> instance;
+    ServingNodePorts ports;
+    std::uint64_t attempts { 0 };
+};
+
+}
--- a/test/ProcessWorld.cpp
+++ b/test/ProcessWorld.cpp
@@ -33,6 +33,10 @@
 constexpr std::chrono::milliseconds PollPause { 20 };
 constexpr std::string_view CallerKey = "Bearer drivers-key";
 
+// The memory of the stand-in engines, as the platform knows it.
+constexpr std::string_view EngineSizes
+    = R"({"version":1,"routes":[],"services":[{"name":"marigold-small","engine":{"slots":16,"kvCapacity":400000}}]})";
+
 // Tests run next to the programs.
 std::filesystem::path buildFolder()
 {
@@ -184,7 +188,8 @@
 {
     auto pattern = (std::filesystem::temp_directory_path() / "marigoldpaddle-XXXXXX").string();
     this->folder = ::mkdtemp(pattern.data());
-    this->processes["platform"] = std::make_unique<Process>(this->folder, "platform", "standin-platform", "", 1);
+    this->processes["platform"] = std::make_unique<Process>(this->folder, "platform", "standin-store", "", 1);
+    this->put("keyed.op", "config", std::string { EngineSizes });
 }
 
 ProcessWorld::~ProcessWorld()
@@ -197,17 +202,17 @@
 {
     const auto settings = "[engine]\ntoken_interval_ms = 20\n" + extraSettings;
     this->processes[name] = std::make_unique<Process>(this->folder, name, "standin-engine", settings, 1);
-    this->listings[name] = { { "kind", "engine" }, { "zone", "zone-a" }, { "serves", "marigold-small" },
-        { "memory_tokens", 400000 }, { "address", this->process(name).address("http") } };
-    this->list("targets", name, "incarnation", 1);
+    this->listings[name] = { { "service", "marigold-small" }, { "zone", "zone-a" }, { "state", "ready" },
+        { "address", this->process(name).address("http") } };
+    this->list("keyed.servers", name, "born", 1);
 }
 
 void ProcessWorld::addService(const std::string& name)
 {
     this->processes[name] = std::make_unique<Process>(this->folder, name, "standin-service", "", 1);
-    this->listings[name] = { { "kind", "service" }, { "zone", "zone-a" }, { "serves", "orders" },
+    this->listings[name] = { { "service", "orders" }, { "zone", "zone-a" }, { "state", "ready" },
         { "address", this->process(name).address("http") } };
-    this->list("targets", name, "incarnation", 1);
+    this->list("keyed.servers", name, "born", 1);
 }
 
 void ProcessWorld::addInstance(const std::string& name)
@@ -234,7 +239,7 @@
         = std::make_unique<Process>(this->folder, dispatcher, "marigold-dispatcher", settings, 3);
     this->listings[name] = { { "zone", "zone-a" }, { "dispatcher", this->process(dispatcher).address("rpc") },
         { "membership", this->process(dispatcher).address("membership") } };
-    this->list("instances", name, "incarnation", 1);
+    this->list("keyed.instances", name, "born", 1);
 }
 
 void ProcessWorld::configure(const std::string& preset)
@@ -274,10 +279,15 @@
     this->processes.erase(name);
 }
 
-void ProcessWorld::list(const std::string& kind, const std::string& name, const std::string& key, json::value value)
+void ProcessWorld::list(const std::string& topic, const std::string& name, const std::string& key, json::value value)
 {
     this->listings[name][key] = std::move(value);
-    auto request = makeRequest(http::verb::put, "/" + kind + "/" + name, json::serialize(this->listings[name]));
+    this->put(topic, name, json::serialize(this->listings[name]));
+}
+
+void ProcessWorld::put(const std::string& topic, const std::string& key, std::string value)
+{
+    auto request = makeRequest(http::verb::put, "/standin/records?topic=" + topic + "&key=" + key, std::move(value));
     callAndWait(this->process("platform").address("http"), std::move(request), CallTimeout);
 }
 
--- a/test/ProcessWorld.h
+++ b/test/ProcessWorld.h
@@ -68,8 +68,8 @@
     Process& process(const std::string& name);
     void remove(const std::string& name);
 
-    // Changes an entry of the platform's list, e.g. list("targets", "engine-1", "leaving", true).
-    void list(const std::string& kind, const std::string& name, const std::string& key, boost::json::value value);
+    // Changes a field of an entry in the store, e.g. list("keyed.servers", "engine-1", "state", "draining").
+    void list(const std::string& topic, const std::string& name, const std::string& key, boost::json::value value);
 
     HttpResponse get(const std::string& process, std::string_view path);
     HttpResponse post(const std::string& process, std::string_view path, std::string body);
@@ -88,6 +88,8 @@
     bool eventually(std::chrono::milliseconds time, const std::function<bool()>& holds);
 
 private:
+    void put(const std::string& topic, const std::string& key, std::string value);
+
     std::string folder;
     std::map<std::string, std::unique_ptr<Process>> processes;
     std::map<std::string, boost::json::object> listings;
--- /dev/null
+++ b/test/ServingNode_test.cpp
@@ -0,0 +1,299 @@
+#include "serving/ServingNode.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <gmock/gmock.h>
+
+#include "PlatformWorld.h"
+
+namespace marigoldpaddle {
+namespace {
+
+using namespace std::chrono_literals;
+using ::testing::ElementsAreArray;
+using ::testing::HasSubstr;
+using ::testing::Not;
+using testing::PlatformAnswer;
+using testing::PlatformWorld;
+
+std::vector<std::uint64_t> idsUpTo(std::uint64_t last)
+{
+    std::vector<std::uint64_t> ids(last);
+    std::iota(ids.begin(), ids.end(), 1);
+    return ids;
+}
+
+// A whole instance between callers and the platform's stand-ins.
+class ServingNodeTest : public ::testing::Test {
+protected:
+    void startWithEngines(int count)
+    {
+        for (int i = 1; i <= count; ++i)
+            this->engines.push_back(&this->world.addEngine("engine-" + std::to_string(i)));
+        this->orders = &this->world.addOrderService("orders-1");
+        this->world.startNode();
+    }
+
+    std::uint64_t partsRead() const
+    {
+        return std::accumulate(this->engines.begin(), this->engines.end(), std::uint64_t { 0 },
+            [](std::uint64_t sum, const auto* engine) { return sum + engine->partCount(); });
+    }
+
+    std::uint64_t runs() const
+    {
+        return std::accumulate(this->engines.begin(), this->engines.end(), std::uint64_t { 0 },
+            [](std::uint64_t sum, const auto* engine) { return sum + engine->runCount(); });
+    }
+
+    PlatformWorld world;
+    std::vector<standins::PlatformEngineStandin*> engines;
+    standins::ServiceStandin* orders { nullptr };
+};
+
+TEST_F(ServingNodeTest, ShortPromptIsAnsweredWholeByOneEngine)
+{
+    this->startWithEngines(2);
+    const auto answer = this->world.ask(5000, 101);
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_TRUE(answer.isWhole);
+    EXPECT_THAT(answer.eventIds(), ElementsAreArray(idsUpTo(11)));
+    EXPECT_EQ(this->runs(), 1U);
+    EXPECT_EQ(this->partsRead(), 0U);
+}
+
+TEST_F(ServingNodeTest, LongPromptIsReadBySeveralEngines)
+{
+    this->startWithEngines(5);
+    const auto answer = this->world.ask(80'000, 101);
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_TRUE(answer.isWhole);
+    EXPECT_EQ(this->runs(), 1U);
+    EXPECT_GT(this->partsRead(), 0U);
+}
+
+TEST_F(ServingNodeTest, PromptBeyondOneEnginesMemoryIsKeptBySeveralAndLeavesNothingBehind)
+{
+    this->startWithEngines(4);
+    const auto answer = this->world.ask(180'000, 51);
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_TRUE(answer.isWhole);
+    EXPECT_TRUE(this->world.runUntil([&] { return this->world.memoryUsed() == 0; }));
+}
+
+TEST_F(ServingNodeTest, TwoPromptsThatNeedMostEnginesAreBothAnswered)
+{
+    this->startWithEngines(4);
+    PlatformAnswer first;
+    PlatformAnswer second;
+    this->world.beginAsking(first, 220'000, 21);
+    this->world.beginAsking(second, 220'000, 21);
+    EXPECT_TRUE(this->world.runUntil([&] { return first.status != 0 && second.status != 0; }));
+    EXPECT_TRUE(this->world.runUntil([&] { return this->world.memoryUsed() == 0; }));
+    // Either both fit in turn, or the one that cannot be served in time is told so.
+    for (const auto& answer : { first, second })
+        EXPECT_THAT(answer.status, ::testing::AnyOf(200U, 503U));
+    EXPECT_TRUE(first.status == 200 || second.status == 200);
+}
+
+TEST_F(ServingNodeTest, CallerThatLeavesInTheMiddleFreesItsEngine)
+{
+    this->startWithEngines(1);
+    this->world.sendRaw("POST /ask/x HTTP/1.1\r\nHost: rounds.example\r\nAuthorization: Token key-of-drivers\r\n"
+                        "Marigoldpaddle-Attempt-Id: leaver\r\nMarigoldpaddle-Deadline-Remaining: 20000\r\n"
+                        "Marigoldpaddle-Token-Usage: 5000,50000\r\nContent-Length: 0\r\n\r\n",
+        "id: 2");
+    EXPECT_TRUE(this->world.runUntil([&] { return this->world.memoryUsed() == 0; }));
+    EXPECT_EQ(this->engines[0]->engine().active(), 0U);
+}
+
+TEST_F(ServingNodeTest, StreamThatBreaksInTheMiddleOfAnEventGoesOnAtAnotherEngine)
+{
+    this->startWithEngines(2);
+    for (auto* engine : this->engines)
+        engine->faults.cutAfterEvents = 3;
+    // Only the engine that answers strikes before the other goes on at the fourth event.
+    PlatformAnswer answer;
+    this->world.beginAsking(answer, 5000, 101);
+    this->world.runUntil([&] { return answer.eventIds().size() >= 2; });
+    for (auto* engine : this->engines) {
+        if (engine->engine().active() == 0)
+            engine->faults.cutAfterEvents = 0;
+    }
+    EXPECT_TRUE(this->world.runUntil([&] { return answer.isWhole; }));
+    EXPECT_THAT(answer.eventIds(), ElementsAreArray(idsUpTo(11)));
+    EXPECT_EQ(this->runs(), 2U);
+}
+
+TEST_F(ServingNodeTest, EngineThatDeclinesWhileItsHealthIsGoodCostsNoAnswer)
+{
+    this->startWithEngines(2);
+    this->engines[0]->faults.isDeclining = true;
+    for (int i = 0; i < 6; ++i)
+        EXPECT_EQ(this->world.ask(3000, 11).status, 200U);
+    EXPECT_EQ(this->engines[0]->runCount(), 0U);
+}
+
+TEST_F(ServingNodeTest, OrderWhoseAnswerIsLostRanOnceAndIsNotCalledUnrun)
+{
+    this->startWithEngines(1);
+    this->world.runUntil([&] { return this->world.order("first").status == 201; });
+    this->orders->faults.dropAnswers = 1;
+    const auto answer = this->world.order("lost");
+    EXPECT_THAT(answer.status, ::testing::AnyOf(502U, 504U));
+    EXPECT_EQ(this->orders->runsOf("lost"), 1U);
+}
+
+TEST_F(ServingNodeTest, ConfigurationIsInForceAsSoonAsTheStoreHasIt)
+{
+    this->startWithEngines(1);
+    const std::vector<std::pair<std::string, std::string>> headers { { "Host", "rounds.example" },
+        { "Authorization", "Token key-of-drivers" }, { "Marigoldpaddle-Attempt-Id", "probe" } };
+    EXPECT_EQ(this->world.call("GET", "/new/x", headers).status, 404U);
+    this->world.configure(5,
+        R"(,{"name":"new","host":"rounds.example","pathPrefix":"/new/","kind":"safe","timeoutMs":5000,"maxAttempts":1,)"
+        R"("service":"orders"})");
+    EXPECT_TRUE(this->world.runUntil([&] { return this->world.call("GET", "/new/x", headers).status == 200; }));
+    // An older version, and one that cannot be read, change nothing.
+    this->world.configure(4);
+    this->world.store.put("keyed.op", "config", "{\"version\":");
+    this->world.store.put("keyed.op", "other", "{}");
+    this->world.pause(50ms);
+    EXPECT_EQ(this->world.call("GET", "/new/x", headers).status, 200U);
+}
+
+TEST_F(ServingNodeTest, LeavingEngineGetsNoNewPrompts)
+{
+    this->startWithEngines(2);
+    this->world.list("engine-1", "model", "draining");
+    this->world.pause(300ms); // Targets are read every 100 ms.
+    const auto before = this->engines[0]->runCount();
+    for (int i = 0; i < 4; ++i)
+        EXPECT_EQ(this->world.ask(3000, 11).status, 200U);
+    EXPECT_EQ(this->engines[0]->runCount(), before);
+}
+
+TEST_F(ServingNodeTest, EntriesThatCannotBeReadDisturbNoOther)
+{
+    this->startWithEngines(1);
+    this->world.store.put("keyed.servers", "junk-1", "\x01\x02 not JSON");
+    this->world.store.put("keyed.servers", "junk-2", R"({"service":7,"address":"nowhere","state":"asleep"})");
+    this->world.pause(300ms);
+    EXPECT_EQ(this->world.ask(3000, 11).status, 200U);
+}
+
+TEST_F(ServingNodeTest, OutageOfTheStoreStopsNoAnswer)
+{
+    this->startWithEngines(1);
+    this->world.store.faults.isLogDown = true;
+    this->world.store.faults.areTablesDown = true;
+    this->world.pause(300ms);
+    EXPECT_EQ(this->world.ask(3000, 11).status, 200U);
+}
+
+TEST_F(ServingNodeTest, PlannedStopFinishesTheAnswerThatRuns)
+{
+    this->startWithEngines(1);
+    PlatformAnswer answer;
+    this->world.beginAsking(answer, 5000, 1001);
+    this->world.runUntil([&] { return answer.eventIds().size() >= 2; });
+    boost::asio::co_spawn(this->world.context, this->world.node().stopGracefully(), boost::asio::detached);
+    EXPECT_TRUE(this->world.runUntil([&] { return answer.isWhole; }));
+    EXPECT_THAT(answer.eventIds(), ElementsAreArray(idsUpTo(101)));
+}
+
+// Bad input gets a clear answer and reaches no target.
+class ServingNodeBadInputTest : public ServingNodeTest {
+protected:
+    void SetUp() override
+    {
+        this->startWithEngines(1);
+    }
+
+    static std::string head(const std::string& extra)
+    {
+        return "POST /order/x HTTP/1.1\r\nHost: rounds.example\r\nAuthorization: Token key-of-drivers\r\n"
+               "Marigoldpaddle-Attempt-Id: bad\r\n"
+            + extra;
+    }
+
+    void expectRefused(const std::string& bytes, const std::string& status)
+    {
+        EXPECT_THAT(this->world.sendRaw(bytes, "\r\n\r\n"), ::testing::StartsWith("HTTP/1.1 " + status));
+        EXPECT_EQ(this->orders->runsOf("bad"), 0U);
+        EXPECT_EQ(this->world.order("good").status, 201U) << "the instance serves on";
+    }
+};
+
+TEST_F(ServingNodeBadInputTest, RequestWithLengthAndChunksIsRefused)
+{
+    this->expectRefused(head("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), "400");
+}
+
+TEST_F(ServingNodeBadInputTest, RequestWithTwoLengthsIsRefused)
+{
+    this->expectRefused(head("Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello!"), "400");
+}
+
+TEST_F(ServingNodeBadInputTest, LengthThatIsNoNumberIsRefused)
+{
+    this->expectRefused(head("Content-Length: five\r\n\r\nhello"), "400");
+}
+
+TEST_F(ServingNodeBadInputTest, BytesThatAreNoRequestAreRefused)
+{
+    this->expectRefused("\x16\x03\x01 not a request\r\n\r\n", "400");
+}
+
+TEST_F(ServingNodeBadInputTest, HalfARequestIsRefusedAfterItsTime)
+{
+    this->expectRefused(head("Content-Length: 100\r\n\r\nhalf"), "408");
+}
+
+TEST_F(ServingNodeBadInputTest, HeaderBeyondTheLimitIsRefused)
+{
+    this->expectRefused(head("X-Long: " + std::string(5000, 'x') + "\r\n\r\n"), "431");
+}
+
+TEST_F(ServingNodeBadInputTest, BodyBeyondTheLimitIsRefused)
+{
+    this->expectRefused(head("Content-Length: 100001\r\n\r\n"), "413");
+}
+
+TEST_F(ServingNodeBadInputTest, ChunkedBodyBeyondTheLimitIsRefused)
+{
+    this->expectRefused(
+        head("Transfer-Encoding: chunked\r\n\r\n186a1\r\n" + std::string(100'001, 'x') + "\r\n0\r\n\r\n"), "413");
+}
+
+TEST_F(ServingNodeBadInputTest, UnknownHostRouteAndKeyAreToldApart)
+{
+    const auto status = [this](const std::string& host, const std::string& path, const std::string& key) {
+        return this->world
+            .call("GET", path, { { "Host", host }, { "Authorization", key }, { "Marigoldpaddle-Attempt-Id", "bad" } })
+            .status;
+    };
+    EXPECT_EQ(status("other.example", "/stock/x", "Token key-of-drivers"), 404U);
+    EXPECT_EQ(status("rounds.example", "/stockx", "Token key-of-drivers"), 404U);
+    EXPECT_EQ(status("rounds.example", "/stock/x", "Token nobody"), 401U);
+    EXPECT_EQ(status("rounds.example", "/stock/x", "Bearer key-of-drivers"), 401U);
+    EXPECT_EQ(status("rounds.example", "/stock/x", "Token key-of-drivers"), 200U);
+}
+
+TEST_F(ServingNodeBadInputTest, RequestSmuggledBehindAnotherIsJudgedByItself)
+{
+    const auto answers
+        = this->world.sendRaw("GET /stock/x HTTP/1.1\r\nHost: rounds.example\r\nAuthorization: Token key-of-drivers\r\n"
+                              "Marigoldpaddle-Attempt-Id: first\r\n\r\n"
+                              "POST /order/x HTTP/1.1\r\nHost: rounds.example\r\nMarigoldpaddle-Tenant: rounds\r\n"
+                              "Marigoldpaddle-Attempt-Id: bad\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+            "HTTP/1.1 401");
+    EXPECT_THAT(answers, HasSubstr("HTTP/1.1 200"));
+    EXPECT_EQ(this->orders->runsOf("bad"), 0U);
+}
+
+}
+}
