Place late long prompts on free engines at once; refuse prompts of several engines later

Cause: a long prompt whose objective was lost waited until half of its time was over, even if every engine was idle, because "expected after the objective" counted as a reason to wait for a better choice. Seen in ServingNodeTest: 180,000 tokens on four idle engines waited 10 s before being sent. A prompt beyond one engine's memory was refused when reading took more than half of its time, also where nobody else wanted the engines (make demo: 1,000,000 tokens on six idle engines, 8.4 s of 15 s).

Ruled out: that the wait protects prompts that can still be in time. These go first by WaitingPrompts, and a late prompt still waits while its plan holds up others.

Change: a late prompt waits only while it would disturb others; free engines take a prompt of several engines' memory up to three quarters of its time. Two tests, failing before.

The test case is placed at once in place of after 10 s.

--- a/src/serving/PromptPlacement.cpp
+++ b/src/serving/PromptPlacement.cpp
@@ -46,8 +46,10 @@
 constexpr double UsableShareOfMemory = 0.65;
 // Each further engine has to be reached and waited for: about one round trip and the rest of a pass.
 constexpr double PerHelperMs = 10;
-// A prompt of several engines' memory whose reading alone takes more than this share of its time is not placed.
+// A prompt of several engines' memory whose reading alone takes more than this share of its time is not placed where it
+// holds up others, and with the second share nowhere: the rest is for writing the answer.
 constexpr double HopelessShareOfTime = 0.5;
+constexpr double HopelessShareOnFreeEngines = 0.75;
 // Reading beyond its share of the objective puts the prompt itself at risk.
 constexpr double LateReadWeight = 3;
 // Expected longer than this share of the objective, the prompt is late.
@@ -270,9 +272,11 @@
     plan.isLong = true;
     plan.isHarmful = best.heldUpWeight > plan.weight;
     plan.isLate = plan.soonestMs > Milliseconds(demand.objective).count();
-    plan.isHopeless = holders > 1 && plan.expectedMs > HopelessShareOfTime * Milliseconds(demand.remaining).count();
-    plan.shouldWait = plan.isHopeless || best.disturbsOthers
-        || plan.expectedMs > LateShareOfObjective * Milliseconds(demand.objective).count();
+    const auto bearableShare = best.disturbsOthers ? HopelessShareOfTime : HopelessShareOnFreeEngines;
+    plan.isHopeless = holders > 1 && plan.expectedMs > bearableShare * Milliseconds(demand.remaining).count();
+    const bool mayBeInTime
+        = !plan.isLate && plan.expectedMs > LateShareOfObjective * Milliseconds(demand.objective).count();
+    plan.shouldWait = plan.isHopeless || best.disturbsOthers || mayBeInTime;
     return plan;
 }
 
--- a/test/PromptPlacement_test.cpp
+++ b/test/PromptPlacement_test.cpp
@@ -202,6 +202,31 @@
     EXPECT_GE(late->helpers.size(), early->helpers.size());
 }
 
+TEST_F(PromptPlacementTest, LongPromptThatIsLateAnywayDoesNotWaitForEnginesThatAreFree)
+{
+    auto late = longPrompt();
+    late.objective = 0s;
+    const auto onFree = this->placement.plan(late, this->engines);
+    EXPECT_TRUE(onFree->isLate);
+    EXPECT_FALSE(onFree->shouldWait);
+    for (std::size_t engine = 0; engine < this->engines.size(); ++engine)
+        this->addAnswers(engine, 8, 200ms);
+    EXPECT_TRUE(this->placement.plan(late, this->engines)->shouldWait);
+}
+
+TEST_F(PromptPlacementTest, PromptBeyondOneEngineIsTakenByFreeEnginesThoughReadingTakesMostOfItsTime)
+{
+    auto entries = this->engines;
+    entries.resize(5);
+    auto slow = demand(700'000, 3s);
+    slow.remaining = 15s;
+    const auto onFree = this->placement.plan(slow, entries);
+    ASSERT_TRUE(onFree);
+    EXPECT_FALSE(onFree->isHopeless);
+    slow.remaining = 5s;
+    EXPECT_TRUE(this->placement.plan(slow, entries)->isHopeless);
+}
+
 TEST_F(PromptPlacementTest, PromptBeyondOneEngineIsKeptBySeveral)
 {
     const auto plan = this->placement.plan(demand(800'000, 3s), this->engines);
