Keep bulk prompts off most engines, and bound what one answer weighs

Cause: reading grows with the square of a prompt, and so did the weight of its answer. Late long prompts were placed at half of their time whatever they held up.

Change: an answer weighs at most 60 short ones; a prompt whose reading would take all engines for more than 0.15 of its objective gets a quarter of them, or as many as end it within 0.6 of its time; a late answer counts a quarter when it is weighed against what it holds up; a late long prompt that would still do harm at half of its time is turned away, with a time to come back. Five tests, failing before.

--- a/src/serving/PromptPlacement.cpp
+++ b/src/serving/PromptPlacement.cpp
@@ -35,6 +35,8 @@
 constexpr double NoPlaceMs = 1000;
 // Reading time that weighs as much as the rest of an answer: about that of a typical answer's batch share.
 constexpr double WeightReadMs = 200;
+// One caller is never worth more than so many with short prompts, however long its own is.
+constexpr double MostWeight = 60;
 // An answer that is held up beyond its gap, or comes after its objective, is late as a whole. Times its weight.
 constexpr double HeldUpAnswerMs = 300;
 // Any other answer on the engine is slowed a little.
@@ -52,6 +54,13 @@
 constexpr double HopelessShareOnFreeEngines = 0.75;
 // Reading beyond its share of the objective puts the prompt itself at risk.
 constexpr double LateReadWeight = 3;
+// Reading that would take all engines for more than this share of the objective is bulk: it gets this share of the
+// engines, or as many as it takes to be done within this share of the caller's time.
+constexpr double BulkShareOfObjective = 0.15;
+constexpr double BulkShareOfEngines = 0.25;
+constexpr double BulkShareOfTime = 0.6;
+// What an answer is worth after its objective, of what it would have been worth before.
+constexpr double LateWorth = 0.25;
 // Expected longer than this share of the objective, the prompt is late.
 constexpr double LateShareOfObjective = 0.8;
 
@@ -81,7 +90,7 @@
 
 double PromptPlacement::weight(std::int64_t tokens) const
 {
-    return 1 + this->readMs(tokens) / WeightReadMs;
+    return std::min(MostWeight, 1 + this->readMs(tokens) / WeightReadMs);
 }
 
 bool PromptPlacement::isLong(const PromptDemand& demand) const
@@ -245,6 +254,19 @@
     return read;
 }
 
+// A prompt whose reading would take all engines for a good part of its objective makes most of what comes meanwhile
+// late. It gets a few of them, for longer.
+std::size_t PromptPlacement::mostParts(const PromptDemand& demand, std::size_t engines) const
+{
+    const auto most = std::min(engines, MaximumHelpers + 1);
+    const auto whole = this->readMs(demand.size.promptTokens);
+    if (whole / static_cast<double>(engines) <= BulkShareOfObjective * Milliseconds(demand.routeObjective).count())
+        return most;
+    const auto few = std::ceil(BulkShareOfEngines * static_cast<double>(engines));
+    const auto needed = std::ceil(whole / (BulkShareOfTime * std::max(1.0, Milliseconds(demand.remaining).count())));
+    return std::min(most, static_cast<std::size_t>(std::max(few, needed)));
+}
+
 std::optional<PromptPlan> PromptPlacement::planLong(
     const PromptDemand& demand, std::span<const EngineCandidate> candidates) const
 {
@@ -252,13 +274,13 @@
     SplitRead best;
     const auto tokens = demand.size.promptTokens + demand.size.maximumOutputTokens;
     const auto holders = this->holdersFor(tokens);
-    for (std::size_t parts = holders; parts <= std::min(candidates.size(), MaximumHelpers + 1); ++parts) {
+    const auto mostParts = this->mostParts(demand, candidates.size());
+    for (std::size_t parts = holders; parts <= std::max(holders, mostParts); ++parts) {
         auto read = this->split(demand, candidates, positions, parts);
         if (read.costMs < best.costMs)
             best = std::move(read);
     }
     const auto whole = this->readMs(demand.size.promptTokens);
-    const auto mostParts = static_cast<double>(std::min(candidates.size(), MaximumHelpers + 1));
     PromptPlan plan;
     plan.writer = best.writer;
     plan.helpers = best.helpers;
@@ -268,10 +290,11 @@
     plan.readMs = whole / static_cast<double>(best.helpers.size() + 1);
     plan.weight = this->weight(demand.size.promptTokens);
     plan.expectedMs = best.expectedMs + 2 * this->passMs(candidates[best.writer].load);
-    plan.soonestMs = whole / mostParts + 2 * this->passMs({});
+    plan.soonestMs = whole / static_cast<double>(mostParts) + 2 * this->passMs({});
     plan.isLong = true;
-    plan.isHarmful = best.heldUpWeight > plan.weight;
     plan.isLate = plan.soonestMs > Milliseconds(demand.objective).count();
+    const bool comesLate = plan.expectedMs > Milliseconds(demand.objective).count();
+    plan.isHarmful = best.heldUpWeight > (comesLate ? LateWorth : 1) * plan.weight;
     const auto bearableShare = best.disturbsOthers ? HopelessShareOfTime : HopelessShareOnFreeEngines;
     plan.isHopeless = holders > 1 && plan.expectedMs > bearableShare * Milliseconds(demand.remaining).count();
     const bool mayBeInTime
--- a/src/serving/PromptPlacement.h
+++ b/src/serving/PromptPlacement.h
@@ -16,6 +16,7 @@
 struct PromptDemand {
     PromptSize size;
     Duration objective {}; // What is left of it, to the first token.
+    Duration routeObjective {}; // The same when the request came.
     Duration remaining {}; // Until the caller stops waiting.
     Duration tightestGap {}; // The shortest pause that any answer on these engines may have.
 };
@@ -91,6 +92,7 @@
     std::optional<PromptPlan> planShort(const PromptDemand& demand, std::span<const EngineCandidate> candidates) const;
     std::optional<PromptPlan> planLong(const PromptDemand& demand, std::span<const EngineCandidate> candidates) const;
     std::size_t holdersFor(std::int64_t tokens) const;
+    std::size_t mostParts(const PromptDemand& demand, std::size_t engines) const;
     SplitRead split(const PromptDemand& demand, std::span<const EngineCandidate> candidates,
         std::span<const double> positions, std::size_t parts) const;
 
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -145,7 +145,8 @@
 }
 
 // A prompt waits here while it would hold up others or find no place. A long one waits as long as its objective allows,
-// and if that is lost, for up to half of its time. A short one whose objective is lost is turned away if its caller can
+// and if that is lost, for up to half of its time; if it would then still hold up answers that are worth more, it is
+// turned away. A short one whose objective is lost is turned away if its caller can
 // come back, and else waits a while.
 asio::awaitable<std::optional<TargetChoice>> ServingGateway::chooseInTime(Call& call)
 {
@@ -175,8 +176,14 @@
         }
         const bool comesLate = now + choice->expected > call.receivedAt + objective;
         const bool isLost = choice->work.isLong && (comesLate || choice->isHarmful);
-        if (now >= (isLost ? lateBy : startBy))
-            co_return choice;
+        if (now >= (isLost ? lateBy : startBy)) {
+            if (!choice->work.isLong || !choice->isHarmful || call.runs > 0)
+                co_return choice;
+            if (this->mayComeBack(call))
+                call.retryAfter = this->spreadRetryAfter(call);
+            this->noteNotPlaced(call, *choice);
+            co_return std::nullopt;
+        }
         // Beyond the engines' places nothing is gained by a queue: all who follow would be late as well.
         if (choice->isLate && choice->shouldWait && !choice->work.isLong && this->mayComeBack(call)) {
             call.retryAfter = this->spreadRetryAfter(call);
--- a/src/serving/TargetChooser.cpp
+++ b/src/serving/TargetChooser.cpp
@@ -103,6 +103,7 @@
     PromptDemand prompt;
     prompt.size = *demand.prompt;
     prompt.objective = std::max(Duration::zero(), demand.route.objective - demand.elapsed);
+    prompt.routeObjective = demand.route.objective;
     prompt.remaining = demand.remaining;
     prompt.tightestGap = demand.service.tightestGap;
     const auto plan = placement.plan(prompt, candidates);
--- a/test/PromptPlacement_test.cpp
+++ b/test/PromptPlacement_test.cpp
@@ -43,7 +43,7 @@
 
     static PromptDemand demand(std::int64_t tokens, Duration objective)
     {
-        return { { tokens, 1600 }, objective, 10s, 200ms };
+        return { { tokens, 1600 }, objective, objective, 10s, 200ms };
     }
 
     static PromptDemand shortPrompt()
@@ -256,5 +256,39 @@
     EXPECT_NEAR(this->placement.weight(210'000), 15.2, 0.5);
 }
 
+TEST_F(PromptPlacementTest, LongestPromptIsNotWorthMoreThanSixtyShortAnswers)
+{
+    EXPECT_LE(this->placement.weight(1'000'000), 60);
+    for (std::size_t engine = 0; engine < this->engines.size(); ++engine)
+        this->addAnswers(engine, 12, 200ms);
+    EXPECT_TRUE(this->placement.plan(demand(1'000'000, 3s), this->engines)->isHarmful);
+}
+
+TEST_F(PromptPlacementTest, LateLongPromptIsHarmfulToFewerAnswersThanOneInTime)
+{
+    for (std::size_t engine = 0; engine < this->engines.size(); ++engine)
+        this->addAnswers(engine, 1, 200ms);
+    EXPECT_FALSE(this->placement.plan(demand(300'000, 3s), this->engines)->isHarmful);
+    auto late = demand(300'000, 3s);
+    late.objective = 100ms;
+    EXPECT_TRUE(this->placement.plan(late, this->engines)->isHarmful);
+}
+
+// One prompt of 800,000 tokens takes as much reading as eleven of 210,000: on all engines at once it makes these late.
+TEST_F(PromptPlacementTest, BulkPromptLeavesMostEnginesToOthers)
+{
+    const auto plan = this->placement.plan(demand(800'000, 3s), this->engines);
+    EXPECT_LE(plan->helpers.size() + 1, 6U);
+    EXPECT_LT(plan->expectedMs, 7000);
+    EXPECT_GT(this->placement.plan(longPrompt(), this->engines)->helpers.size() + 1, 6U);
+}
+
+TEST_F(PromptPlacementTest, BulkPromptGetsAsManyEnginesAsItTakesToEndInTime)
+{
+    auto hurried = demand(800'000, 3s);
+    hurried.remaining = 5s;
+    EXPECT_GT(this->placement.plan(hurried, this->engines)->helpers.size() + 1, 6U);
+}
+
 }
 }
--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -431,6 +431,27 @@
     EXPECT_TRUE(this->first.received.empty());
 }
 
+// A crest of short answers on every engine: a late prompt must not stop them all, and its caller hears in time.
+TEST_F(ServingGatewayTest, LatePromptThatWouldHoldUpMoreThanItIsWorthIsTurnedAwayAtHalfOfItsTime)
+{
+    ServingConfiguration values = this->view.configuration()->values;
+    values.version = 2;
+    values.routes[2].objective = 500ms;
+    values.services["s"].engine = EngineProfile { 16, 450'000, 46, 0.925, 0.00483, 0.00254, 256, 0.0917 };
+    this->view.install(std::move(values));
+    for (int answer = 0; answer < 15; ++answer)
+        this->ledger.noteRead(this->ledger.begin("t1", { 0, 0, false, true, 200ms }, this->clock.now()));
+    auto request = this->request("/stream/x");
+    request.set("Marigoldpaddle-Token-Usage", "210000,1000");
+    request.set("Marigoldpaddle-Deadline-Remaining", "2000");
+    const auto before = this->clock.now();
+    const auto answered = this->call(std::move(request));
+    EXPECT_EQ(answered.value().result_int(), 503U);
+    EXPECT_FALSE(answered.value()["Retry-After"].empty());
+    EXPECT_LT(this->clock.now() - before, Duration { 2s });
+    EXPECT_TRUE(this->first.received.empty());
+}
+
 // The end of the grace: the target still works on the request.
 TEST_F(ServingGatewayTest, RequestThatTheStopEndsGetsAnAnswerAndIsNotCalledUnrun)
 {
