Place prompts within the own zone once notices do not reach all peers

Cause: a notice about a placed prompt goes to 24 peers at most (12 KB/s for control).

Ruled out: the engines' capacity (pauses and busy engines as with 8 instances), processor time (0.5% of a core), a wrong model of reading (the median was right).

Change: beyond 24 peers an instance tells those of its own availability zone first, and four others a round; it places prompts on the engines of its own zone. Notices carry the zone and how much of it is taken, and short prompts without a place go to the zone with the most room. With 24 peers or fewer nothing changes. Gauges and histograms for the metrics address: loop delay, longest gaps, ages, budget left, dropped log lines.

--- a/bench/serving_bench.cpp
+++ b/bench/serving_bench.cpp
@@ -81,11 +81,14 @@
 // Time to decide whom to tell, and the datagrams of a second with changes all the time.
 void exchangeWithPeers(benchmark::State& state)
 {
-    PeerExchange exchange { "self", {}, std::mt19937_64 { 1 } };
+    // Three zones at the sizes of deployments, eleven at the two-year target.
+    const auto zones = state.range(0) > 100 ? 11 : 3;
+    PeerExchange exchange { "self", "zone-0", {}, std::mt19937_64 { 1 } };
     TimePoint now { 1h };
     for (int peer = 0; peer < state.range(0); ++peer) {
         auto heard = notice(0);
         heard.sender = "10.1.0." + std::to_string(peer) + ":7340";
+        heard.availabilityZone = "zone-" + std::to_string(peer % zones);
         heard.sequence = 1;
         heard.validMs = 60'000;
         exchange.receive(heard, now);
--- a/src/serving/LoadLedger.cpp
+++ b/src/serving/LoadLedger.cpp
@@ -12,6 +12,8 @@
 
 // Reading that takes longer than expected counts for this share of its estimate until the first token arrives.
 constexpr double OverdueShare = 0.25;
+// A burst fills a zone within about a second.
+constexpr Duration ZoneLifetime = std::chrono::milliseconds { 1500 };
 
 }
 
@@ -101,9 +103,23 @@
     return sum;
 }
 
-bool LoadLedger::knowsPeers(TimePoint now) const
+void LoadLedger::applyZone(std::string_view availabilityZone, double occupancy, TimePoint now)
 {
-    return std::ranges::any_of(this->peers, [&](const auto& item) { return now < item.second.validUntil; });
+    this->zones.insert_or_assign(std::string { availabilityZone }, Zone { occupancy, now });
+}
+
+std::optional<double> LoadLedger::zoneOccupancy(std::string_view availabilityZone, TimePoint now) const
+{
+    const auto found = this->zones.find(availabilityZone);
+    if (found == this->zones.end() || now - found->second.heardAt > ZoneLifetime)
+        return std::nullopt;
+    return found->second.occupancy;
+}
+
+std::size_t LoadLedger::knownPeers(TimePoint now) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->peers, [&](const auto& item) { return now < item.second.validUntil; }));
 }
 
 std::unordered_map<std::uint64_t, TargetLoad> LoadLedger::own(TimePoint now) const
--- a/src/serving/LoadLedger.h
+++ b/src/serving/LoadLedger.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -57,8 +58,14 @@
     // Returns everything that is known to be at a target.
     TargetLoad total(std::string_view target, TimePoint now) const;
 
-    // Whether the loads of any peer are known.
-    bool knowsPeers(TimePoint now) const;
+    // Takes what a peer says of its whole availability zone: the share of the places on its engines that are taken.
+    void applyZone(std::string_view availabilityZone, double occupancy, TimePoint now);
+
+    // What was last said of a zone. Empty when nothing was, or not lately.
+    std::optional<double> zoneOccupancy(std::string_view availabilityZone, TimePoint now) const;
+
+    // The peers whose loads are known.
+    std::size_t knownPeers(TimePoint now) const;
 
     // Returns the loads of this instance alone, by hash of the target.
     std::unordered_map<std::uint64_t, TargetLoad> own(TimePoint now) const;
@@ -81,11 +88,17 @@
         TimePoint validUntil {};
     };
 
+    struct Zone {
+        double occupancy { 0 };
+        TimePoint heardAt {};
+    };
+
     TargetLoad totalOf(std::uint64_t target, TimePoint now) const;
 
     std::unordered_map<Handle, Entry> entries;
     std::unordered_map<std::uint64_t, std::vector<Handle>> byTarget;
     std::map<std::string, Peer, std::less<>> peers;
+    std::map<std::string, Zone, std::less<>> zones;
     Handle lastHandle { 0 };
 };
 
--- a/src/serving/PeerExchange.cpp
+++ b/src/serving/PeerExchange.cpp
@@ -12,8 +12,10 @@
 
 }
 
-PeerExchange::PeerExchange(std::string self, std::vector<std::string> seeds, std::mt19937_64 random)
+PeerExchange::PeerExchange(
+    std::string self, std::string availabilityZone, std::vector<std::string> seeds, std::mt19937_64 random)
     : self(std::move(self))
+    , availabilityZone(std::move(availabilityZone))
     , random(random)
 {
     for (auto& seed : seeds) {
@@ -36,6 +38,7 @@
         return false;
     if (!notice.leaving && (isLaterIncarnation || !this->isLive(peer, now)))
         this->newcomers.push_back(notice.sender);
+    peer.availabilityZone = notice.availabilityZone;
     peer.incarnation = notice.incarnation;
     peer.sequence = notice.sequence;
     peer.configurationVersion = static_cast<std::uint64_t>(notice.configurationVersion);
@@ -107,13 +110,17 @@
 void PeerExchange::tellLivePeers(PeerCommands& commands, TimePoint now)
 {
     this->lastTold = now;
-    std::vector<std::string_view> live;
+    std::vector<std::string_view> near;
+    std::vector<std::string_view> far;
     for (const auto& [address, peer] : this->peers) {
         if (this->isLive(peer, now))
-            live.push_back(address);
+            (peer.availabilityZone == this->availabilityZone ? near : far).push_back(address);
     }
+    const auto farMost = near.size() + far.size() <= Fanout ? far.size() : std::min(far.size(), FarFanout);
     std::vector<std::string_view> told;
-    std::ranges::sample(live, std::back_inserter(told), Fanout, this->random);
+    std::ranges::sample(far, std::back_inserter(told), static_cast<std::ptrdiff_t>(farMost), this->random);
+    std::ranges::sample(
+        near, std::back_inserter(told), static_cast<std::ptrdiff_t>(Fanout - told.size()), this->random);
     std::ranges::transform(told, std::back_inserter(commands),
         [](std::string_view address) { return SendNotice { std::string { address } }; });
 }
--- a/src/serving/PeerExchange.h
+++ b/src/serving/PeerExchange.h
@@ -37,12 +37,15 @@
 // Decides whom to tell about this instance's loads and whom to ask for platform records. A pure core.
 //
 // Notices go to all live peers when something changed, at a pace that keeps the bytes of one instance below its budget
-// for control; with many peers each period tells a random part of them. Answers the swing between short and long
-// prompts (a placed prompt is told at once), and a platform that turns some instances away (these ask the others).
+// for control. With more peers than that allows, those of the own availability zone come first, since they share its
+// engines, and a random few of the others are told each time. Answers the swing between short and long prompts (a
+// placed prompt is told at once), and a platform that turns some instances away (these ask the others).
 class PeerExchange {
 public:
     // Peers told in one period at most; 24 datagrams of up to 300 bytes every half second stay within 12 KB a second.
     static constexpr std::size_t Fanout = 24;
+    // Of these, peers in other availability zones once there are more peers than the fanout.
+    static constexpr std::size_t FarFanout = 4;
     // The time that each datagram adds to the period.
     static constexpr Duration DatagramShare = std::chrono::milliseconds { 20 };
     static constexpr Duration ShortestPeriod = std::chrono::milliseconds { 100 };
@@ -62,7 +65,8 @@
     static constexpr Duration FetchPause = std::chrono::milliseconds { 400 };
 
     // `self` is the address that peers reach this instance at; `seeds` are addresses that may be stale.
-    PeerExchange(std::string self, std::vector<std::string> seeds, std::mt19937_64 random);
+    PeerExchange(
+        std::string self, std::string availabilityZone, std::vector<std::string> seeds, std::mt19937_64 random);
 
     // Takes a notice. False when it is older than one that was taken, or from this instance itself.
     bool receive(const wire::LoadNotice& notice, TimePoint now);
@@ -87,6 +91,7 @@
 
 private:
     struct Peer {
+        std::string availabilityZone {};
         std::int64_t incarnation { 0 };
         std::int64_t sequence { 0 };
         std::uint64_t configurationVersion { 0 };
@@ -105,6 +110,7 @@
     void askPeers(PeerCommands& commands, const OwnKnowledge& own, TimePoint now);
 
     std::string self;
+    std::string availabilityZone;
     std::map<std::string, Peer, std::less<>> peers;
     std::vector<std::string> newcomers; // Heard for the first time, or again after silence.
     std::mt19937_64 random;
--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -73,10 +73,12 @@
 }
 
 struct PeerRunner::State {
-    State(const Parts& parts, PeerRunner& runner, std::string address, std::vector<std::string> seeds)
+    State(const Parts& parts, PeerRunner& runner, std::string address, std::string availabilityZone,
+        std::vector<std::string> seeds)
         : parts(parts)
         , address(std::move(address))
-        , exchange(this->address, std::move(seeds), std::mt19937_64 { std::random_device {}() })
+        , availabilityZone(std::move(availabilityZone))
+        , exchange(this->address, this->availabilityZone, std::move(seeds), std::mt19937_64 { std::random_device {}() })
         , socket(parts.context)
         , server(parts.context, runner)
         , client(parts.context.get_executor())
@@ -117,6 +119,8 @@
                                          : now + std::chrono::milliseconds { notice->waitingStartByMs },
             now);
         this->parts.ledger.applyPeer(notice->sender, loads, now, std::chrono::milliseconds { notice->validMs });
+        if (notice->zoneOccupancy >= 0)
+            this->parts.ledger.applyZone(notice->availabilityZone, notice->zoneOccupancy, now);
     }
 
     asio::awaitable<void> tickForever()
@@ -150,11 +154,35 @@
         }
     }
 
+    // Share of the places that are taken on the engines of this availability zone. Negative without engines, and while
+    // all peers hear of every prompt.
+    double zoneOccupancy(TimePoint now) const
+    {
+        const auto configuration = this->parts.view.configuration();
+        if (!configuration || this->exchange.livePeers(now) <= PeerExchange::Fanout)
+            return -1;
+        double running = 0;
+        double places = 0;
+        for (const auto& [name, service] : configuration->values.services) {
+            if (!service.engine)
+                continue;
+            for (const auto* target : this->parts.view.targets.available(name)) {
+                if (target->availabilityZone != this->availabilityZone)
+                    continue;
+                running += this->parts.ledger.total(target->id, now).running;
+                places += service.engine->batchSlots;
+            }
+        }
+        return places > 0 ? running / places : -1;
+    }
+
     std::string makeNotice()
     {
         const auto now = this->parts.clock.now();
         wire::LoadNotice notice;
         notice.sender = this->address;
+        notice.availabilityZone = this->availabilityZone;
+        notice.zoneOccupancy = this->zoneOccupancy(now);
         notice.incarnation = this->incarnation;
         notice.sequence = ++this->sequence;
         notice.validMs = milliseconds(this->exchange.validity(now));
@@ -219,6 +247,7 @@
 
     Parts parts;
     std::string address;
+    std::string availabilityZone;
     PeerExchange exchange;
     udp::socket socket;
     RpcServer server;
@@ -231,8 +260,9 @@
     bool isLeaving { false };
 };
 
-PeerRunner::PeerRunner(const Parts& parts, std::string address, std::vector<std::string> seeds)
-    : state(std::make_unique<State>(parts, *this, std::move(address), std::move(seeds)))
+PeerRunner::PeerRunner(
+    const Parts& parts, std::string address, std::string availabilityZone, std::vector<std::string> seeds)
+    : state(std::make_unique<State>(parts, *this, std::move(address), std::move(availabilityZone), std::move(seeds)))
 {
 }
 
--- a/src/serving/PeerRunner.h
+++ b/src/serving/PeerRunner.h
@@ -35,7 +35,7 @@
     };
 
     // Everything that the parts refer to must outlive the runner. `address` is "IP:port", also for peers.
-    PeerRunner(const Parts& parts, std::string address, std::vector<std::string> seeds);
+    PeerRunner(const Parts& parts, std::string address, std::string availabilityZone, std::vector<std::string> seeds);
     ~PeerRunner() override;
 
     // Binds and starts. Throws boost::system::system_error when it cannot bind.
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -317,6 +317,8 @@
             { "runs", std::uint64_t { call.runs } }, { "longest_gap_ms", call.longestGap }, { "took_ms", took } });
     this->parts.metrics.counter("marigold_requests_total", "outcome=\"" + std::string { outcome } + "\"").increment();
     this->parts.metrics.histogram("marigold_request_seconds").record(took);
+    if (call.stream)
+        this->parts.metrics.histogram("marigold_longest_gap_seconds").record(call.longestGap);
 }
 
 HttpResponse ServingGateway::describeFault(HttpFault fault)
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -185,7 +185,7 @@
               TargetChooser { this->view.targets, this->ledger, this->health, settings.availabilityZone,
                   std::mt19937_64 { std::random_device {}() } })
         , peers({ context, clock, this->view, this->follower, this->ledger, this->waiting, this->log, this->metrics },
-              settings.peersAddress, settings.seeds)
+              settings.peersAddress, settings.availabilityZone, settings.seeds)
         , readyHandler(this->isReady)
         , metricsHandler(this->metrics)
         , callers(context, this->gateway)
@@ -212,14 +212,37 @@
     asio::awaitable<void> keepHouse()
     {
         while (true) {
-            co_await this->pause(this->isReady ? HousekeepingPeriod : HousekeepingPeriod / 20);
+            const auto period = this->isReady ? HousekeepingPeriod : HousekeepingPeriod / 20;
+            const auto due = this->clock.now() + period;
+            co_await this->pause(period);
+            this->metrics.histogram("marigold_loop_delay_seconds").record(this->clock.now() - due);
             this->updateReadiness();
             this->client.closeStaleConnections();
             this->health.expire(this->clock.now());
             this->budget.noteInstances(this->peers.livePeers() + 1);
+            this->updateGauges();
         }
     }
 
+    void updateGauges()
+    {
+        const auto now = this->clock.now();
+        const auto seconds = [](Duration duration) {
+            return std::chrono::duration<double> { duration }.count();
+        };
+        if (const auto age = this->view.targets.age(now))
+            this->metrics.gauge("marigold_targets_age_seconds").set(seconds(*age));
+        this->metrics.gauge("marigold_configuration_version").set(static_cast<double>(this->view.version()));
+        this->metrics.gauge("marigold_live_peers").set(static_cast<double>(this->peers.livePeers()));
+        this->metrics.gauge("marigold_requests_active").set(static_cast<double>(this->callers.activeExchanges()));
+        this->metrics.gauge("marigold_log_lines_dropped").set(static_cast<double>(this->log.dropped()));
+        if (!this->view.configuration())
+            return;
+        for (const auto& [name, service] : this->view.configuration()->values.services)
+            this->metrics.gauge("marigold_retry_budget_left", "service=\"" + name + "\"")
+                .set(this->budget.left(name, now));
+    }
+
     asio::io_context& context;
     const Clock& clock;
     ServingNodeSettings settings;
--- a/src/serving/TargetChooser.cpp
+++ b/src/serving/TargetChooser.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <limits>
+#include <span>
+
+#include "serving/PeerExchange.h"
 
 namespace marigoldpaddle {
 
@@ -20,6 +23,9 @@
 // engines: the choice is left to chance, which outweighs every preference. Peers are heard within a second.
 constexpr double StartRandomMs = 1500;
 constexpr Duration StartPeriod = std::chrono::seconds { 2 };
+// A zone whose engines have this share of their places taken has room for prompts of others; beyond it their own would
+// soon have to go elsewhere.
+constexpr double RoomyOccupancy = 0.8;
 
 Duration durationFrom(double milliseconds)
 {
@@ -88,11 +94,54 @@
     return choice;
 }
 
+// Once notices do not reach all peers, the loads of other zones' engines are known in part only. These are used where
+// the own zone has no place, and one of the others says that it has.
+std::optional<PromptPlan> TargetChooser::planNearby(const PromptPlacement& placement, const PromptDemand& prompt,
+    std::span<const EngineCandidate> candidates, TimePoint now) const
+{
+    const auto planIn = [&](std::string_view zone) {
+        std::vector<std::size_t> indexes;
+        std::vector<EngineCandidate> engines;
+        for (std::size_t index = 0; index < candidates.size(); ++index) {
+            if (candidates[index].target->availabilityZone != zone)
+                continue;
+            indexes.push_back(index);
+            engines.push_back(candidates[index]);
+        }
+        auto plan = placement.plan(prompt, engines);
+        if (plan) {
+            plan->writer = indexes[plan->writer];
+            std::ranges::transform(
+                plan->helpers, plan->helpers.begin(), [&](std::size_t helper) { return indexes[helper]; });
+        }
+        return plan;
+    };
+    auto near = planIn(this->availabilityZone);
+    // Long reads take many engines, whose loads have to be known.
+    if (near && (near->isLong || !near->shouldWait))
+        return near;
+    std::string_view emptiest;
+    auto least = RoomyOccupancy;
+    for (const auto& candidate : candidates) {
+        const std::string_view zone = candidate.target->availabilityZone;
+        const auto occupancy = this->ledger.zoneOccupancy(zone, now);
+        if (zone == this->availabilityZone || occupancy.value_or(1) >= least)
+            continue;
+        least = *occupancy;
+        emptiest = zone;
+    }
+    auto far = emptiest.empty() ? std::nullopt : planIn(emptiest);
+    if (far && !far->shouldWait)
+        return far;
+    return near ? near : placement.plan(prompt, candidates);
+}
+
 std::optional<TargetChoice> TargetChooser::chooseEngines(const ChoiceDemand& demand, TimePoint now)
 {
     std::vector<EngineCandidate> candidates;
     this->firstChoiceAt = this->firstChoiceAt.value_or(now);
-    const bool isStarting = now - *this->firstChoiceAt < StartPeriod && !this->ledger.knowsPeers(now);
+    const auto peers = this->ledger.knownPeers(now);
+    const bool isStarting = now - *this->firstChoiceAt < StartPeriod && peers == 0;
     std::uniform_real_distribution<double> chance { 0, isStarting ? StartRandomMs : RandomMs };
     for (const auto* target : this->usable(demand, now)) {
         candidates.push_back({ target, this->ledger.total(target->id, now),
@@ -106,7 +155,8 @@
     prompt.routeObjective = demand.route.objective;
     prompt.remaining = demand.remaining;
     prompt.tightestGap = demand.service.tightestGap;
-    const auto plan = placement.plan(prompt, candidates);
+    auto plan = peers > PeerExchange::Fanout ? this->planNearby(placement, prompt, candidates, now)
+                                             : placement.plan(prompt, candidates);
     if (!plan)
         return std::nullopt;
     TargetChoice choice;
--- a/src/serving/TargetChooser.h
+++ b/src/serving/TargetChooser.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -60,6 +61,8 @@
     std::vector<const TargetEntry*> usable(const ChoiceDemand& demand, TimePoint now) const;
     std::optional<TargetChoice> choosePlain(const ChoiceDemand& demand, TimePoint now);
     std::optional<TargetChoice> chooseEngines(const ChoiceDemand& demand, TimePoint now);
+    std::optional<PromptPlan> planNearby(const PromptPlacement& placement, const PromptDemand& prompt,
+        std::span<const EngineCandidate> candidates, TimePoint now) const;
 
     const TargetDirectory& targets;
     const LoadLedger& ledger;
--- a/test/PeerExchange_test.cpp
+++ b/test/PeerExchange_test.cpp
@@ -1,6 +1,8 @@
 #include "serving/PeerExchange.h"
 
 #include <algorithm>
+#include <set>
+#include <string>
 
 #include <gtest/gtest.h>
 
@@ -35,9 +37,37 @@
 
     TimePoint now { 1h };
     OwnKnowledge own { 1, 100ms };
-    PeerExchange exchange { "10.0.0.1:1", { "10.0.0.1:1", "10.0.0.2:1" }, std::mt19937_64 { 1 } };
+    PeerExchange exchange { "10.0.0.1:1", "zone-a", { "10.0.0.1:1", "10.0.0.2:1" }, std::mt19937_64 { 1 } };
 };
 
+// 60 instances in three zones: those that share engines hear of every prompt, some others once in a while.
+TEST_F(PeerExchangeTest, PeersOfTheOwnZoneAreToldFirstWhenThereAreTooManyForAll)
+{
+    for (int number = 2; number <= 60; ++number) {
+        auto heard = this->notice("10.0.0." + std::to_string(number) + ":1", 1);
+        heard.availabilityZone = number <= 20 ? "zone-a" : number <= 40 ? "zone-b" : "zone-c";
+        this->exchange.receive(heard, this->now);
+    }
+    this->exchange.greet(this->now);
+    std::set<std::string> told;
+    for (const auto& send : only<SendNotice>(this->exchange.nudge(this->now)))
+        told.insert(send.address);
+    EXPECT_EQ(told.size(), 19U + PeerExchange::FarFanout);
+    for (int number = 2; number <= 20; ++number)
+        EXPECT_TRUE(told.contains("10.0.0." + std::to_string(number) + ":1"));
+}
+
+TEST_F(PeerExchangeTest, AllPeersAreToldWhileTheyAreFewWhateverTheirZone)
+{
+    for (int number = 2; number <= 9; ++number) {
+        auto heard = this->notice("10.0.0." + std::to_string(number) + ":1", 1);
+        heard.availabilityZone = number % 2 == 0 ? "zone-a" : "zone-b";
+        this->exchange.receive(heard, this->now);
+    }
+    this->exchange.greet(this->now);
+    EXPECT_EQ(only<SendNotice>(this->exchange.nudge(this->now)).size(), 8U);
+}
+
 TEST_F(PeerExchangeTest, SeedsAreTriedOftenAtFirstAndThenOnceASecond)
 {
     const auto first = only<SendNotice>(this->exchange.tick(this->own, false, this->now));
--- a/test/TargetChooser_test.cpp
+++ b/test/TargetChooser_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include "serving/PeerExchange.h"
+
 namespace marigoldpaddle {
 namespace {
 
@@ -55,6 +57,63 @@
     std::set<std::string> tried;
 };
 
+// More instances than each can tell of every prompt.
+class TargetChooserOfManyTest : public TargetChooserTest {
+protected:
+    TargetChooserOfManyTest()
+    {
+        for (int peer = 0; peer <= static_cast<int>(PeerExchange::Fanout); ++peer)
+            this->ledger.applyPeer("peer" + std::to_string(peer), {}, this->now, 10s);
+    }
+
+    void fillOwnZone()
+    {
+        for (int number = 0; number < 7; ++number) {
+            for (int answer = 0; answer < 16; ++answer)
+                this->ledger.noteRead(
+                    this->ledger.begin("e" + std::to_string(100 + number), { 0, 0, false, true, 200ms }, this->now));
+        }
+    }
+
+    std::string zoneOf(std::int64_t promptTokens)
+    {
+        auto chooser = this->chooser(this->ledger, 1);
+        const auto choice = chooser.choose(
+            { this->route, this->engines, PromptSize { promptTokens, 1000 }, this->tried, {}, 10s }, this->now);
+        return choice ? choice->target.availabilityZone : "none";
+    }
+};
+
+TEST_F(TargetChooserOfManyTest, PromptsStayOnEnginesWhoseLoadsAreKnown)
+{
+    EXPECT_EQ(this->zoneOf(5000), "a");
+    EXPECT_EQ(this->zoneOf(210'000), "a");
+}
+
+TEST_F(TargetChooserOfManyTest, ShortPromptWithoutAPlaceGoesToTheZoneWithTheMostRoom)
+{
+    this->fillOwnZone();
+    EXPECT_EQ(this->zoneOf(5000), "a") << "nobody said that there is room";
+    this->ledger.applyZone("b", 0.5, this->now);
+    this->ledger.applyZone("c", 0.3, this->now);
+    EXPECT_EQ(this->zoneOf(5000), "c");
+}
+
+TEST_F(TargetChooserOfManyTest, ZoneThatIsAlmostFullOrNotHeardLatelyGetsNoPromptsOfOthers)
+{
+    this->fillOwnZone();
+    this->ledger.applyZone("b", 0.9, this->now);
+    this->ledger.applyZone("c", 0.3, this->now - 5s);
+    EXPECT_EQ(this->zoneOf(5000), "a");
+}
+
+TEST_F(TargetChooserOfManyTest, ZoneWithoutEnginesOfItsOwnUsesAllOthers)
+{
+    for (int number = 0; number < 7; ++number)
+        this->targets.markLeaving("e" + std::to_string(100 + number));
+    EXPECT_NE(this->zoneOf(5000), "none");
+}
+
 // After all instances were killed, the callers' requests arrive at all of them at once, and none knows the others'
 // loads.
 TEST_F(TargetChooserTest, InstancesThatStartTogetherDoNotFillTheSameEngines)
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -318,6 +318,8 @@
     8: list<TargetLoadRecord> loads
     9: list<string> peers
     10: i64 waitingStartByMs // When the most urgent prompt that waits at the sender must be placed; negative without one.
+    11: string availabilityZone // Of the sender.
+    12: double zoneOccupancy // Share of the places that are taken on the engines of that zone; negative if not known.
 }
 
 // Asks an instance for what it took from the platform: by an instance that the platform turns away.
