Make the large state of the checkpoint test of several edits

Cause: ConfigurationCheckpointTest.CheckpointLargerThanOneRecordIsPutTogetherFromPartsOfTwoWriters put 4,000 sections into one change.

Change: eight edits of 500 sections give the same 4,000; the checks are unchanged.

--- a/test/ConfigurationState_test.cpp
+++ b/test/ConfigurationState_test.cpp
@@ -301,10 +301,13 @@
 TEST(ConfigurationCheckpointTest, CheckpointLargerThanOneRecordIsPutTogetherFromPartsOfTwoWriters)
 {
     ConfigurationState state;
-    PresetSectionChanges sections;
-    for (std::uint64_t i = 0; i < 4000; ++i)
-        sections.emplace("workspace ü" + std::to_string(i), workspaceSection(i));
-    ASSERT_TRUE(applyNext(state, editOf("one", "p", 0, std::move(sections))).isAccepted);
+    for (std::uint64_t edit = 0; edit < 8; ++edit) {
+        PresetSectionChanges sections;
+        for (std::uint64_t i = 500 * edit; i < 500 * (edit + 1); ++i)
+            sections.emplace("workspace ü" + std::to_string(i), workspaceSection(i));
+        const auto id = "edit" + std::to_string(edit);
+        ASSERT_TRUE(applyNext(state, editOf(id, "p", state.nextOffset(), std::move(sections))).isAccepted);
+    }
     const auto parts = checkpointOf(state);
     ASSERT_GT(parts.size(), 1U);
     auto other = state;
