Keep the platform's names out of the bench of the instance list

Cause: bench/capacity_bench.cpp wrote topics, fields and a path of the platform itself; only platform/, the stand-ins and tests may know them.

Change: StoreStandin registers instances and engines from the project's types and counts the bytes of all listings.

Ruled out: reading the pages through StoreClient in the bench, which hides their size.

Conclusion: no file outside platform/, standins/, test/ and tools/ names the platform's wire.

--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -111,22 +111,18 @@
     asio::awaitable<void> measure()
     {
         for (int number = 0; number < this->instances; ++number)
-            this->platform.put("keyed.instances", "instance-" + std::to_string(number),
-                R"({"zone":")" + zoneOf(number)
-                    + R"(","dispatcher":"10.20.30.40:7001","membership":"10.20.30.40:7000","born":1796347705035})");
+            this->platform.registerInstance({ "instance-" + std::to_string(number), zoneOf(number), "10.20.30.40:7001",
+                "10.20.30.40:7000", 1796347705035, false });
         for (int number = 0; number < this->targets; ++number)
-            this->platform.put("keyed.servers", "engine-" + std::to_string(number),
-                R"({"service":"model-3","address":"10.20.30.40:8000","zone":")" + zoneOf(number)
-                    + R"(","state":"ready","slots":16,"born":1796347705035})");
-        auto request = makeRequest(http::verb::get, "/api/log-newest?topic=keyed.servers&part=0", {});
-        auto raw = co_await this->client.call(this->address, std::move(request), 10s);
+            this->platform.registerEngine({ "engine-" + std::to_string(number), TargetKind::Engine, "10.20.30.40:8000",
+                zoneOf(number), "model-3", 1796347705035, false, 0 });
         platform::StoreClient store { this->client, this->address, 10s };
         const platform::RecordFormat records;
         platform::StoreInstanceList list { store, records };
         const auto start = processorSeconds();
         auto listing = co_await list.list();
         const auto milliseconds = 1000 * (processorSeconds() - start);
-        std::printf("%9d %8d %12zu %14.2f %s\n", this->instances, this->targets, raw ? raw.value().body().size() : 0,
+        std::printf("%9d %8d %12zu %14.2f %s\n", this->instances, this->targets, this->platform.bytesListed(),
             milliseconds, listing ? "" : "could not be read");
     }
 
--- a/standins/StoreStandin.cpp
+++ b/standins/StoreStandin.cpp
@@ -70,6 +70,7 @@
     } else {
         auto response
             = resource == LogNewestPath ? this->newest(path) : jsonResponse(404, json::object { { "error", "path" } });
+        this->listedBytes += resource == LogNewestPath ? response.body().size() : 0;
         co_await exchange.respond(std::move(response));
     }
 }
@@ -84,6 +85,26 @@
     this->add(topic, encodeKeyed(key, value));
 }
 
+void StoreStandin::registerInstance(const InstanceDescription& instance)
+{
+    const json::object entry { { "zone", instance.availabilityZone }, { "dispatcher", instance.dispatcherAddress },
+        { "membership", instance.membershipAddress }, { "born", instance.incarnation } };
+    this->put(std::string { InstancesTopic }, instance.name, json::serialize(entry));
+}
+
+void StoreStandin::registerEngine(const TargetDescription& engine)
+{
+    const json::object entry { { "service", engine.serves }, { "address", engine.address },
+        { "zone", engine.availabilityZone }, { "state", engine.isLeaving ? DrainingState : ReadyState },
+        { "slots", 16 }, { "born", engine.incarnation } };
+    this->put(std::string { TargetsTopic }, engine.name, json::serialize(entry));
+}
+
+std::size_t StoreStandin::bytesListed() const
+{
+    return this->listedBytes;
+}
+
 void StoreStandin::trim(const std::string& topic, std::uint64_t offset)
 {
     auto& kept = this->topics[topic];
--- a/standins/StoreStandin.h
+++ b/standins/StoreStandin.h
@@ -7,6 +7,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <marigoldpaddle/PlatformLog.h>
+
 #include "standins/StandinProgram.h"
 
 namespace marigoldpaddle::standins {
@@ -33,6 +35,13 @@
     // Writes a record of a keyed topic; an empty value removes the key.
     void put(const std::string& topic, const std::string& key, const std::string& value);
 
+    // Write the entries of an instance of the system and of an engine, as the real writers do.
+    void registerInstance(const InstanceDescription& instance);
+    void registerEngine(const TargetDescription& engine);
+
+    // Bytes of all answers so far that gave the newest records of a topic.
+    std::size_t bytesListed() const;
+
     // Drops the records before `offset`. The newest record of each key stays.
     void trim(const std::string& topic, std::uint64_t offset);
 
@@ -66,6 +75,7 @@
 
     boost::asio::io_context& context;
     std::size_t keptRecords;
+    std::size_t listedBytes { 0 };
     std::map<std::string, Topic, std::less<>> topics;
     boost::asio::steady_timer appended; // Cancelled by every append.
 };
