Sharpen two tests that passed without their mechanism; one copy of strikes()

Taken out one at a time: TargetWhoseAddressIsAnothersGetsNoMoreRequests passed without markLeaving (the pause after a declined send hid it), and SilentTargetOfTheLastAttemptIsHeardUntilTheDeadline without mayLeave (700 ms of silence are heard either way, three objectives are 900).

Change: the first also looks at the directory, the second is silent for 1.2 s. Both fail without the mechanism and pass with it. strikes() stands once, in StandinProgram.

Ruled out: faults of the mechanisms themselves; the other tests named here failed without theirs: maySendAgain, the 502 or 504 of finishUnserved, id and seal of answers, MostWeight, BulkShareOfObjective, LateWorth, HopelessShareOnFreeEngines, the wait of late prompts, the refusal of harmful ones, planNearby, near peers first, hasUnknownCoding.

--- a/standins/PlatformEngineStandin.cpp
+++ b/standins/PlatformEngineStandin.cpp
@@ -27,14 +27,6 @@
 
 constexpr Duration PartTimeout = std::chrono::seconds { 10 };
 
-bool strikes(std::uint64_t& remaining)
-{
-    if (remaining == 0)
-        return false;
-    --remaining;
-    return true;
-}
-
 // A helper as the request names it: "IP:port" or "IP:port/ticket".
 struct Helper {
     std::string address;
--- a/standins/ServiceStandin.cpp
+++ b/standins/ServiceStandin.cpp
@@ -23,15 +23,6 @@
     return field == request.end() ? std::string {} : std::string { field->value() };
 }
 
-// Uses up one of a limited number of faults.
-bool strikes(std::uint64_t& remaining)
-{
-    if (remaining == 0)
-        return false;
-    --remaining;
-    return true;
-}
-
 json::object toJson(const std::map<std::string, std::uint64_t, std::less<>>& counts)
 {
     json::object object;
--- a/standins/StandinProgram.cpp
+++ b/standins/StandinProgram.cpp
@@ -65,6 +65,14 @@
     return !failure && value.is_object() ? value.as_object() : json::object {};
 }
 
+bool strikes(std::uint64_t& remaining)
+{
+    if (remaining == 0)
+        return false;
+    --remaining;
+    return true;
+}
+
 HttpResponse faultResponse(HttpFault fault)
 {
     const unsigned status = fault == HttpFault::BodyTooLarge ? 413 : 400;
--- a/standins/StandinProgram.h
+++ b/standins/StandinProgram.h
@@ -36,6 +36,9 @@
         field = boost::json::value_to<Field>(*value);
 }
 
+// Uses up one of a limited number of faults.
+bool strikes(std::uint64_t& remaining);
+
 // Answers requests that could not be read.
 HttpResponse faultResponse(HttpFault fault);
 
--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -319,6 +319,8 @@
     for (int call = 0; call < 8; ++call)
         EXPECT_EQ(this->status("/unsafe/x"), 200U);
     EXPECT_LE(this->first.received.size(), 1U);
+    // Not only for the pause after a send that was declined.
+    EXPECT_EQ(this->view.targets.available("s").size(), 1U);
 }
 
 TEST_F(ServingGatewayTest, StreamIsPassedOnWhole)
@@ -382,7 +384,8 @@
 TEST_F(ServingGatewayTest, SilentTargetOfTheLastAttemptIsHeardUntilTheDeadline)
 {
     this->first.script = { [this](HttpExchange& exchange) -> asio::awaitable<void> {
-        asio::steady_timer timer { this->context, 700ms };
+        // Longer than a target is heard while another one could take the request: three objectives.
+        asio::steady_timer timer { this->context, 1200ms };
         co_await timer.async_wait(asio::use_awaitable);
         auto response = answer(exchange, 200, "late");
         co_await exchange.respond(std::move(response));
