Bound the unsent bytes of a caller that stops reading

The send timeout begins when a write blocks, and a write blocks only when the kernel's buffers are full. The kernel grows the send buffer of a connection to megabytes, so that the gateway first relays that much of the answer, one small event a write; under the sanitizers and beside load that alone took the ten seconds of the harness. In the product the same delay keeps an engine generating for a caller that no longer reads, and each such caller costs megabytes of kernel memory. Ruled out: a lost timer (the stream's timer is armed before each write), and the harness's limit, which stays at 10 s. Change: HttpServerLimits::sendBufferBytes, 128 KiB, set on each accepted connection.

FaultsGatewayTest.StreamOfFailedEngineContinuesOnAnotherEngineWithTokensAppended now exercises its fault: the engine's stream breaks after 20 of 40 tokens and nothing listens at its address any more. It checks in addition that the stream moved once and that the failed engine was excluded.

--- a/src/base/HttpServer.cpp
+++ b/src/base/HttpServer.cpp
@@ -317,6 +317,9 @@
             co_return;
         if (state->sessions.size() >= state->limits.connections)
             continue;
+        error_code ignored;
+        socket->set_option(
+            asio::socket_base::send_buffer_size(static_cast<int>(state->limits.sendBufferBytes)), ignored);
         auto session = std::make_shared<Session>(std::move(*socket), state);
         asio::co_spawn(
             state->context, [session]() -> asio::awaitable<void> { co_await session->run(); }, asio::detached);
--- a/src/base/HttpServer.h
+++ b/src/base/HttpServer.h
@@ -22,6 +22,9 @@
     Duration idleTimeout { std::chrono::seconds { 15 } }; // Until the first byte of the next request.
     Duration receiveTimeout { std::chrono::seconds { 15 } }; // From the first to the last byte of a request.
     Duration sendTimeout { std::chrono::seconds { 10 } }; // For each write of a response.
+    // Kernel buffer for unsent bytes of a connection. Left to itself it grows to megabytes for a caller that does not
+    // read, which delays the send timeout by the time that it takes to fill.
+    std::size_t sendBufferBytes { 128 * 1024 };
 };
 
 // Why a request was rejected before it reached the handler.
--- a/test/Gateway_test.cpp
+++ b/test/Gateway_test.cpp
@@ -341,19 +341,23 @@
     this->expectNoResourcesHeld();
 }
 
+// An engine dies in the middle of a stream: its connection breaks and nothing listens at its address any more. The
+// stream has to continue on another engine, after the tokens that the caller already has.
 TEST_F(FaultsGatewayTest, StreamOfFailedEngineContinuesOnAnotherEngineWithTokensAppended)
 {
     HttpResponse answer;
     ASSERT_TRUE(this->harness.run([&]() -> asio::awaitable<void> {
+        co_await this->harness.setFaults(0, R"({"cut_after_tokens":20})");
         auto started = co_await this->harness.callerClient.start(
             this->harness.address, this->harness.prompt(PromptText, MaximumTokens, true), std::chrono::seconds { 5 });
         auto body = co_await started.value().readSome(std::chrono::seconds { 5 });
         this->harness.engines[0].server.reset();
-        co_await this->harness.setFaults(0, R"({"cut_after_tokens":1,"frozen":true})");
         auto rest = co_await started.value().readAll(std::chrono::seconds { 15 });
         answer.body() = body.value() + rest.value();
     }));
     EXPECT_EQ(streamedText(answer.body()), this->expectedText);
+    EXPECT_EQ(this->harness.retries("stream_moved"), 1u) << "the stream did not move to another engine";
+    EXPECT_THAT(this->harness.dispatcher.excludedTargetsByAcquire.back(), ::testing::ElementsAre("engine-1"));
 }
 
 // The dispatcher grants a target that the gateway's view already marks as leaving.
