Free the memory of a prompt whose engine went dark

Two more ways were found while reading: releases were sent one after the other, so that an engine that did not answer delayed the others by 0.8 s each, and a release without an answer was not repeated; and a release could overtake a renewal in progress. Change: connections to targets are probed after a second of silence (TCP keep-alive, two probes), which ends the call within three seconds of the loss; each reservation has its own task, which sends its orders one after the other and repeats a release until it is confirmed or has expired. Tests without the change: 3 of MemoryLeaseTest and HttpClientSilentServerTest.ConnectionIsProbedWhileAnAnswerIsAwaited failed; they pass now.

--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -53,8 +53,22 @@
 
 namespace {
 
+using KeepAliveIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using KeepAliveInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using KeepAliveCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
+constexpr int LostProbes = 2; // Unanswered probes after which the connection fails.
+
+void enableProbes(tcp::socket& socket, std::chrono::seconds after)
+{
+    error_code ignored; // Without probes the other time limits still apply.
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(KeepAliveIdle { static_cast<int>(after.count()) }, ignored);
+    socket.set_option(KeepAliveInterval { 1 }, ignored);
+    socket.set_option(KeepAliveCount { LostProbes }, ignored);
+}
+
 HttpError responseError(const error_code& failure)
 {
     if (failure == beast::error::timeout)
@@ -231,6 +245,8 @@
         const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(this->limits.unacknowledgedTimeout);
         socket.set_option(UserTimeout { static_cast<int>(timeout.count()) }, failure);
     }
+    if (this->limits.probeAfter > std::chrono::seconds { 0 })
+        enableProbes(socket, this->limits.probeAfter);
     co_return connection;
 }
 
--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -20,6 +20,9 @@
     Duration idleLifetime { std::chrono::seconds { 60 } }; // A shorter Keep-Alive timeout of the server has priority.
     // TCP_USER_TIMEOUT: a connection fails when sent data stays unacknowledged for this long; 0: the system's default.
     Duration unacknowledgedTimeout { 0 };
+    // Silence after which a connection is probed (TCP keep-alive), in whole seconds; 0: never. A host that has lost its
+    // power sends no reset, so that nothing else ends a call that only waits for bytes.
+    std::chrono::seconds probeAfter { 0 };
 };
 
 enum class ConnectionReuse {
--- a/src/serving/MemoryLease.h
+++ b/src/serving/MemoryLease.h
@@ -35,8 +35,8 @@
 
 private:
     struct State;
-    static boost::asio::awaitable<void> renew(std::shared_ptr<State> state);
-    static boost::asio::awaitable<void> releaseAll(std::shared_ptr<State> state);
+    struct HeldReservation;
+    static boost::asio::awaitable<void> maintain(std::shared_ptr<State> state, std::shared_ptr<HeldReservation> item);
 
     std::shared_ptr<State> state;
 };
