--- a/src/serving/CallFormat.h
+++ b/src/serving/CallFormat.h
@@ -52,6 +52,7 @@
     bool isSealed { false }; // Carries the target's seal: not altered on the way.
     bool wasNotExecuted { false }; // The target states that it has not executed the request.
     bool isMisdirected { false }; // Another target now uses this address.
+    std::string faultyTarget; // Id or address of the helper that is at fault; empty if the answering target is.
     bool isLeaving { false }; // The target is leaving, or closes this connection.
     bool hasContentEncoding { false }; // The body has a content encoding, so it is not as the target sent it.
 };
--- a/src/serving/ServingCall.h
+++ b/src/serving/ServingCall.h
@@ -21,6 +21,7 @@
     const ServiceProfile* service { nullptr };
     std::string workspace;
     std::set<std::string> tried;
+    std::string currentTarget; // Id of the target that has the request now; empty between attempts.
     unsigned tries { 0 };
     unsigned runs { 0 }; // Attempts that may have been executed.
     std::optional<Duration> retryAfter; // Retry-After of a refusal, if it differs from the default.
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -81,8 +81,12 @@
         co_return co_await this->refuse(call, 503, "no_configuration");
     call.route = call.configuration->routes.find(
         exchange.request()[boost::beast::http::field::host], exchange.request().target());
-    if (!call.route)
+    if (!call.route) {
+        this->parts.log.write("no_route",
+            { { "id", call.metadata.attemptId }, { "host", exchange.request()[boost::beast::http::field::host] },
+                { "path", exchange.request().target() }, { "version", this->parts.view.version() } });
         co_return co_await this->refuse(call, 404, "no_route");
+    }
     if (!this->admit(call))
         co_return co_await this->refuse(call, 401, "unknown_key");
     const auto allowedTime = std::min(call.route->timeout, call.metadata.remaining.value_or(call.route->timeout));
@@ -92,6 +96,8 @@
 
     const auto first
         = co_await (this->forward(call) || this->waitForCallerDisconnect(call) || this->waitUntilDeadline(call));
+    if (first.index() != 0)
+        this->recordInterruptedAttempt(call, first.index() == 1 ? "caller_gone" : "deadline");
     if (first.index() == 1)
         this->finish(call, "caller_gone", 0);
     else if (first.index() == 2 && !call.hasResponseStarted)
@@ -317,8 +323,9 @@
     const auto took = this->parts.clock.now() - call.receivedAt;
     const auto route = call.route ? std::string_view { call.route->name } : std::string_view { "-" };
     this->parts.log.write("finished",
-        { { "id", call.metadata.attemptId }, { "route", route }, { "workspace", call.workspace },
-            { "outcome", outcome }, { "status", std::uint64_t { status } }, { "tries", std::uint64_t { call.tries } },
+        { { "id", call.metadata.attemptId }, { "route", route },
+            { "workspace", call.workspace.empty() ? "-" : std::string_view { call.workspace } }, { "outcome", outcome },
+            { "status", std::uint64_t { status } }, { "tries", std::uint64_t { call.tries } },
             { "runs", std::uint64_t { call.runs } }, { "longest_gap_ms", call.longestGap }, { "took_ms", took } });
     this->parts.metrics.counter("marigold_requests_total", "outcome=\"" + std::string { outcome } + "\"").increment();
     this->parts.metrics.histogram("marigold_request_seconds").record(took);
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -106,7 +106,10 @@
     Duration gapTimeout(const Call& call, const std::string& target) const;
     bool mayFailOver(const Call& call) const; // Whether another target may take over from the current one.
     std::vector<LedgerEntry> recordWork(const TargetChoice& choice);
-    void recordOutcome(Call& call, const TargetChoice& choice, SendOutcome outcome, std::string_view detail);
+    void recordOutcome(Call& call, const TargetEntry& target, SendOutcome outcome, std::string_view detail);
+    AttemptResult recordDeclined(
+        Call& call, const TargetChoice& choice, const ResponseMetadata& response, TimePoint sentAt);
+    void recordInterruptedAttempt(Call& call, std::string_view detail);
     void finish(Call& call, std::string_view outcome, unsigned status);
 
     Parts parts;
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -44,15 +44,30 @@
     return "invalid";
 }
 
-class WriteTracker final : public WriteGate {
+// A helper that needs this long to decline is not answering the engine that asked it.
+constexpr Duration SilentHelperTime = std::chrono::seconds { 1 };
+
+// Allows the write unless the target began to leave while the connection or memory was awaited. Records whether the
+// request was written: from then on it may be executed.
+class TargetWriteGate final : public WriteGate {
 public:
+    TargetWriteGate(const TargetDirectory& targets, const TargetEntry& target)
+        : targets(targets)
+        , target(target)
+    {
+    }
+
     bool mayWrite() override
     {
-        this->isWritten = true;
-        return true;
+        this->isWritten = this->targets.acceptsWork(this->target);
+        return this->isWritten;
     }
 
     bool isWritten { false };
+
+private:
+    const TargetDirectory& targets;
+    const TargetEntry& target;
 };
 
 }
@@ -101,6 +116,7 @@
 asio::awaitable<ServingGateway::AttemptResult> ServingGateway::send(Call& call, const TargetChoice& choice)
 {
     auto work = this->recordWork(choice);
+    call.currentTarget = choice.target.id;
     const auto now = this->parts.clock.now();
     this->parts.log.write("sent",
         { { "id", call.metadata.attemptId }, { "try", std::uint64_t { call.tries } }, { "target", choice.target.id },
@@ -128,42 +144,64 @@
     if (call.tries == 1)
         this->parts.budget.recordFirstSend(call.service->name, now);
 
-    WriteTracker tracker;
+    TargetWriteGate gate { this->parts.view.targets, choice.target };
+    const auto sentAt = this->parts.clock.now();
     const auto reuse = call.route->mayRunAgain() ? ConnectionReuse::Allowed : ConnectionReuse::Forbidden;
     auto answer = co_await this->parts.client.start(choice.target.address,
         this->parts.format.makeTargetRequest(call.exchange.request(), forwarding), this->firstByteTimeout(call, choice),
-        reuse, &tracker);
+        reuse, &gate);
     if (!answer) {
-        this->recordOutcome(call, choice, SendOutcome::Unreachable, name(answer.error()));
-        co_return tracker.isWritten ? AttemptResult::MayHaveRun : AttemptResult::NotSent;
+        this->recordOutcome(call, choice.target, SendOutcome::Unreachable, name(answer.error()));
+        co_return gate.isWritten ? AttemptResult::MayHaveRun : AttemptResult::NotSent;
     }
     auto& received = answer.value();
     const auto response = this->parts.format.responseMetadata(received.header());
     if (response.attemptId != call.metadata.attemptId) {
         received.discard();
-        this->recordOutcome(call, choice, SendOutcome::Failed, "answer_to_other_request");
+        this->recordOutcome(call, choice.target, SendOutcome::Failed, "answer_to_other_request");
         co_return AttemptResult::MayHaveRun;
     }
-    if (response.isMisdirected)
-        this->parts.view.targets.markLeaving(choice.target.id);
-    if (response.wasNotExecuted) {
-        this->recordOutcome(call, choice, SendOutcome::Declined, response.isMisdirected ? "other_target" : "not_run");
-        co_return AttemptResult::NotRun;
-    }
+    if (response.wasNotExecuted)
+        co_return this->recordDeclined(call, choice, response, sentAt);
     const auto status = received.header().result_int();
     if (isSuccess(status) && (!response.isSealed || response.hasContentEncoding)) {
         received.discard();
-        this->recordOutcome(call, choice, SendOutcome::Failed, "unsealed");
+        this->recordOutcome(call, choice.target, SendOutcome::Failed, "unsealed");
         co_return AttemptResult::MayHaveRun;
     }
     if (call.route->kind == RouteKind::Stream && isSuccess(status))
         co_return co_await this->relayStream(call, received, choice, work);
     const auto ended = co_await this->relayWhole(call, received, choice.target.id);
     this->recordOutcome(
-        call, choice, ended == AttemptResult::Done ? SendOutcome::Answered : SendOutcome::Failed, "whole");
+        call, choice.target, ended == AttemptResult::Done ? SendOutcome::Answered : SendOutcome::Failed, "whole");
     co_return ended;
 }
 
+// Records that the target, or a helper that it names, has not executed the request. The next attempt avoids whoever is
+// at fault.
+ServingGateway::AttemptResult ServingGateway::recordDeclined(
+    Call& call, const TargetChoice& choice, const ResponseMetadata& response, TimePoint sentAt)
+{
+    const auto isAtFault = [&](const TargetEntry& helper) {
+        return helper.address == response.faultyTarget || helper.id == response.faultyTarget;
+    };
+    const auto helper = std::ranges::find_if(choice.helpers, isAtFault);
+    const bool isHelper = helper != choice.helpers.end();
+    const auto& target = isHelper ? *helper : choice.target;
+    if (response.isMisdirected)
+        this->parts.view.targets.markLeaving(target.id);
+    const bool isSilent = isHelper && this->parts.clock.now() - sentAt >= SilentHelperTime;
+    this->recordOutcome(call, target, isSilent ? SendOutcome::Unreachable : SendOutcome::Declined,
+        response.isMisdirected ? "other_target"
+            : isHelper         ? "helper_declined"
+                               : "not_run");
+    if (isHelper) {
+        call.tried.erase(choice.target.id);
+        call.tried.insert(target.id);
+    }
+    return AttemptResult::NotRun;
+}
+
 // Reserves memory on the first `choice.reservations` helpers and adds the ids to `forwarding`. False when one fails;
 // the lease then releases the other reservations.
 asio::awaitable<bool> ServingGateway::reserveMemory(
@@ -222,7 +260,7 @@
         auto piece = co_await answer.readSome(std::min(timeout, this->remaining(call)));
         timeout = this->gapTimeout(call, choice.target.id);
         if (!piece) {
-            this->recordOutcome(call, choice, SendOutcome::Failed, name(piece.error()));
+            this->recordOutcome(call, choice.target, SendOutcome::Failed, name(piece.error()));
             co_return AttemptResult::MayHaveRun;
         }
         const bool isEnd = piece.value().empty();
@@ -247,13 +285,13 @@
             break;
         if (stream.isBroken() || (isEnd && stream.hasPartialEvent())) {
             answer.discard();
-            this->recordOutcome(call, choice, SendOutcome::Failed, "broken_events");
+            this->recordOutcome(call, choice.target, SendOutcome::Failed, "broken_events");
             co_return AttemptResult::MayHaveRun;
         }
         if (!isEnd)
             continue;
         const bool isDelivered = co_await call.exchange.endStream();
-        this->recordOutcome(call, choice, SendOutcome::Answered, "stream");
+        this->recordOutcome(call, choice.target, SendOutcome::Answered, "stream");
         this->finish(call, isDelivered ? "answered" : "caller_gone", answer.header().result_int());
         co_return AttemptResult::Done;
     }
@@ -275,17 +313,28 @@
             { "prompt_tokens", call.metadata.prompt.value_or(PromptSize {}).promptTokens } });
 }
 
-void ServingGateway::recordOutcome(Call& call, const TargetChoice& choice, SendOutcome outcome, std::string_view detail)
+void ServingGateway::recordOutcome(Call& call, const TargetEntry& target, SendOutcome outcome, std::string_view detail)
 {
     if (call.isAbandoned)
         return;
+    call.currentTarget.clear();
     const auto now = this->parts.clock.now();
-    this->parts.health.recordOutcome(choice.target.id, outcome, now);
+    this->parts.health.recordOutcome(target.id, outcome, now);
     if (outcome == SendOutcome::Answered)
         return;
     this->parts.log.write("attempt_ended",
-        { { "id", call.metadata.attemptId }, { "target", choice.target.id }, { "outcome", outcomeName(outcome) },
+        { { "id", call.metadata.attemptId }, { "target", target.id }, { "outcome", outcomeName(outcome) },
             { "detail", detail }, { "after_ms", now - call.receivedAt } });
 }
 
+// Logs an attempt that was cut off while its target had the request. It says nothing about the target's health.
+void ServingGateway::recordInterruptedAttempt(Call& call, std::string_view detail)
+{
+    if (call.currentTarget.empty())
+        return;
+    this->parts.log.write("attempt_ended",
+        { { "id", call.metadata.attemptId }, { "target", call.currentTarget }, { "outcome", "interrupted" },
+            { "detail", detail }, { "after_ms", this->parts.clock.now() - call.receivedAt } });
+}
+
 }
--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -323,6 +323,57 @@
     EXPECT_EQ(this->view.targets.available("s").size(), 1U);
 }
 
+// A target began to leave while a request waited for its connection, and got the request all the same.
+TEST_F(ServingGatewayTest, RequestIsNotWrittenToATargetThatBeganToLeaveMeanwhile)
+{
+    this->registerTarget("t2", this->second.address);
+    const auto* target = this->view.targets.find("t1");
+    const auto chosen = *target;
+    EXPECT_TRUE(this->view.targets.acceptsWork(chosen));
+    this->view.targets.markLeaving("t1");
+    EXPECT_FALSE(this->view.targets.acceptsWork(chosen));
+    for (int call = 0; call < 8; ++call)
+        EXPECT_EQ(this->status("/unsafe/x"), 200U);
+    EXPECT_TRUE(this->first.received.empty());
+}
+
+// A helper of a long prompt is gone. The engine that asked it declines the prompt and names the helper; the next
+// attempt excluded that sound engine and asked the same helper again.
+TEST_F(ServingGatewayTest, HelperThatADecliningEngineNamesIsAvoidedInsteadOfTheEngine)
+{
+    ServingConfiguration values = this->view.configuration()->values;
+    values.version = 2;
+    values.services["s"].engine = EngineProfile { 16, 450'000, 46, 0.925, 0.00483, 0.00254, 256, 0.0917 };
+    this->view.install(std::move(values));
+    this->registerTarget("t2", this->second.address);
+    ScriptedTarget third { this->context };
+    this->registerTarget("t3", third.address);
+    std::string named;
+    unsigned declines = 0;
+    const auto declinesOnce = [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        const std::string helpers { exchange.request()["Marigoldpaddle-Helpers"] };
+        if (declines == 0 && !helpers.empty()) {
+            ++declines;
+            named = helpers.substr(0, helpers.find(','));
+            auto response = answer(exchange, 503, "", false);
+            response.set("Marigoldpaddle-Not-Executed", "1");
+            response.set("At-Server", named);
+            co_await exchange.respond(std::move(response));
+            co_return;
+        }
+        EXPECT_EQ(helpers.find(named), std::string::npos) << "the helper at fault was asked again";
+        const auto reaction = events("id: 1\n\n", true);
+        co_await reaction(exchange);
+    };
+    this->first.script = { declinesOnce };
+    this->second.script = { declinesOnce };
+    third.script = { declinesOnce };
+    auto prompt = this->request("/stream/x");
+    prompt.set("Marigoldpaddle-Token-Usage", "400000,100");
+    EXPECT_EQ(this->call(std::move(prompt)).value().body(), "id: 1\n\n");
+    EXPECT_EQ(declines, 1U);
+}
+
 TEST_F(ServingGatewayTest, StreamIsForwardedWhole)
 {
     this->first.script = { events("id: 1\n\nid: 2\n\n", true) };
