--- a/src/serving/LoadLedger.cpp
+++ b/src/serving/LoadLedger.cpp
@@ -52,6 +52,7 @@
     const auto handle = ++this->lastHandle;
     this->entries.emplace(handle, Entry { hash, work, now + std::chrono::duration_cast<Duration>(wait), false });
     this->byTarget[hash].push_back(handle);
+    this->changedTargets.insert(hash);
     return handle;
 }
 
@@ -73,11 +74,16 @@
     this->entries.erase(found);
 }
 
-void LoadLedger::updatePeer(
-    std::string_view peer, const std::unordered_map<std::uint64_t, TargetLoad>& loads, TimePoint now, Duration validity)
+void LoadLedger::updatePeer(std::string_view peer, const std::unordered_map<std::uint64_t, TargetLoad>& loads,
+    TimePoint now, Duration validity, ReportScope scope)
 {
     std::erase_if(this->peers, [&](const auto& item) { return now >= item.second.validUntil; });
-    this->peers.insert_or_assign(std::string { peer }, Peer { loads, now, now + validity });
+    auto& known = this->peers[std::string { peer }];
+    if (scope == ReportScope::Complete)
+        known.loads.clear();
+    for (const auto& [target, load] : loads)
+        known.loads.insert_or_assign(target, ReportedLoad { load, now });
+    known.validUntil = now + validity;
 }
 
 TargetLoad LoadLedger::total(std::string_view target, TimePoint now) const
@@ -85,19 +91,25 @@
     return this->totalOf(hashOf(target), now);
 }
 
-TargetLoad LoadLedger::totalOf(std::uint64_t target, TimePoint now) const
+TargetLoad LoadLedger::localLoad(std::uint64_t target, TimePoint now) const
 {
     TargetLoad sum;
     if (const auto handles = this->byTarget.find(target); handles != this->byTarget.end()) {
         for (const auto handle : handles->second)
             sum += this->entries.at(handle).load(now);
     }
+    return sum;
+}
+
+TargetLoad LoadLedger::totalOf(std::uint64_t target, TimePoint now) const
+{
+    auto sum = this->localLoad(target, now);
     for (const auto& [name, peer] : this->peers) {
         const auto found = peer.loads.find(target);
         if (found == peer.loads.end() || now >= peer.validUntil)
             continue;
-        auto load = found->second;
-        load.backlogMs = std::max(0.0, load.backlogMs - Milliseconds(now - peer.receivedAt).count());
+        auto load = found->second.load;
+        load.backlogMs = std::max(0.0, load.backlogMs - Milliseconds(now - found->second.receivedAt).count());
         sum += load;
     }
     return sum;
@@ -130,6 +142,14 @@
     return loads;
 }
 
+std::unordered_map<std::uint64_t, TargetLoad> LoadLedger::takeChangedLoads(TimePoint now)
+{
+    std::unordered_map<std::uint64_t, TargetLoad> loads;
+    for (const auto target : std::exchange(this->changedTargets, {}))
+        loads.emplace(target, this->localLoad(target, now));
+    return loads;
+}
+
 std::uint64_t LoadLedger::hashOf(std::string_view target)
 {
     return XXH3_64bits(target.data(), target.size());
--- a/src/serving/LoadLedger.h
+++ b/src/serving/LoadLedger.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -52,9 +53,13 @@
     void markPrefilled(Handle handle);
     void end(Handle handle);
 
-    // Replaces the loads reported by a peer. They count for `validity`. Targets are identified by hashOf().
+    // Whether a peer's report has the loads of all its targets or only of some.
+    enum class ReportScope { Complete, Partial };
+
+    // Replaces the loads reported by a peer, or some of them. All of them count for `validity` from now on. Targets are
+    // identified by hashOf().
     void updatePeer(std::string_view peer, const std::unordered_map<std::uint64_t, TargetLoad>& loads, TimePoint now,
-        Duration validity);
+        Duration validity, ReportScope scope = ReportScope::Complete);
 
     // Returns the load of a target from this instance and all peers with valid reports.
     TargetLoad total(std::string_view target, TimePoint now) const;
@@ -71,6 +76,9 @@
     // Returns the loads of this instance alone, by hash of the target.
     std::unordered_map<std::uint64_t, TargetLoad> localLoads(TimePoint now) const;
 
+    // Returns the loads of this instance on the targets that got work since the last call, by hash of the target.
+    std::unordered_map<std::uint64_t, TargetLoad> takeChangedLoads(TimePoint now);
+
     static std::uint64_t hashOf(std::string_view target);
 
 private:
@@ -83,9 +91,13 @@
         TargetLoad load(TimePoint now) const;
     };
 
-    struct Peer {
-        std::unordered_map<std::uint64_t, TargetLoad> loads;
+    struct ReportedLoad {
+        TargetLoad load;
         TimePoint receivedAt {};
+    };
+
+    struct Peer {
+        std::unordered_map<std::uint64_t, ReportedLoad> loads;
         TimePoint validUntil {};
     };
 
@@ -95,11 +107,13 @@
     };
 
     TargetLoad totalOf(std::uint64_t target, TimePoint now) const;
+    TargetLoad localLoad(std::uint64_t target, TimePoint now) const;
 
     std::unordered_map<Handle, Entry> entries;
     std::unordered_map<std::uint64_t, std::vector<Handle>> byTarget;
     std::map<std::string, Peer, std::less<>> peers;
     std::map<std::string, Zone, std::less<>> zones;
+    std::unordered_set<std::uint64_t> changedTargets; // Since the last takeChangedLoads().
     Handle lastHandle { 0 };
 };
 
--- a/src/serving/PeerExchange.cpp
+++ b/src/serving/PeerExchange.cpp
@@ -3,20 +3,28 @@
 #include <algorithm>
 #include <utility>
 
+#include <xxhash.h>
+
 namespace marigoldpaddle {
 
 namespace {
 
 constexpr std::size_t AddressesPerNotice = 4;
 constexpr Duration MinimumValidity = std::chrono::milliseconds { 1500 };
+// A list of targets that is older than this share of its bound is replaced by a peer's. By then the readers of the zone
+// have read it again, so this instance has missed an announcement or differs from them.
+constexpr double StaleTargetsShareOfBound = 0.45;
+// A peer's list has to be newer by this time to be fetched.
+constexpr Duration WorthwhileAgeDifference = std::chrono::milliseconds { 200 };
 
 }
 
-PeerExchange::PeerExchange(
-    std::string self, std::string availabilityZone, std::vector<std::string> seeds, std::mt19937_64 random)
+PeerExchange::PeerExchange(std::string self, std::string availabilityZone, std::vector<std::string> seeds,
+    Duration targetsBound, std::mt19937_64 random)
     : self(std::move(self))
     , availabilityZone(std::move(availabilityZone))
     , random(random)
+    , targetsBound(targetsBound)
 {
     for (auto& seed : seeds) {
         if (seed != this->self)
@@ -24,6 +32,11 @@
     }
 }
 
+void PeerExchange::setTargetsBound(Duration bound)
+{
+    this->targetsBound = bound;
+}
+
 bool PeerExchange::receive(const wire::LoadNotice& notice, TimePoint now)
 {
     if (notice.sender.empty() || notice.sender == this->self)
@@ -42,7 +55,8 @@
     peer.incarnation = notice.incarnation;
     peer.sequence = notice.sequence;
     peer.configurationVersion = static_cast<std::uint64_t>(notice.configurationVersion);
-    peer.targetsAge = std::chrono::milliseconds { std::max<std::int64_t>(0, notice.targetsAgeMs) };
+    peer.targetsReadAt = now - std::chrono::milliseconds { std::max<std::int64_t>(0, notice.targetsAgeMs) };
+    this->scheduleConfigurationFetch(peer.configurationVersion, now);
     peer.validity = std::chrono::milliseconds { std::clamp<std::int64_t>(notice.validMs, 100, 60'000) };
     peer.lastSeenAt = now;
     if (notice.leaving)
@@ -65,6 +79,43 @@
     return peer.lastSeenAt != TimePoint {} && now - peer.lastSeenAt < peer.validity;
 }
 
+bool PeerExchange::isLocal(const Peer& peer) const
+{
+    return peer.availabilityZone == this->availabilityZone;
+}
+
+void PeerExchange::scheduleConfigurationFetch(std::uint64_t version, TimePoint now)
+{
+    if (version <= this->highestVersion)
+        return;
+    this->highestVersion = version;
+    const auto localPeers = std::ranges::count_if(
+        this->peers, [&](const auto& item) { return this->isLocal(item.second) && this->isLive(item.second, now); });
+    std::uniform_real_distribution<double> share { 0, static_cast<double>(localPeers) };
+    this->fetchConfigurationFrom = now + std::chrono::duration_cast<Duration>(FetchSpreadPerPeer * share(this->random));
+}
+
+std::size_t PeerExchange::readerRank(TimePoint now) const
+{
+    const auto order = [](std::string_view address) {
+        return std::pair { XXH3_64bits(address.data(), address.size()), address };
+    };
+    const auto own = order(this->self);
+    return static_cast<std::size_t>(std::ranges::count_if(this->peers, [&](const auto& item) {
+        return this->isLocal(item.second) && this->isLive(item.second, now) && order(item.first) < own;
+    }));
+}
+
+PeerCommands PeerExchange::announceView(TimePoint now)
+{
+    PeerCommands commands;
+    for (const auto& [address, peer] : this->peers) {
+        if (this->isLocal(peer) && this->isLive(peer, now))
+            commands.push_back(SendNotice { address });
+    }
+    return commands;
+}
+
 std::size_t PeerExchange::livePeers(TimePoint now) const
 {
     return static_cast<std::size_t>(
@@ -73,20 +124,30 @@
 
 Duration PeerExchange::period(TimePoint now) const
 {
-    return std::max<Duration>(ShortestPeriod, PeriodPerDatagram * std::min(Fanout, this->livePeers(now)));
+    if (this->isCrowded(now))
+        return CrowdedPeriod;
+    return std::max<Duration>(ShortestPeriod, PeriodPerDatagram * this->livePeers(now));
+}
+
+bool PeerExchange::isCrowded(TimePoint now) const
+{
+    return this->livePeers(now) > Fanout;
 }
 
 Duration PeerExchange::validity(TimePoint now) const
 {
-    // Three rounds of notices to every peer, at the slower of the two intervals.
-    const auto rounds = 1 + this->livePeers(now) / Fanout;
+    // Three rounds of notices to every peer of the zone, at the slower of the two intervals.
+    const auto live = this->livePeersByZone(now);
+    const auto reached = live.local.size() + live.remote.size() <= Fanout ? Fanout : Fanout - RemoteZoneFanout;
+    const auto rounds = 1 + live.local.size() / reached;
     return std::max<Duration>(MinimumValidity, 3 * rounds * std::max<Duration>(IdlePeriod, this->period(now)));
 }
 
 PeerCommands PeerExchange::tick(const LocalState& own, bool didChange, TimePoint now)
 {
     PeerCommands commands;
-    if (now - this->lastNoticeAt >= (didChange ? this->period(now) : IdlePeriod))
+    const auto period = this->period(now);
+    if (now - this->lastNoticeAt >= (didChange ? period : std::max<Duration>(IdlePeriod, period)))
         this->notifyLivePeers(commands, now);
     this->contactSilentPeers(commands, now);
     this->fetchNewerRecords(commands, own, now);
@@ -99,31 +160,55 @@
     const auto refill = std::chrono::duration<double>(now - this->lastRefill).count() * NoticesPerSecond;
     this->noticeTokens = std::min(NoticeBurst, this->noticeTokens + refill);
     this->lastRefill = now;
-    const auto needed = static_cast<double>(std::min(Fanout, this->livePeers(now)));
+    const auto live = this->livePeersByZone(now);
+    const bool isCrowded = this->isCrowded(now);
+    auto recipients = live.local;
+    if (!isCrowded)
+        recipients.insert(recipients.end(), live.remote.begin(), live.remote.end());
+    const auto needed = static_cast<double>(recipients.size());
     if (this->noticeTokens < needed)
         return commands;
     this->noticeTokens -= needed;
-    this->notifyLivePeers(commands, now);
+    if (!isCrowded)
+        this->lastNoticeAt = now;
+    std::ranges::transform(recipients, std::back_inserter(commands),
+        [](std::string_view address) { return SendNotice { std::string { address } }; });
     return commands;
 }
 
-void PeerExchange::notifyLivePeers(PeerCommands& commands, TimePoint now)
+PeerExchange::LivePeers PeerExchange::livePeersByZone(TimePoint now) const
 {
-    this->lastNoticeAt = now;
-    std::vector<std::string_view> localPeers;
-    std::vector<std::string_view> remotePeers;
+    LivePeers live;
     for (const auto& [address, peer] : this->peers) {
         if (this->isLive(peer, now))
-            (peer.availabilityZone == this->availabilityZone ? localPeers : remotePeers).push_back(address);
+            (this->isLocal(peer) ? live.local : live.remote).push_back(address);
     }
-    const auto remoteCount = localPeers.size() + remotePeers.size() <= Fanout
-        ? remotePeers.size()
-        : std::min(remotePeers.size(), RemoteZoneFanout);
-    std::vector<std::string_view> recipients;
+    return live;
+}
+
+// Returns up to `count` of the local peers, in turn.
+std::vector<std::string_view> PeerExchange::nextLocalRecipients(
+    const std::vector<std::string_view>& local, std::size_t count)
+{
+    auto recipients = local;
+    std::ranges::rotate(
+        recipients, std::ranges::upper_bound(recipients, std::string_view { this->lastLocalRecipient }));
+    recipients.resize(std::min(count, recipients.size()));
+    if (!recipients.empty())
+        this->lastLocalRecipient = recipients.back();
+    return recipients;
+}
+
+void PeerExchange::notifyLivePeers(PeerCommands& commands, TimePoint now)
+{
+    this->lastNoticeAt = now;
+    const auto live = this->livePeersByZone(now);
+    const auto remoteCount = live.local.size() + live.remote.size() <= Fanout
+        ? live.remote.size()
+        : std::min(live.remote.size(), RemoteZoneFanout);
+    auto recipients = this->nextLocalRecipients(live.local, Fanout - remoteCount);
     std::ranges::sample(
-        remotePeers, std::back_inserter(recipients), static_cast<std::ptrdiff_t>(remoteCount), this->random);
-    std::ranges::sample(localPeers, std::back_inserter(recipients),
-        static_cast<std::ptrdiff_t>(Fanout - recipients.size()), this->random);
+        live.remote, std::back_inserter(recipients), static_cast<std::ptrdiff_t>(remoteCount), this->random);
     std::ranges::transform(recipients, std::back_inserter(commands),
         [](std::string_view address) { return SendNotice { std::string { address } }; });
 }
@@ -149,23 +234,30 @@
 {
     if (now - this->lastFetch < FetchInterval)
         return;
-    const auto hasNewerRecords = [&](const auto& item) {
-        const auto& peer = item.second;
-        if (!this->isLive(peer, now))
-            return false;
-        return peer.configurationVersion > own.configurationVersion
-            || (own.targetsAge > StaleTargetsAge && peer.targetsAge + FetchInterval < own.targetsAge);
+    const bool wantsConfiguration
+        = this->highestVersion > own.configurationVersion && now >= this->fetchConfigurationFrom;
+    const auto staleAge = std::chrono::duration_cast<Duration>(this->targetsBound * StaleTargetsShareOfBound);
+    const bool wantsTargets = own.targetsAge > staleAge;
+    // A list passes through several instances, so its age counts from the notice that stated it.
+    const auto hasNewerTargets = [&](const Peer& peer) {
+        const auto age = now - peer.targetsReadAt;
+        return age < staleAge && age + WorthwhileAgeDifference < own.targetsAge;
     };
-    std::vector<std::string_view> sources;
-    for (const auto& item : this->peers) {
-        if (hasNewerRecords(item))
-            sources.push_back(item.first);
+    std::vector<std::string_view> localSources;
+    std::vector<std::string_view> remoteSources;
+    for (const auto& [address, peer] : this->peers) {
+        if (!this->isLive(peer, now))
+            continue;
+        if ((wantsConfiguration && peer.configurationVersion > own.configurationVersion)
+            || (wantsTargets && hasNewerTargets(peer)))
+            (this->isLocal(peer) ? localSources : remoteSources).push_back(address);
     }
+    const auto& sources = localSources.empty() ? remoteSources : localSources;
     if (sources.empty())
         return;
     this->lastFetch = now;
     std::uniform_int_distribution<std::size_t> pick { 0, sources.size() - 1 };
-    commands.push_back(FetchRecords { std::string { sources[pick(this->random)] }, own.targetsAge > StaleTargetsAge });
+    commands.push_back(FetchRecords { std::string { sources[pick(this->random)] }, wantsTargets });
 }
 
 std::vector<std::string> PeerExchange::addressSample()
--- a/src/serving/PeerExchange.h
+++ b/src/serving/PeerExchange.h
@@ -38,17 +38,22 @@
 // computation, no I/O.
 //
 // Notices go to all live peers when something changed, at a rate that keeps the control traffic of one instance within
-// its budget. With more peers than that allows, peers of the local availability zone come first, since they share its
-// engines, and each notice also goes to a random few of the others. A placed prompt is announced at once, so that peers
-// follow a swing between short and long prompts. Instances that the platform refuses fetch its records from peers.
+// its budget. With more peers than that allows, peers of the local availability zone come first, in turn, since they
+// share its engines, and each notice also goes to a random few of the others. A placed prompt is announced at once, to
+// all who place on the same engines: peers follow a swing between short and long prompts, and many instances that see
+// the same free engine do not all choose it. Every notice also states the view of the platform; what one instance
+// has read is announced to its zone, and an instance whose view is older or different fetches the records from a peer.
 class PeerExchange {
 public:
-    // Maximum recipients in one period. 24 datagrams of up to 300 bytes every half second stay within 12 KB/s.
+    // Maximum recipients in one period.
     static constexpr std::size_t Fanout = 24;
     // Of these, recipients in other availability zones once there are more peers than the fanout.
     static constexpr std::size_t RemoteZoneFanout = 4;
     // Added to the period for each recipient.
     static constexpr Duration PeriodPerDatagram = std::chrono::milliseconds { 20 };
+    // Period with more peers than the fanout. These notices only end the work that peers know of; 24 datagrams of some
+    // 350 bytes, and 50 of some 100 that announce new work, stay within 14 KB/s.
+    static constexpr Duration CrowdedPeriod = std::chrono::seconds { 1 };
     static constexpr Duration ShortestPeriod = std::chrono::milliseconds { 100 };
     // Without changes, a notice is sent this often as a heartbeat.
     static constexpr Duration IdlePeriod = std::chrono::milliseconds { 500 };
@@ -63,14 +68,19 @@
     static constexpr Duration StartupPeriod = std::chrono::seconds { 3 };
     // Peers without a notice for this long are removed, except seeds.
     static constexpr Duration PeerExpiry = std::chrono::seconds { 60 };
-    // Older target lists are refreshed from a peer with a newer one.
-    static constexpr Duration StaleTargetsAge = std::chrono::milliseconds { 1500 };
     // Minimum interval between two fetches.
     static constexpr Duration FetchInterval = std::chrono::milliseconds { 400 };
+    // The first fetch of a newer configuration is delayed at random by up to this time for each live peer of the zone.
+    // Most of them then find several sources, where all would ask the one reader at once.
+    static constexpr Duration FetchSpreadPerPeer = std::chrono::milliseconds { 5 };
 
     // `self` is the address where peers reach this instance; `seeds` are addresses that may be outdated.
-    PeerExchange(
-        std::string self, std::string availabilityZone, std::vector<std::string> seeds, std::mt19937_64 random);
+    // `targetsBound` is the time within which a leaving target has to be known.
+    PeerExchange(std::string self, std::string availabilityZone, std::vector<std::string> seeds, Duration targetsBound,
+        std::mt19937_64 random);
+
+    // Takes effect with the next tick().
+    void setTargetsBound(Duration bound);
 
     // Processes a received notice. Returns false if it has no sender, was sent by this instance, or is not newer than
     // the last one from its sender.
@@ -86,9 +96,18 @@
     // Returns commands to notify peers of a placed prompt at once; none if that would exceed the traffic budget.
     PeerCommands notifyNow(TimePoint now);
 
+    // Returns commands to notify all live peers of the local zone that this instance has read the platform.
+    PeerCommands announceView(TimePoint now);
+
+    // Number of live peers of the local zone that precede this instance in an order that all of them agree on.
+    std::size_t readerRank(TimePoint now) const;
+
     // Number of live peers.
     std::size_t livePeers(TimePoint now) const;
 
+    // Whether there are more live peers than one notice goes to.
+    bool isCrowded(TimePoint now) const;
+
     // Random known addresses that a notice passes on, for peer discovery.
     std::vector<std::string> addressSample();
 
@@ -101,7 +120,7 @@
         std::int64_t incarnation { 0 };
         std::int64_t sequence { 0 };
         std::uint64_t configurationVersion { 0 };
-        Duration targetsAge { Duration::max() };
+        TimePoint targetsReadAt {}; // The epoch while it has no view of the targets.
         TimePoint lastSeenAt {}; // The epoch until the first notice from the peer.
         TimePoint lastContactAt {};
         TimePoint firstKnownAt {};
@@ -110,10 +129,19 @@
     };
 
     bool isLive(const Peer& peer, TimePoint now) const;
+    bool isLocal(const Peer& peer) const;
     Duration period(TimePoint now) const;
+    struct LivePeers {
+        std::vector<std::string_view> local; // Of this availability zone.
+        std::vector<std::string_view> remote;
+    };
+
+    LivePeers livePeersByZone(TimePoint now) const;
+    std::vector<std::string_view> nextLocalRecipients(const std::vector<std::string_view>& local, std::size_t count);
     void notifyLivePeers(PeerCommands& commands, TimePoint now);
     void contactSilentPeers(PeerCommands& commands, TimePoint now);
     void fetchNewerRecords(PeerCommands& commands, const LocalState& own, TimePoint now);
+    void scheduleConfigurationFetch(std::uint64_t version, TimePoint now);
 
     std::string self;
     std::string availabilityZone;
@@ -124,7 +152,11 @@
     TimePoint lastNoticeAt {};
     TimePoint lastRefill {};
     double noticeTokens { NoticeBurst };
+    std::string lastLocalRecipient; // Of the last periodic notice; the next ones go to those that follow it.
     TimePoint lastFetch {};
+    Duration targetsBound;
+    std::uint64_t highestVersion { 0 }; // Of the configurations that peers have in force.
+    TimePoint fetchConfigurationFrom {}; // Earliest time for fetching `highestVersion`.
 };
 
 }
--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -63,6 +63,47 @@
     return load;
 }
 
+std::int64_t toMilliseconds(Duration age)
+{
+    return age == Duration::max() ? std::numeric_limits<std::int32_t>::max() : milliseconds(age);
+}
+
+// The largest number on the wire stands for no view.
+Duration toAge(std::int64_t ms)
+{
+    return ms >= std::numeric_limits<std::int32_t>::max()
+        ? Duration::max()
+        : Duration { std::chrono::milliseconds { std::max<std::int64_t>(0, ms) } };
+}
+
+ViewSummary toSummary(const wire::LoadNotice& notice)
+{
+    return { static_cast<std::uint64_t>(notice.storeEra), static_cast<std::uint64_t>(notice.configurationVersion),
+        toAge(notice.configurationAgeMs), static_cast<std::uint64_t>(notice.targetsDigest),
+        static_cast<std::uint64_t>(notice.targetsOffset), toAge(notice.targetsAgeMs) };
+}
+
+std::vector<wire::KeyValueRecord> toWire(std::span<const KeyedRecord> records)
+{
+    std::vector<wire::KeyValueRecord> converted;
+    std::ranges::transform(records, std::back_inserter(converted), [](const KeyedRecord& record) {
+        wire::KeyValueRecord one;
+        one.key = record.key;
+        one.value = record.value.value_or(std::string {});
+        return one;
+    });
+    return converted;
+}
+
+std::vector<KeyedRecord> fromWire(const std::vector<wire::KeyValueRecord>& records)
+{
+    std::vector<KeyedRecord> converted;
+    std::ranges::transform(records, std::back_inserter(converted), [](const wire::KeyValueRecord& record) {
+        return KeyedRecord { record.key, record.value.empty() ? std::nullopt : std::optional { record.value } };
+    });
+    return converted;
+}
+
 // Higher for a later start of the same instance. Only compared between processes at one address.
 std::int64_t incarnationNow()
 {
@@ -74,11 +115,12 @@
 
 struct PeerRunner::State {
     State(const Parts& parts, PeerRunner& runner, std::string address, std::string availabilityZone,
-        std::vector<std::string> seeds)
+        std::vector<std::string> seeds, Duration targetsBound)
         : parts(parts)
         , address(std::move(address))
         , availabilityZone(std::move(availabilityZone))
-        , exchange(this->address, this->availabilityZone, std::move(seeds), std::mt19937_64 { std::random_device {}() })
+        , exchange(this->address, this->availabilityZone, std::move(seeds), targetsBound,
+              std::mt19937_64 { std::random_device {}() })
         , socket(parts.context)
         , server(parts.context, runner)
         , client(parts.context.get_executor())
@@ -111,6 +153,7 @@
         if (!this->exchange.receive(*notice, now))
             return;
         this->perform(this->exchange.replyToNewPeers(now));
+        this->parts.follower.applyPeerView(toSummary(*notice), fromWire(notice->targetChanges));
         std::unordered_map<std::uint64_t, TargetLoad> loads;
         for (const auto& record : notice->loads)
             loads.emplace(static_cast<std::uint64_t>(record.target), toLoad(record));
@@ -118,7 +161,8 @@
             notice->waitingStartByMs < 0 ? TimePoint::max()
                                          : now + std::chrono::milliseconds { notice->waitingStartByMs },
             now);
-        this->parts.ledger.updatePeer(notice->sender, loads, now, std::chrono::milliseconds { notice->validMs });
+        this->parts.ledger.updatePeer(notice->sender, loads, now, std::chrono::milliseconds { notice->validMs },
+            notice->partial ? LoadLedger::ReportScope::Partial : LoadLedger::ReportScope::Complete);
         if (notice->zoneOccupancy >= 0)
             this->parts.ledger.updateZoneOccupancy(notice->availabilityZone, notice->zoneOccupancy, now);
     }
@@ -140,13 +184,13 @@
         return { this->parts.view.version(), this->parts.view.targets.age(now).value_or(Duration::max()) };
     }
 
-    void perform(const PeerCommands& commands)
+    void perform(const PeerCommands& commands, std::span<const KeyedRecord> changes = {})
     {
         std::string notice; // Encoded once, if needed.
         for (const auto& command : commands) {
             if (const auto* send = std::get_if<SendNotice>(&command)) {
                 if (notice.empty())
-                    notice = this->makeNotice();
+                    notice = this->makeNotice(changes);
                 this->sendTo(send->address, notice);
             } else if (const auto* fetch = std::get_if<FetchRecords>(&command)) {
                 asio::co_spawn(this->parts.context, this->fetch(*fetch), asio::detached);
@@ -159,7 +203,7 @@
     double zoneOccupancy(TimePoint now) const
     {
         const auto configuration = this->parts.view.configuration();
-        if (!configuration || this->exchange.livePeers(now) <= PeerExchange::Fanout)
+        if (!configuration || !this->exchange.isCrowded(now))
             return -1;
         double running = 0;
         double slots = 0;
@@ -176,33 +220,73 @@
         return slots > 0 ? running / slots : -1;
     }
 
-    std::string makeNotice()
+    // A notice without loads.
+    wire::LoadNotice makeHeader(TimePoint now)
     {
-        const auto now = this->parts.clock.now();
         wire::LoadNotice notice;
         notice.sender = this->address;
         notice.availabilityZone = this->availabilityZone;
-        notice.zoneOccupancy = this->zoneOccupancy(now);
+        notice.zoneOccupancy = -1;
         notice.incarnation = this->incarnation;
         notice.sequence = ++this->sequence;
         notice.validMs = milliseconds(this->exchange.validity(now));
-        notice.configurationVersion = static_cast<std::int64_t>(this->parts.view.version());
-        const auto age = this->parts.view.targets.age(now);
-        notice.targetsAgeMs = age ? milliseconds(*age) : std::numeric_limits<std::int32_t>::max();
+        const auto summary = this->parts.follower.summary(now);
+        notice.configurationVersion = static_cast<std::int64_t>(summary.configurationVersion);
+        notice.configurationAgeMs = toMilliseconds(summary.configurationAge);
+        notice.targetsAgeMs = toMilliseconds(summary.targetsAge);
+        notice.targetsDigest = static_cast<std::int64_t>(summary.targetsDigest);
+        notice.targetsOffset = static_cast<std::int64_t>(summary.targetsOffset);
+        notice.storeEra = static_cast<std::int64_t>(summary.era);
         notice.leaving = this->isLeaving;
-        const auto loads = this->parts.ledger.localLoads(now);
-        for (const auto& [target, load] : loads)
-            notice.loads.push_back(toRecord(target, load));
-        this->lastNoticeHadLoads = !loads.empty();
         const auto startBy = this->parts.waiting.earliestStartBy();
         notice.waitingStartByMs
             = startBy == TimePoint::max() ? -1 : std::max<std::int64_t>(0, milliseconds(startBy - now));
+        return notice;
+    }
+
+    // Announces work that was placed since the last announcement, if the traffic budget allows it.
+    void announceWork()
+    {
+        const auto now = this->parts.clock.now();
+        const auto commands = this->exchange.notifyNow(now);
+        if (commands.empty())
+            return;
+        // Few peers get the complete state, which also ends work that they know of.
+        if (!this->exchange.isCrowded(now))
+            return this->perform(commands);
+        auto notice = this->makeHeader(now);
+        notice.partial = true;
+        this->addLoads(notice, this->parts.ledger.takeChangedLoads(now));
+        const auto bytes = encode(notice);
+        for (const auto& command : commands) {
+            if (const auto* send = std::get_if<SendNotice>(&command))
+                this->sendTo(send->address, bytes);
+        }
+    }
+
+    static void addLoads(wire::LoadNotice& notice, const std::unordered_map<std::uint64_t, TargetLoad>& loads)
+    {
+        for (const auto& [target, load] : loads)
+            notice.loads.push_back(toRecord(target, load));
+    }
+
+    std::string makeNotice(std::span<const KeyedRecord> changes)
+    {
+        const auto now = this->parts.clock.now();
+        auto notice = this->makeHeader(now);
+        notice.zoneOccupancy = this->zoneOccupancy(now);
+        notice.targetChanges = toWire(changes);
+        const auto loads = this->parts.ledger.localLoads(now);
+        this->addLoads(notice, loads);
+        this->lastNoticeHadLoads = !loads.empty();
         notice.peers = this->exchange.addressSample();
         auto bytes = encode(notice);
         if (bytes.size() <= MaximumNoticeBytes)
             return bytes;
         this->parts.metrics.counter("marigold_peer_notices_too_large_total").increment();
+        // Receivers notice by the digest that they miss changes, and fetch the list.
         notice.loads.clear();
+        notice.targetChanges.clear();
         return encode(notice);
     }
 
@@ -218,6 +302,17 @@
             this->parts.metrics.counter("marigold_peer_send_failures_total").increment();
     }
 
+    // Announces an installed configuration at once, so that peers find more than one source for it.
+    void installConfiguration(const KeyedRecord& record, const std::string& source)
+    {
+        const auto version = this->parts.view.version();
+        this->parts.follower.installConfiguration(record, source);
+        if (this->parts.view.version() == version)
+            return;
+        this->parts.onConfigurationInstalled();
+        this->perform(this->exchange.notifyNow(this->parts.clock.now()));
+    }
+
     asio::awaitable<void> fetch(FetchRecords command)
     {
         wire::PlatformRecordsRequest request;
@@ -225,6 +320,7 @@
         request.wantsTargets = command.wantsTargets;
         wire::Payload payload;
         payload.__set_platformRecords(request);
+        const auto askedAt = this->parts.clock.now();
         const auto answer = co_await this->client.call(command.address, payload, FetchTimeout);
         this->parts.metrics.counter("marigold_peer_fetches_total", answer ? "outcome=\"ok\"" : "outcome=\"failed\"")
             .increment();
@@ -234,15 +330,15 @@
         }
         const auto& records = answer.value().platformRecordsAnswer;
         if (records.__isset.configuration)
-            this->parts.follower.installConfiguration(
-                { records.configuration.key, records.configuration.value }, command.address);
+            this->installConfiguration({ records.configuration.key, records.configuration.value }, command.address);
         if (!records.__isset.targets)
             co_return;
-        std::vector<KeyedRecord> targets;
-        std::ranges::transform(records.targets, std::back_inserter(targets),
-            [](const wire::KeyValueRecord& record) { return KeyedRecord { record.key, record.value }; });
-        this->parts.follower.installTargets(
-            targets, std::chrono::milliseconds { std::max<std::int64_t>(0, records.targetsAgeMs) }, command.address);
+        // The time since the request bounds how much older the list became on the way.
+        ViewSummary peer;
+        peer.era = static_cast<std::uint64_t>(records.storeEra);
+        peer.targetsOffset = static_cast<std::uint64_t>(records.targetsOffset);
+        peer.targetsAge = toAge(records.targetsAgeMs) + (this->parts.clock.now() - askedAt);
+        this->parts.follower.installTargets(fromWire(records.targets), peer, command.address);
     }
 
     Parts parts;
@@ -260,9 +356,10 @@
     bool isLeaving { false };
 };
 
-PeerRunner::PeerRunner(
-    const Parts& parts, std::string address, std::string availabilityZone, std::vector<std::string> seeds)
-    : state(std::make_unique<State>(parts, *this, std::move(address), std::move(availabilityZone), std::move(seeds)))
+PeerRunner::PeerRunner(const Parts& parts, std::string address, std::string availabilityZone,
+    std::vector<std::string> seeds, Duration targetsBound)
+    : state(std::make_unique<State>(
+          parts, *this, std::move(address), std::move(availabilityZone), std::move(seeds), targetsBound))
 {
 }
 
@@ -283,14 +380,36 @@
 
 void PeerRunner::notifyPeersNow()
 {
-    auto& state = *this->state;
-    state.perform(state.exchange.notifyNow(state.parts.clock.now()));
+    this->state->announceWork();
 }
 
 void PeerRunner::announceLeaving()
 {
     this->state->isLeaving = true;
-    this->notifyPeersNow();
+    this->state->perform(this->state->exchange.notifyNow(this->state->parts.clock.now()));
+}
+
+void PeerRunner::setTargetsBound(Duration bound)
+{
+    this->state->exchange.setTargetsBound(bound);
+}
+
+std::size_t PeerRunner::readerRank() const
+{
+    return this->state->exchange.readerRank(this->state->parts.clock.now());
+}
+
+void PeerRunner::configurationInstalled()
+{
+    auto& state = *this->state;
+    state.parts.onConfigurationInstalled();
+    state.perform(state.exchange.announceView(state.parts.clock.now()));
+}
+
+void PeerRunner::targetsRead(std::span<const KeyedRecord> changes)
+{
+    auto& state = *this->state;
+    state.perform(state.exchange.announceView(state.parts.clock.now()), changes);
 }
 
 std::size_t PeerRunner::livePeers() const
@@ -312,16 +431,12 @@
         record.value = configuration->value.value_or(std::string {});
         answer.__set_configuration(record);
     }
-    const auto age = parts.view.targets.age(parts.clock.now());
-    if (asked.wantsTargets && age) {
-        std::vector<wire::KeyValueRecord> targets;
-        for (const auto& [key, value] : parts.follower.targetRecords()) {
-            targets.emplace_back();
-            targets.back().key = key;
-            targets.back().value = value;
-        }
-        answer.__set_targets(targets);
-        answer.targetsAgeMs = milliseconds(*age);
+    const auto summary = parts.follower.summary(parts.clock.now());
+    if (asked.wantsTargets && summary.targetsAge < Duration::max()) {
+        answer.__set_targets(toWire(parts.follower.targetRecords()));
+        answer.targetsAgeMs = toMilliseconds(summary.targetsAge);
+        answer.storeEra = static_cast<std::int64_t>(summary.era);
+        answer.targetsOffset = static_cast<std::int64_t>(summary.targetsOffset);
     }
     wire::Payload payload;
     payload.__set_platformRecordsAnswer(answer);
--- a/src/serving/PeerRunner.h
+++ b/src/serving/PeerRunner.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -21,7 +22,7 @@
 namespace marigoldpaddle {
 
 // Runs the exchange with peers: load notices over UDP, platform records over RPC on the TCP port of the same number.
-class PeerRunner final : public RpcHandler {
+class PeerRunner final : public RpcHandler, public ViewAudience {
 public:
     struct Parts {
         boost::asio::io_context& context;
@@ -32,12 +33,18 @@
         WaitingPrompts& waiting;
         EventLog& log;
         MetricsRegistry& metrics;
+        std::function<void()> onConfigurationInstalled; // Called after each, from the platform or a peer.
     };
 
     // Everything that the parts refer to must outlive the runner. `address` is "IP:port", as are those of the seeds.
-    PeerRunner(const Parts& parts, std::string address, std::string availabilityZone, std::vector<std::string> seeds);
+    // `targetsBound` is the time within which a leaving target has to be known.
+    PeerRunner(const Parts& parts, std::string address, std::string availabilityZone, std::vector<std::string> seeds,
+        Duration targetsBound);
     ~PeerRunner() override;
 
+    // Takes effect with the next period.
+    void setTargetsBound(Duration bound);
+
     // Binds the sockets and starts. Throws boost::system::system_error when it cannot bind.
     void start();
 
@@ -49,6 +56,10 @@
 
     std::size_t livePeers() const;
 
+    std::size_t readerRank() const override;
+    void configurationInstalled() override;
+    void targetsRead(std::span<const KeyedRecord> changes) override;
+
     boost::asio::awaitable<std::optional<wire::Payload>> handle(wire::Payload request) override;
 
 private:
--- a/src/serving/PlatformStore.h
+++ b/src/serving/PlatformStore.h
@@ -30,6 +30,9 @@
 struct KeyedPage {
     std::vector<KeyedRecord> records; // In the order they were written.
     std::uint64_t next { 0 }; // Offset to continue reading from.
+    // Rises each time the store comes back from an older copy of itself. Offsets of an earlier era are void: they are
+    // given out again.
+    std::uint64_t era { 0 };
 };
 
 // Reads the platform's keyed streams. Errors are returned as PlatformError.
@@ -38,6 +41,7 @@
     virtual ~PlatformStore() = default;
 
     // Returns the newest record of every key. Records written meanwhile may be missing; continue at `next` to get them.
+    // Trimmed when the store changed its era between two parts of the listing.
     virtual boost::asio::awaitable<PlatformResult<KeyedPage>> newest(KeyedStream stream) = 0;
 
     // Returns the records from offset `from` on, waiting up to `wait` for the first (long poll). Trimmed when `from` is
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -37,6 +37,9 @@
 constexpr Duration TargetConnectTimeout = std::chrono::milliseconds { 400 };
 // Without acknowledgements the network path is broken, as opposed to a target that is busy.
 constexpr Duration TargetUnacknowledgedTimeout = std::chrono::seconds { 2 };
+// Shortest interval of TCP. A dead engine is noticed within three seconds, so that the memory which a prompt holds on
+// other engines is released in time.
+constexpr std::chrono::seconds TargetProbeAfter { 1 };
 
 constexpr SettingSpecification Specifications[] = {
     { "instance", "name", SettingKind::Text, 0, 0, std::nullopt, "name of this instance" },
@@ -162,8 +165,8 @@
     settings.storeTimeout = values.milliseconds("platform", "timeout_ms");
     settings.memoryLeaseDuration = values.milliseconds("bounds", "memory_free_ms") * 3 / 4;
     settings.grace = seconds(values.real("bounds", "grace_s"));
-    settings.follower.configurationWait = values.milliseconds("bounds", "configuration_ms") * 7 / 10;
-    settings.follower.targetsPeriod = values.milliseconds("bounds", "drain_ms") * 9 / 20;
+    settings.follower.configurationBound = values.milliseconds("bounds", "configuration_ms");
+    settings.follower.targetsBound = values.milliseconds("bounds", "drain_ms");
     settings.retries.ratio = values.real("retries", "ratio");
     settings.retries.window = seconds(values.real("retries", "window_s"));
     settings.retries.slack = values.real("retries", "slack");
@@ -179,17 +182,22 @@
         , settings(settings)
         , log(clock, { settings.instance, settings.logLinesPerSecond, 4096 })
         , client(context.get_executor(),
-              { .connectTimeout = TargetConnectTimeout, .unacknowledgedTimeout = TargetUnacknowledgedTimeout })
+              { .connectTimeout = TargetConnectTimeout,
+                  .unacknowledgedTimeout = TargetUnacknowledgedTimeout,
+                  .probeAfter = TargetProbeAfter })
         , budget(settings.retries)
-        , follower(
-              context, clock, platform.store, platform.records, this->view, this->log, this->metrics, settings.follower)
+        , follower(context, clock, platform.store, platform.records, this->view, this->log, this->metrics,
+              settings.follower, std::mt19937_64 { std::random_device {}() })
         , gateway({ context, clock, platform.format, this->view, this->ledger, this->waiting, this->health,
                       this->budget, this->client, platform.memory, this->log, this->metrics, settings.instance,
                       settings.memoryLeaseDuration },
               TargetChooser { this->view.targets, this->ledger, this->health, settings.availabilityZone,
                   std::mt19937_64 { std::random_device {}() } })
-        , peers({ context, clock, this->view, this->follower, this->ledger, this->waiting, this->log, this->metrics },
-              settings.peersAddress, settings.availabilityZone, settings.seeds)
+        , peers({ context, clock, this->view, this->follower, this->ledger, this->waiting, this->log, this->metrics,
+                    [this] {
+                        this->callers.setLimits(limitsFrom(this->view.configuration()->values.limits));
+                    } },
+              settings.peersAddress, settings.availabilityZone, settings.seeds, settings.follower.targetsBound)
         , readinessHandler(this->isReady)
         , metricsHandler(this->metrics)
         , callers(context, this->gateway)
@@ -288,7 +296,7 @@
         ports.metrics = state.exposition.listen(state.settings.metricsAddress);
     state.log.write(
         "started", { { "zone", state.settings.availabilityZone }, { "callers", state.settings.callersAddress } });
-    state.follower.start([&state] { state.callers.setLimits(limitsFrom(state.view.configuration()->values.limits)); });
+    state.follower.start(state.peers);
     state.peers.start();
     state.gateway.onPromptPlaced([&state] { state.peers.notifyPeersNow(); });
     asio::co_spawn(state.context, state.runHousekeeping(), asio::detached);
@@ -305,6 +313,7 @@
     state.settings.retries = settings.retries;
     state.budget.setSettings(settings.retries);
     state.follower.setSettings(settings.follower);
+    state.peers.setTargetsBound(settings.follower.targetsBound);
     state.log.write("settings_reloaded", { { "listeners_need_restart", needsRestart } });
 }
 
--- a/src/serving/TargetDirectory.h
+++ b/src/serving/TargetDirectory.h
@@ -31,10 +31,14 @@
 public:
     // A live target registers again within this time after the platform's recovery.
     static constexpr Duration RemovalGrace = std::chrono::seconds { 2 };
-    // Longer without a successful read counts as a gap: three times the longest interval between two reads.
-    static constexpr Duration ReadGapThreshold = std::chrono::milliseconds { 2500 };
+    // A target that has left is remembered for this long, so that an outdated registration does not bring it back.
+    static constexpr Duration DepartureMemory = std::chrono::minutes { 2 };
 
-    // Add or replace, and remove, one target. Both return whether anything but the age changed.
+    // Sets the time without a successful read that counts as a gap.
+    void setReadGapThreshold(Duration threshold);
+
+    // Add or replace, and remove, one target. Both return whether anything but the age changed. A target that is known
+    // to be leaving, or has left, stays so until it restarts: an older registration of it changes nothing.
     bool upsert(const TargetEntry& entry, TimePoint now);
     bool remove(std::string_view id, TimePoint now);
 
@@ -44,12 +48,19 @@
     // Records a successful read of the platform. Applies deferred removals whose grace period has passed.
     void recordRead(TimePoint now);
 
+    // Records that the store has come back from an older copy: removals are deferred until the targets had time to
+    // register again.
+    void beginRecovery(TimePoint now);
+
     // Marks a target as leaving ahead of its registration, after its answer showed it.
     void markLeaving(std::string_view id);
 
     // Targets of a service that accept new work, ordered by id.
     std::vector<const TargetEntry*> available(std::string_view service) const;
     const TargetEntry* find(std::string_view id) const;
+
+    // Whether a target accepts new work: it is registered, not leaving, and has not restarted.
+    bool acceptsWork(const TargetEntry& entry) const;
     std::size_t size() const;
 
     std::optional<Duration> age(TimePoint now) const;
@@ -61,7 +72,18 @@
         bool isMarkedLeaving { false };
     };
 
+    // A target that was leaving when its registration was removed.
+    struct DepartedTarget {
+        std::uint64_t incarnation { 0 };
+        TimePoint at {};
+    };
+
+    bool hasDeparted(const TargetEntry& entry) const;
+    void erase(std::map<std::string, TrackedTarget, std::less<>>::iterator position, TimePoint now);
+
     std::map<std::string, TrackedTarget, std::less<>> tracked;
+    std::map<std::string, DepartedTarget, std::less<>> departed;
+    Duration readGapThreshold { std::chrono::milliseconds { 2500 } };
     std::optional<TimePoint> lastRead;
     TimePoint graceUntil {};
 };
--- a/src/serving/ViewFollower.cpp
+++ b/src/serving/ViewFollower.cpp
@@ -1,6 +1,7 @@
 #include "serving/ViewFollower.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -13,16 +14,43 @@
 
 namespace {
 
+// A configuration read waits this share of its bound for a change (long poll), so that the reader learns of one at
+// once.
+constexpr double PollWaitShareOfBound = 0.15;
+// A view that a peer sent in a datagram is older by the time on the way, queues included.
+constexpr Duration TransitAllowance = std::chrono::milliseconds { 20 };
+// After this multiple of the bound without a read, the complete listing is smaller than the changes since.
+constexpr int CompleteReadBounds = 2;
+// The complete reads after a rise of the store's era are spread over this share of the bound.
+constexpr double RecoverySpreadShareOfBound = 0.2;
+
 std::string_view streamName(KeyedStream stream)
 {
     return stream == KeyedStream::Configuration ? "configuration" : "targets";
 }
 
+Duration pollWait(const ViewFollowerSettings& settings)
+{
+    return std::chrono::duration_cast<Duration>(settings.configurationBound * PollWaitShareOfBound);
+}
+
+ReadScheduleSettings scheduleSettings(const ViewFollowerSettings& settings, KeyedStream stream)
+{
+    if (stream == KeyedStream::Configuration)
+        return { settings.configurationBound, settings.retryDelay, pollWait(settings) };
+    return { settings.targetsBound, settings.retryDelay, Duration::zero() };
+}
+
+Duration ageOf(const std::optional<TimePoint>& at, TimePoint now)
+{
+    return at ? now - *at : Duration::max();
+}
+
 }
 
 ViewFollower::ViewFollower(asio::io_context& context, const Clock& clock, PlatformStore& store,
     const RecordDecoder& decoder, ServingView& view, EventLog& log, MetricsRegistry& metrics,
-    ViewFollowerSettings settings)
+    ViewFollowerSettings settings, std::mt19937_64 random)
     : context(context)
     , clock(clock)
     , store(store)
@@ -31,12 +59,17 @@
     , log(log)
     , metrics(metrics)
     , settings(settings)
+    , random(random)
+    , configurationSchedule(scheduleSettings(settings, KeyedStream::Configuration), std::mt19937_64 { this->random() })
+    , targetsSchedule(scheduleSettings(settings, KeyedStream::Targets), std::mt19937_64 { this->random() })
+    , records(decoder)
 {
+    this->view.targets.setReadGapThreshold(settings.targetsBound);
 }
 
-void ViewFollower::start(std::function<void()> configurationChanged)
+void ViewFollower::start(ViewAudience& audience)
 {
-    this->configurationChanged = std::move(configurationChanged);
+    this->audience = &audience;
     asio::co_spawn(this->context, this->followConfiguration(), asio::detached);
     asio::co_spawn(this->context, this->followTargets(), asio::detached);
 }
@@ -44,6 +77,9 @@
 void ViewFollower::setSettings(const ViewFollowerSettings& settings)
 {
     this->settings = settings;
+    this->configurationSchedule.setSettings(scheduleSettings(settings, KeyedStream::Configuration));
+    this->targetsSchedule.setSettings(scheduleSettings(settings, KeyedStream::Targets));
+    this->view.targets.setReadGapThreshold(settings.targetsBound);
 }
 
 const std::optional<KeyedRecord>& ViewFollower::configurationRecord() const
@@ -51,49 +87,135 @@
     return this->newestConfiguration;
 }
 
+std::vector<KeyedRecord> ViewFollower::targetRecords() const
+{
+    return this->records.all();
+}
+
+Duration ViewFollower::configurationAge(TimePoint now) const
+{
+    return ageOf(this->configurationReadAt, now);
+}
+
+Duration ViewFollower::targetsAge(TimePoint now) const
+{
+    return this->view.targets.age(now).value_or(Duration::max());
+}
+
+ViewSummary ViewFollower::summary(TimePoint now) const
+{
+    return { this->era, this->view.version(), this->configurationAge(now), this->records.digest(),
+        this->targetsPosition ? this->targetsPosition->next : 0, this->targetsAge(now) };
+}
+
 asio::awaitable<void> ViewFollower::followConfiguration()
 {
-    std::optional<std::uint64_t> next;
     while (true) {
-        auto page = co_await this->read(KeyedStream::Configuration, next, this->settings.configurationWait);
-        this->recordCall(KeyedStream::Configuration, page ? std::nullopt : std::optional { page.error() });
-        if (!page) {
-            if (page.error() == PlatformError::Trimmed)
-                next.reset();
-            else
-                co_await this->pause(this->settings.retryDelay);
+        const auto now = this->clock.now();
+        const auto rank = this->view.configuration() ? this->audience->readerRank() : 0;
+        const auto wait = this->configurationSchedule.timeUntilDue(rank, this->configurationAge(now), now);
+        if (wait > Duration::zero()) {
+            co_await this->pause(wait);
             continue;
         }
-        this->applyConfiguration(page.value());
-        if (!next && page.value().records.empty())
-            co_await this->pause(this->settings.retryDelay);
-        next = page.value().next;
+        const bool didRead = co_await this->readConfiguration(rank);
+        if (didRead)
+            this->configurationSchedule.recordSuccess();
+        else
+            this->configurationSchedule.recordFailure(rank, this->clock.now());
     }
 }
 
+// Returns whether the store answered with a configuration that is the newest.
+asio::awaitable<bool> ViewFollower::readConfiguration(std::size_t rank)
+{
+    const auto wait = rank == 0 && this->configurationPosition ? pollWait(this->settings) : Duration::zero();
+    const auto startedAt = this->clock.now();
+    this->dropOutdated(this->configurationPosition);
+    auto page = co_await this->read(KeyedStream::Configuration, this->configurationPosition, wait);
+    this->recordCall(KeyedStream::Configuration, page ? std::nullopt : std::optional { page.error() });
+    if (!page) {
+        if (page.error() != PlatformError::Trimmed)
+            co_return false;
+        this->configurationPosition.reset();
+        co_return true;
+    }
+    const auto& content = page.value();
+    if (content.era < this->era)
+        co_return false;
+    if (this->acceptEra(content.era, "platform") && this->configurationPosition) {
+        this->configurationPosition.reset();
+        co_return true;
+    }
+    const auto version = this->view.version();
+    this->applyConfiguration(content);
+    this->configurationPosition = { content.era, content.next };
+    if (!this->view.configuration())
+        co_return false;
+    // A long poll that returns without a record shows that there was none for its whole wait.
+    this->configurationReadAt = content.records.empty() ? std::min(startedAt + wait, this->clock.now()) : startedAt;
+    if (this->view.version() != version)
+        this->audience->configurationInstalled();
+    co_return true;
+}
+
 asio::awaitable<void> ViewFollower::followTargets()
 {
-    std::optional<std::uint64_t> next;
     while (true) {
-        const bool isWhole = !next;
-        auto page = co_await this->read(KeyedStream::Targets, next, Duration::zero());
-        this->recordCall(KeyedStream::Targets, page ? std::nullopt : std::optional { page.error() });
-        if (page) {
-            this->applyTargets(page.value().records, isWhole, this->clock.now());
-            next = page.value().next;
-        } else if (page.error() == PlatformError::Trimmed) {
-            next.reset();
+        const auto now = this->clock.now();
+        const auto age = this->targetsAge(now);
+        const auto rank = age == Duration::max() ? 0 : this->audience->readerRank();
+        const auto wait = this->targetsSchedule.timeUntilDue(rank, age, now);
+        if (wait > Duration::zero()) {
+            co_await this->pause(wait);
             continue;
         }
-        co_await this->pause(page ? this->settings.targetsPeriod : this->settings.retryDelay);
+        const bool didRead = co_await this->readTargets();
+        if (didRead)
+            this->targetsSchedule.recordSuccess();
+        else
+            this->targetsSchedule.recordFailure(rank, this->clock.now());
     }
 }
 
+// Returns whether the store answered.
+asio::awaitable<bool> ViewFollower::readTargets()
+{
+    const auto startedAt = this->clock.now();
+    if (this->targetsAge(startedAt) / CompleteReadBounds > this->settings.targetsBound)
+        this->targetsPosition.reset();
+    this->dropOutdated(this->targetsPosition);
+    const bool isComplete = !this->targetsPosition;
+    auto page = co_await this->read(KeyedStream::Targets, this->targetsPosition, Duration::zero());
+    this->recordCall(KeyedStream::Targets, page ? std::nullopt : std::optional { page.error() });
+    if (!page) {
+        if (page.error() != PlatformError::Trimmed)
+            co_return false;
+        this->targetsPosition.reset();
+        co_return true;
+    }
+    const auto& content = page.value();
+    if (content.era < this->era)
+        co_return false;
+    if (this->acceptEra(content.era, "platform") && !isComplete) {
+        // The offset was given out again, so the page is an arbitrary part of the new contents.
+        this->targetsPosition.reset();
+        std::uniform_real_distribution<double> share { 0, RecoverySpreadShareOfBound };
+        co_await this->pause(std::chrono::duration_cast<Duration>(this->settings.targetsBound * share(this->random)));
+        co_return true;
+    }
+    const auto changes = this->applyTargets(content.records, isComplete, startedAt);
+    this->targetsPosition = { content.era, content.next };
+    this->view.targets.recordRead(startedAt);
+    this->audience->targetsRead(changes);
+    co_return true;
+}
+
 asio::awaitable<PlatformResult<KeyedPage>> ViewFollower::read(
-    KeyedStream stream, std::optional<std::uint64_t> next, Duration wait)
+    KeyedStream stream, const std::optional<Position>& position, Duration wait)
 {
-    if (next)
-        return this->store.changes(stream, *next, wait);
+    if (position)
+        return this->store.changes(stream, position->next, wait);
     return this->store.newest(stream);
 }
 
@@ -103,6 +225,27 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+// Forgets a position of an earlier era, which another stream or a peer has shown to be over.
+void ViewFollower::dropOutdated(std::optional<Position>& position) const
+{
+    if (position && position->era < this->era)
+        position.reset();
+}
+
+// Returns whether the era has risen. The store then came back from an older copy: its offsets are void, and what it
+// lost is written again within moments, so nothing that is missing now is taken as removed before that.
+bool ViewFollower::acceptEra(std::uint64_t era, std::string_view source)
+{
+    if (era <= this->era)
+        return false;
+    const auto previous = std::exchange(this->era, era);
+    if (previous == 0)
+        return false;
+    this->log.write("store_restored", { { "source", source }, { "era", era }, { "previous", previous } });
+    this->view.targets.beginRecovery(this->clock.now());
+    return true;
+}
+
 void ViewFollower::applyConfiguration(const KeyedPage& page)
 {
     // Only the newest of several versions is decoded.
@@ -132,65 +275,62 @@
     this->newestConfiguration = record;
     this->log.write("configuration_installed",
         { { "source", source }, { "version", version }, { "previous", previous }, { "routes", routes } });
-    if (this->configurationChanged)
-        this->configurationChanged();
 }
 
-const std::map<std::string, std::string, std::less<>>& ViewFollower::targetRecords() const
+void ViewFollower::applyPeerView(const ViewSummary& peer, const std::vector<KeyedRecord>& changes)
 {
-    return this->records;
+    if (peer.era < this->era)
+        return;
+    this->acceptEra(peer.era, "peer");
+    const auto now = this->clock.now();
+    if (peer.configurationVersion == this->view.version() && peer.configurationAge < Duration::max()) {
+        const auto readAt = now - peer.configurationAge - TransitAllowance;
+        this->configurationReadAt = std::max(this->configurationReadAt.value_or(readAt), readAt);
+    }
+    if (peer.targetsAge == Duration::max() || peer.targetsAge + TransitAllowance >= this->targetsAge(now))
+        return;
+    const auto readAt = now - peer.targetsAge - TransitAllowance;
+    if (!changes.empty() && peer.targetsDigest != this->records.digest())
+        this->applyTargets(changes, false, readAt);
+    if (peer.targetsDigest != this->records.digest())
+        return;
+    this->targetsPosition = { peer.era, peer.targetsOffset };
+    this->view.targets.recordRead(readAt);
 }
 
-void ViewFollower::installTargets(const std::vector<KeyedRecord>& records, Duration age, std::string_view source)
+void ViewFollower::installTargets(
+    const std::vector<KeyedRecord>& records, const ViewSummary& peer, std::string_view source)
 {
     const auto now = this->clock.now();
-    if (const auto own = this->view.targets.age(now); own && *own <= age)
+    if (peer.era < this->era || this->targetsAge(now) <= peer.targetsAge)
         return;
+    this->acceptEra(peer.era, source);
     this->log.write("targets_from_peer",
-        { { "source", source }, { "targets", static_cast<std::uint64_t>(records.size()) }, { "age_ms", age } });
-    this->applyTargets(records, true, now - age);
+        { { "source", source }, { "targets", static_cast<std::uint64_t>(records.size()) },
+            { "age_ms", peer.targetsAge } });
+    this->applyTargets(records, true, now - peer.targetsAge);
+    this->targetsPosition = { peer.era, peer.targetsOffset };
+    this->view.targets.recordRead(now - peer.targetsAge);
 }
 
-void ViewFollower::storeRecord(const KeyedRecord& record)
+// Returns the registrations that differ from those held before.
+std::vector<KeyedRecord> ViewFollower::applyTargets(
+    const std::vector<KeyedRecord>& records, bool isComplete, TimePoint readAt)
 {
-    if (record.value)
-        this->records.insert_or_assign(record.key, *record.value);
-    else
-        this->records.erase(record.key);
-}
-
-// Applies the newest record of each key. A complete list also removes the targets that are not in it.
-void ViewFollower::applyTargets(const std::vector<KeyedRecord>& records, bool isWhole, TimePoint readAt)
-{
-    if (isWhole)
-        this->records.clear();
-    std::map<std::string_view, const KeyedRecord*> newest;
-    for (const auto& record : records) {
-        newest[record.key] = &record;
-        this->storeRecord(record);
-    }
-    std::vector<TargetEntry> entries;
-    for (const auto& [key, record] : newest) {
-        if (!record->value) {
-            if (this->view.targets.remove(key, readAt))
-                this->log.write("target_removed", { { "target", key } });
-            continue;
-        }
-        std::string problem;
-        if (auto entry = this->decoder.target(*record, problem))
-            entries.push_back(std::move(*entry));
-        else
-            this->metrics.counter("marigold_target_entries_rejected_total").increment();
-    }
-    for (const auto& entry : entries) {
-        if (this->view.targets.upsert(entry, readAt))
+    std::vector<KeyedRecord> changed;
+    for (auto& change : this->records.apply(records, isComplete)) {
+        if (change.entry && this->view.targets.upsert(*change.entry, readAt))
             this->log.write("target_changed",
-                { { "target", entry.id }, { "service", entry.service }, { "address", entry.address },
-                    { "leaving", entry.isLeaving }, { "born", entry.incarnation } });
+                { { "target", change.entry->id }, { "service", change.entry->service },
+                    { "address", change.entry->address }, { "leaving", change.entry->isLeaving },
+                    { "born", change.entry->incarnation } });
+        else if (!change.record.value && this->view.targets.remove(change.record.key, readAt))
+            this->log.write("target_removed", { { "target", change.record.key } });
+        if (change.record.value && !change.entry)
+            this->metrics.counter("marigold_target_entries_rejected_total").increment();
+        changed.push_back(std::move(change.record));
     }
-    if (isWhole)
-        this->view.targets.replaceAll(entries, readAt);
-    this->view.targets.recordRead(readAt);
+    return changed;
 }
 
 void ViewFollower::recordCall(KeyedStream stream, std::optional<PlatformError> failure)
--- a/src/serving/ViewFollower.h
+++ b/src/serving/ViewFollower.h
@@ -3,7 +3,10 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
+#include <span>
 #include <string>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -13,28 +16,53 @@
 #include "base/EventLog.h"
 #include "base/Metrics.h"
 #include "serving/PlatformStore.h"
+#include "serving/ReadSchedule.h"
 #include "serving/ServingView.h"
+#include "serving/TargetRecords.h"
 
 namespace marigoldpaddle {
 
 struct ViewFollowerSettings {
-    // Long-poll time for the configuration; less than the time within which a change must take effect.
-    Duration configurationWait { std::chrono::milliseconds { 1400 } };
-    // Polling period of the targets; less than half of the time that a leaving target still serves.
-    Duration targetsPeriod { std::chrono::milliseconds { 900 } };
+    Duration configurationBound { std::chrono::seconds { 2 } }; // Time within which a change must take effect.
+    Duration targetsBound { std::chrono::seconds { 2 } }; // Time that a leaving target still serves.
     Duration retryDelay { std::chrono::milliseconds { 250 } }; // After a failed call.
 };
 
-// Applies the platform's keyed streams to the view.
+// State of a view of the platform, as instances tell each other with every notice.
+struct ViewSummary {
+    std::uint64_t era { 0 }; // Of the store that the view was read from.
+    std::uint64_t configurationVersion { 0 };
+    Duration configurationAge { Duration::max() }; // Since the version was known to be the newest.
+    std::uint64_t targetsDigest { 0 };
+    std::uint64_t targetsOffset { 0 }; // Up to which the registrations were read.
+    Duration targetsAge { Duration::max() }; // Since the registrations were known to be the newest.
+};
+
+// Other instances that share what one of them has read.
+class ViewAudience {
+public:
+    virtual ~ViewAudience() = default;
+
+    // Number of live instances of this availability zone that read the platform before this one.
+    virtual std::size_t readerRank() const = 0;
+
+    // Called after a configuration was installed.
+    virtual void configurationInstalled() = 0;
+
+    // Called after this instance has read the registrations of the targets; `changes` are those that differ.
+    virtual void targetsRead(std::span<const KeyedRecord> changes) = 0;
+};
+
+// Keeps the view of the platform: reads its keyed streams when the view gets old, and takes what peers have read.
 class ViewFollower {
 public:
     // Everything that is passed by reference must outlive the follower.
     ViewFollower(boost::asio::io_context& context, const Clock& clock, PlatformStore& store,
         const RecordDecoder& decoder, ServingView& view, EventLog& log, MetricsRegistry& metrics,
-        ViewFollowerSettings settings);
+        ViewFollowerSettings settings, std::mt19937_64 random);
 
-    // `configurationChanged` is called after each configuration that was installed.
-    void start(std::function<void()> configurationChanged);
+    // `audience` must outlive the follower.
+    void start(ViewAudience& audience);
 
     // Takes effect with the next call to the platform.
     void setSettings(const ViewFollowerSettings& settings);
@@ -45,21 +73,38 @@
     // Installs a configuration record, of the platform or from a peer, if it is valid and newer. `source` is logged.
     void installConfiguration(const KeyedRecord& record, std::string_view source);
 
-    // The newest records of the targets, by id.
-    const std::map<std::string, std::string, std::less<>>& targetRecords() const;
+    // The newest records of the targets.
+    std::vector<KeyedRecord> targetRecords() const;
+
+    // The view's state at `now`.
+    ViewSummary summary(TimePoint now) const;
 
-    // Installs a complete list of targets from a peer, unless this instance's own list is at most `age` old.
-    void installTargets(const std::vector<KeyedRecord>& records, Duration age, std::string_view source);
+    // Takes from a peer's notice what is newer than this instance's view: changed registrations, and the age of a view
+    // with the same contents.
+    void applyPeerView(const ViewSummary& peer, const std::vector<KeyedRecord>& changes);
+
+    // Installs a complete list of targets from a peer, unless this instance's own list is at least as new.
+    void installTargets(const std::vector<KeyedRecord>& records, const ViewSummary& peer, std::string_view source);
 
 private:
+    struct Position {
+        std::uint64_t era { 0 };
+        std::uint64_t next { 0 };
+    };
+
     boost::asio::awaitable<void> followConfiguration();
     boost::asio::awaitable<void> followTargets();
-    // Reads the changes from `next` on or, if `next` is empty, the newest record of every key.
+    boost::asio::awaitable<bool> readConfiguration(std::size_t rank);
+    boost::asio::awaitable<bool> readTargets();
+    // Reads the changes from `position` on or, without one, the newest record of every key.
     boost::asio::awaitable<PlatformResult<KeyedPage>> read(
-        KeyedStream stream, std::optional<std::uint64_t> next, Duration wait);
+        KeyedStream stream, const std::optional<Position>& position, Duration wait);
     boost::asio::awaitable<void> pause(Duration duration);
-    void applyTargets(const std::vector<KeyedRecord>& records, bool isWhole, TimePoint readAt);
-    void storeRecord(const KeyedRecord& record);
+    void dropOutdated(std::optional<Position>& position) const;
+    bool acceptEra(std::uint64_t era, std::string_view source);
+    Duration configurationAge(TimePoint now) const;
+    Duration targetsAge(TimePoint now) const;
+    std::vector<KeyedRecord> applyTargets(const std::vector<KeyedRecord>& records, bool isComplete, TimePoint readAt);
     void applyConfiguration(const KeyedPage& page);
     void recordCall(KeyedStream stream, std::optional<PlatformError> failure);
 
@@ -71,9 +116,16 @@
     EventLog& log;
     MetricsRegistry& metrics;
     ViewFollowerSettings settings;
-    std::function<void()> configurationChanged;
+    std::mt19937_64 random;
+    ReadSchedule configurationSchedule;
+    ReadSchedule targetsSchedule;
+    ViewAudience* audience { nullptr };
     std::optional<KeyedRecord> newestConfiguration;
-    std::map<std::string, std::string, std::less<>> records; // Of targets, by id.
+    std::optional<TimePoint> configurationReadAt; // When the installed configuration was known to be the newest.
+    std::optional<Position> configurationPosition;
+    std::optional<Position> targetsPosition;
+    TargetRecords records;
+    std::uint64_t era { 0 }; // Highest era of the store that this instance has seen.
     std::map<KeyedStream, bool> connected;
 };
 
--- a/standins/StoreStandin.h
+++ b/standins/StoreStandin.h
@@ -42,6 +42,11 @@
     // Returns the total size in bytes of all responses to requests for the newest records of a topic.
     std::size_t newestResponseBytes() const;
 
+    // Keeps a copy of all topics, and returns to it: what was written since is lost, its offsets are given out again,
+    // and the era rises. Also `POST /standin/copy` and `POST /standin/restore`.
+    void keepCopy();
+    void restoreCopy();
+
     // Drops the records before `offset` from the log. The newest record of each key remains available.
     void trim(const std::string& topic, std::uint64_t offset);
 
@@ -55,6 +60,7 @@
 
     struct Topic {
         std::uint64_t firstOffset { 0 }; // Offset of the oldest record that is kept.
+        std::uint64_t lostUntil { 0 }; // End of the offsets that were given out and lost by a restore.
         std::deque<std::string> records;
         std::map<std::string, Newest, std::less<>> newestByKey; // Keyed topics only.
 
@@ -64,6 +70,8 @@
         }
     };
 
+    boost::asio::awaitable<void> respond(HttpExchange& exchange, HttpResponse response) const;
+    HttpResponse handleControl(const HttpRequest& request, std::string_view resource, const RequestPath& path);
     boost::asio::awaitable<void> handleLog(HttpExchange& exchange, const RequestPath& path);
     boost::asio::awaitable<void> handleAppend(HttpExchange& exchange, std::string name);
     boost::asio::awaitable<void> handleRead(HttpExchange& exchange, const RequestPath& path);
@@ -77,6 +85,8 @@
     std::size_t keptRecords;
     std::size_t listedBytes { 0 };
     std::map<std::string, Topic, std::less<>> topics;
+    std::map<std::string, Topic, std::less<>> copy;
+    std::uint64_t era { 1 };
     boost::asio::steady_timer appendSignal; // Cancelled by every append to wake long polls.
 };
 
--- a/test/LoadLedger_test.cpp
+++ b/test/LoadLedger_test.cpp
@@ -91,5 +91,31 @@
     EXPECT_EQ(this->ledger.total("t", this->now).running, 0U);
 }
 
+TEST_F(LoadLedgerTest, PartialReportChangesOnlyTheLoadsInIt)
+{
+    TargetLoad one;
+    one.running = 1;
+    const auto first = LoadLedger::hashOf("a");
+    const auto second = LoadLedger::hashOf("b");
+    this->ledger.updatePeer("peer", { { first, one }, { second, one } }, this->now, 1s);
+    TargetLoad two;
+    two.running = 2;
+    this->ledger.updatePeer("peer", { { second, two } }, this->now, 1s, LoadLedger::ReportScope::Partial);
+    EXPECT_EQ(this->ledger.total("a", this->now).running, 1U);
+    EXPECT_EQ(this->ledger.total("b", this->now).running, 2U);
+    this->ledger.updatePeer("peer", { { second, one } }, this->now, 1s);
+    EXPECT_EQ(this->ledger.total("a", this->now).running, 0U);
+}
+
+TEST_F(LoadLedgerTest, TargetsThatGotWorkAreTakenOnce)
+{
+    this->ledger.begin("a", {}, this->now);
+    const auto changed = this->ledger.takeChangedLoads(this->now);
+    ASSERT_EQ(changed.size(), 1U);
+    EXPECT_EQ(changed.begin()->first, LoadLedger::hashOf("a"));
+    EXPECT_EQ(changed.begin()->second.running, 1U);
+    EXPECT_TRUE(this->ledger.takeChangedLoads(this->now).empty());
+}
+
 }
 }
--- a/test/TargetDirectory_test.cpp
+++ b/test/TargetDirectory_test.cpp
@@ -87,6 +87,42 @@
     EXPECT_EQ(this->directory.available("s").size(), 1U);
 }
 
+// A store that came back from an older copy, or a peer with an older list, still says "ready".
+TEST_F(TargetDirectoryTest, LeavingTargetStaysSoUntilItRestarts)
+{
+    this->directory.upsert(entry("t", true), this->now);
+    EXPECT_FALSE(this->directory.upsert(entry("t"), this->now));
+    EXPECT_TRUE(this->directory.available("s").empty());
+    auto restarted = entry("t");
+    restarted.incarnation = 7;
+    EXPECT_TRUE(this->directory.upsert(restarted, this->now));
+    EXPECT_EQ(this->directory.available("s").size(), 1U);
+}
+
+TEST_F(TargetDirectoryTest, TargetThatHasLeftDoesNotComeBackUntilItRestarts)
+{
+    this->directory.upsert(entry("t", true), this->now);
+    this->directory.remove("t", this->now);
+    EXPECT_FALSE(this->directory.upsert(entry("t"), this->now + 5s));
+    EXPECT_EQ(this->directory.find("t"), nullptr);
+    auto restarted = entry("t");
+    restarted.incarnation = 7;
+    EXPECT_TRUE(this->directory.upsert(restarted, this->now + 5s));
+}
+
+// An older copy of the store lacks targets that registered since; they have two seconds to register again.
+TEST_F(TargetDirectoryTest, RemovalDuringARecoveryOfTheStoreIsDeferredByTheGracePeriod)
+{
+    this->directory.upsert(entry("t"), this->now);
+    this->directory.recordRead(this->now);
+    this->directory.beginRecovery(this->now + 100ms);
+    this->directory.remove("t", this->now + 200ms);
+    this->directory.recordRead(this->now + 200ms);
+    EXPECT_EQ(this->directory.available("s").size(), 1U);
+    this->directory.recordRead(this->now + 2200ms);
+    EXPECT_TRUE(this->directory.available("s").empty());
+}
+
 TEST_F(TargetDirectoryTest, CompleteListingRemovesMissingTargets)
 {
     this->directory.upsert(entry("t"), this->now);
--- /dev/null
+++ b/test/TargetRecords_test.cpp
@@ -0,0 +1,93 @@
+#include "serving/TargetRecords.h"
+
+#include <gtest/gtest.h>
+
+namespace marigoldpaddle {
+namespace {
+
+// Decodes "service/state/heartbeat"; anything else is no registration.
+class FakeDecoder final : public RecordDecoder {
+public:
+    std::optional<ServingConfiguration> configuration(const KeyedRecord&, std::string&) const override
+    {
+        return std::nullopt;
+    }
+
+    std::optional<TargetEntry> target(const KeyedRecord& record, std::string&) const override
+    {
+        const auto first = record.value->find('/');
+        const auto second = record.value->find('/', first + 1);
+        if (first == std::string::npos || second == std::string::npos)
+            return std::nullopt;
+        TargetEntry entry;
+        entry.id = record.key;
+        entry.service = record.value->substr(0, first);
+        entry.isLeaving = record.value->substr(first + 1, second - first - 1) == "leaving";
+        return entry;
+    }
+
+    std::optional<InstanceDescription> instance(const KeyedRecord&, std::string&) const override
+    {
+        return std::nullopt;
+    }
+};
+
+class TargetRecordsTest : public testing::Test {
+protected:
+    FakeDecoder decoder;
+    TargetRecords records { this->decoder };
+};
+
+TEST_F(TargetRecordsTest, HeartbeatIsNoChange)
+{
+    EXPECT_EQ(this->records.apply({ { "a", "s/ready/1" } }, true).size(), 1U);
+    const auto digest = this->records.digest();
+    EXPECT_TRUE(this->records.apply({ { "a", "s/ready/2" } }, false).empty());
+    EXPECT_EQ(this->records.digest(), digest);
+}
+
+TEST_F(TargetRecordsTest, NewestOfSeveralRecordsCounts)
+{
+    const auto changes = this->records.apply({ { "a", "s/ready/1" }, { "a", "s/leaving/2" } }, false);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_TRUE(changes.front().entry->isLeaving);
+}
+
+TEST_F(TargetRecordsTest, CompleteListingRemovesWhatIsNotInIt)
+{
+    this->records.apply({ { "a", "s/ready/1" }, { "b", "s/ready/1" } }, true);
+    const auto changes = this->records.apply({ { "b", "s/ready/2" } }, true);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes.front().record.key, "a");
+    EXPECT_FALSE(changes.front().record.value);
+}
+
+TEST_F(TargetRecordsTest, InstancesThatAppliedTheSameChangesInAnotherOrderHaveTheSameDigest)
+{
+    TargetRecords other { this->decoder };
+    this->records.apply({ { "a", "s/ready/1" }, { "b", "s/ready/1" } }, true);
+    this->records.apply({ { "c", "s/ready/1" }, { "a", std::nullopt } }, false);
+    other.apply({ { "c", "s/ready/5" } }, false);
+    other.apply({ { "b", "s/ready/9" } }, false);
+    EXPECT_EQ(this->records.digest(), other.digest());
+}
+
+TEST_F(TargetRecordsTest, MissedChangeShowsInTheDigest)
+{
+    TargetRecords other { this->decoder };
+    this->records.apply({ { "a", "s/ready/1" } }, true);
+    other.apply({ { "a", "s/ready/1" } }, true);
+    this->records.apply({ { "a", "s/leaving/2" } }, false);
+    EXPECT_NE(this->records.digest(), other.digest());
+}
+
+TEST_F(TargetRecordsTest, RegistrationThatCannotBeDecodedIsHeldWithoutAnEntry)
+{
+    const auto changes = this->records.apply({ { "a", "garbage" } }, false);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_FALSE(changes.front().entry);
+    EXPECT_EQ(this->records.all().size(), 1U);
+}
+
+}
+}
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -312,6 +312,11 @@
     8: double answerWeight
 }
 
+struct KeyValueRecord {
+    1: string key
+    2: binary value
+}
+
 // Instance to instance on the serving path, as one UDP datagram: the load that the sender has placed on targets, and
 // the age of its view of the platform. `sequence` increases within an incarnation. A notice expires after `validMs`.
 struct LoadNotice {
@@ -327,6 +332,12 @@
     10: i64 waitingStartByMs // Until the sender's most urgent queued prompt must be placed; negative if none is queued.
     11: string availabilityZone // The zone of the sender.
     12: double zoneOccupancy // Occupied fraction of the slots of the zone's engines; negative if unknown.
+    13: i64 targetsDigest // Of the sender's registrations of targets.
+    14: i64 storeEra // Era of the store in which the sender's view was read.
+    15: i64 targetsOffset // Offset in the store up to which the registrations were read.
+    16: i64 configurationAgeMs // Since the sender's configuration was known to be the newest.
+    17: list<KeyValueRecord> targetChanges // Registrations that the sender's last read changed; no value: removed.
+    18: bool partial // `loads` has only some of the targets; the loads of the others did not change.
 }
 
 // Instance to instance: requests records that the receiver has read from the platform. Sent when the sender cannot read
@@ -336,17 +347,14 @@
     2: bool wantsTargets
 }
 
-struct KeyValueRecord {
-    1: string key
-    2: binary value
-}
-
 // `configuration` is absent if the sender has no newer version. `targets` is the complete list of targets, read
 // `targetsAgeMs` ago.
 struct PlatformRecordsAnswer {
     1: optional KeyValueRecord configuration
     2: optional list<KeyValueRecord> targets
     3: i64 targetsAgeMs
+    4: i64 storeEra
+    5: i64 targetsOffset
 }
 
 union Payload {
