Weigh the queue that puts a short prompt's objective at risk, and spread prompts after a common start

Change: the cost per millisecond beyond half of the objective, until now for long prompts only, applies to short ones too. The random placement after a start depends on whether any peer reports work, and fades out over its two seconds.

--- a/src/serving/LoadLedger.h
+++ b/src/serving/LoadLedger.h
@@ -73,6 +73,9 @@
     // Number of peers with valid load reports.
     std::size_t knownPeerCount(TimePoint now) const;
 
+    // Whether a valid report of a peer has work in it.
+    bool hasPeerLoads(TimePoint now) const;
+
     // Returns the loads of this instance alone, by hash of the target.
     std::unordered_map<std::uint64_t, TargetLoad> localLoads(TimePoint now) const;
 
--- a/src/serving/PromptPlacement.cpp
+++ b/src/serving/PromptPlacement.cpp
@@ -56,7 +56,8 @@
 // rest of the time is for generating the answer.
 constexpr double MaximumPrefillShareDelayingOthers = 0.5;
 constexpr double MaximumPrefillShare = 0.75;
-// Cost per millisecond of prefill beyond PrefillShareOfObjective, which puts the prompt's own objective at risk.
+// Cost per millisecond of waiting and prefill beyond PrefillShareOfObjective, which puts the prompt's own objective at
+// risk.
 constexpr double PrefillOverrunCostFactor = 3;
 // A prompt that would occupy all engines for more than the first share of the route's objective is bulk. It gets the
 // second share of the engines, or as many as it takes to finish prefill within the third share of the caller's
@@ -156,6 +157,20 @@
     return this->isLong(request) ? this->planLong(request, candidates) : this->planShort(request, candidates);
 }
 
+// Expected time to the first token of a short prompt: it waits for the prefills before it and for the pass in progress,
+// and its first token comes with the end of a pass.
+double PromptPlacement::expectedShortMs(const TargetLoad& load, double promptMs) const
+{
+    return load.backlogMs + promptMs + 2 * this->passMs(load);
+}
+
+// Cost of a first token that is expected late in what remains of the objective. None once the objective is missed.
+double PromptPlacement::overrunCost(const PromptPlacementRequest& request, double expectedMs) const
+{
+    const auto usable = PrefillShareOfObjective * Milliseconds(request.objective).count();
+    return usable > 0 ? PrefillOverrunCostFactor * std::max(0.0, expectedMs - usable) : 0;
+}
+
 std::optional<PromptPlan> PromptPlacement::planShort(
     const PromptPlacementRequest& request, std::span<const EngineCandidate> candidates) const
 {
@@ -170,6 +185,7 @@
         auto cost = candidate.load.backlogMs + FullBatchCostMs * std::pow(occupancy, 4)
             + ShortPromptPositionCostMs * positions[index] + candidate.extraCostMs
             + (candidate.isLocal ? 0 : RemoteZoneCostMs) + candidate.load.longPrefills * LongPrefillInterferenceCostMs;
+        cost += this->overrunCost(request, this->expectedShortMs(candidate.load, promptMs));
         // Short prompts that arrive within one pass are prefilled one after the other before the next tokens are
         // generated.
         if (this->wouldExceedGap(candidate, candidate.load.backlogMs + promptMs))
@@ -187,8 +203,8 @@
     plan.prefillMs = promptMs;
     plan.decodeTokens = tokens;
     plan.weight = this->weight(request.size.promptTokens);
-    plan.expectedMs = load.backlogMs + plan.prefillMs + 2 * this->passMs(load);
-    plan.expectedUnloadedMs = plan.prefillMs + 2 * this->passMs({});
+    plan.expectedMs = this->expectedShortMs(load, promptMs);
+    plan.expectedUnloadedMs = this->expectedShortMs({}, promptMs);
     plan.cannotMeetObjective = plan.expectedUnloadedMs > Milliseconds(request.objective).count();
     const auto occupancy = static_cast<double>(load.running) / std::max(1U, this->profile.batchSlots);
     plan.shouldWait = occupancy >= (plan.cannotMeetObjective ? LatePromptOccupancyLimit : 1);
@@ -253,10 +269,7 @@
         split.delaysOthers |= costs[helper] >= DelayedAnswerCostMs;
     }
     split.expectedMs += partMs;
-    const auto usable = PrefillShareOfObjective * Milliseconds(request.objective).count();
-    split.costMs += partMs;
-    if (usable > 0)
-        split.costMs += PrefillOverrunCostFactor * std::max(0.0, split.expectedMs - usable);
+    split.costMs += partMs + this->overrunCost(request, split.expectedMs);
     if (split.expectedMs > AtRiskShareOfObjective * Milliseconds(request.objective).count())
         split.costMs += DelayedAnswerCostMs * this->weight(request.size.promptTokens);
     return split;
--- a/src/serving/PromptPlacement.h
+++ b/src/serving/PromptPlacement.h
@@ -89,6 +89,8 @@
     bool hasMemory(const EngineCandidate& candidate, std::int64_t tokens) const;
     bool wouldExceedGap(const EngineCandidate& candidate, double partMs) const;
     double concurrentPrefillCost(const EngineCandidate& candidate, double partMs) const;
+    double expectedShortMs(const TargetLoad& load, double promptMs) const;
+    double overrunCost(const PromptPlacementRequest& request, double expectedMs) const;
     std::vector<double> zonePositions(std::span<const EngineCandidate> candidates) const;
     std::optional<PromptPlan> planShort(
         const PromptPlacementRequest& request, std::span<const EngineCandidate> candidates) const;
--- a/src/serving/TargetChooser.cpp
+++ b/src/serving/TargetChooser.cpp
@@ -19,8 +19,9 @@
 // Random jitter up to this cost decides between similar targets, so that instances with equal information spread out.
 constexpr double JitterWeight = 0.05;
 constexpr double JitterMs = 15; // About the prefill time of one short prompt.
-// Right after a start without the peers' loads, as when all instances were killed, every instance would fill the same
-// engines. Until then jitter that outweighs every preference decides; peers report within a second.
+// After a start in which no peer reports any work, as when all instances lost power at once, the engines may still be
+// busy with answers that nobody knows of, and every instance would fill the same engines. Jitter that at first outweighs
+// every preference decides then, and less and less over this period, in which short answers end.
 constexpr double StartupJitterMs = 1500;
 constexpr Duration StartupPeriod = std::chrono::seconds { 2 };
 // Prompts are sent to another zone only below this share of occupied batch slots there; above it the prompts of that
@@ -137,13 +138,23 @@
     return localPlan ? localPlan : placement.plan(prompt, candidates);
 }
 
+double TargetChooser::startupJitterMs(TimePoint now)
+{
+    if (!this->firstChoiceAt) {
+        this->firstChoiceAt = now;
+        this->startedWithoutKnownWork = !this->ledger.hasPeerLoads(now);
+    }
+    if (!this->startedWithoutKnownWork)
+        return 0;
+    const std::chrono::duration<double> elapsed = now - *this->firstChoiceAt;
+    return StartupJitterMs * (1 - elapsed / StartupPeriod);
+}
+
 std::optional<TargetChoice> TargetChooser::chooseEngines(const ChoiceRequest& request, TimePoint now)
 {
     std::vector<EngineCandidate> candidates;
-    this->firstChoiceAt = this->firstChoiceAt.value_or(now);
     const auto peers = this->ledger.knownPeerCount(now);
-    const bool isStarting = now - *this->firstChoiceAt < StartupPeriod && peers == 0;
-    std::uniform_real_distribution<double> jitter { 0, isStarting ? StartupJitterMs : JitterMs };
+    std::uniform_real_distribution<double> jitter { 0, std::max(JitterMs, this->startupJitterMs(now)) };
     for (const auto* target : this->eligibleTargets(request, now)) {
         candidates.push_back({ target, this->ledger.total(target->id, now),
             FailurePenaltyMs * this->health.failureRate(target->id, now) + jitter(this->random),
--- a/src/serving/TargetChooser.h
+++ b/src/serving/TargetChooser.h
@@ -60,6 +60,7 @@
 private:
     std::vector<const TargetEntry*> eligibleTargets(const ChoiceRequest& request, TimePoint now) const;
     std::optional<TargetChoice> choosePlain(const ChoiceRequest& request, TimePoint now);
+    double startupJitterMs(TimePoint now);
     std::optional<TargetChoice> chooseEngines(const ChoiceRequest& request, TimePoint now);
     std::optional<PromptPlan> planByZone(const PromptPlacement& placement, const PromptPlacementRequest& prompt,
         std::span<const EngineCandidate> candidates, TimePoint now) const;
@@ -70,6 +71,7 @@
     std::string availabilityZone;
     std::mt19937_64 random;
     std::optional<TimePoint> firstChoiceAt; // First call that chose among engines.
+    bool startedWithoutKnownWork { false }; // No peer reported work then.
 };
 
 }
--- a/test/PromptPlacement_test.cpp
+++ b/test/PromptPlacement_test.cpp
@@ -292,5 +292,17 @@
     EXPECT_GT(this->placement.plan(urgent, this->engines)->helpers.size() + 1, 6U);
 }
 
+// At the end of a burst eight short prompts had queued on the engine that the position prefers, and each of them missed
+// its objective beside idle engines.
+TEST_F(PromptPlacementTest, ShortPromptLeavesAQueueThatPutsItsObjectiveAtRisk)
+{
+    this->engines[0].load.backlogMs = 140;
+    this->engines[0].load.running = 7;
+    const auto plan = this->placement.plan(shortPrompt(), this->engines);
+    ASSERT_TRUE(plan);
+    EXPECT_NE(plan->decodeEngine, 0U);
+    EXPECT_LT(plan->expectedMs, 0.6 * 300);
+}
+
 }
 }
--- a/test/TargetChooser_test.cpp
+++ b/test/TargetChooser_test.cpp
@@ -140,6 +140,42 @@
         EXPECT_LE(count, 16U) << engine;
 }
 
+// All instances lose power and come back. They know each other within a tenth of a second, before any has placed work,
+// and the engines are still busy with answers to connections that no longer exist: nobody knows which.
+TEST_F(TargetChooserTest, InstancesThatKnowEachOtherButNoWorkSpreadOverTheEngines)
+{
+    std::map<std::string, unsigned> requests;
+    for (std::uint64_t instance = 0; instance < 8; ++instance) {
+        LoadLedger own;
+        own.updatePeer("peer", {}, this->now, 10s);
+        TargetChooser chooser { this->targets, own, this->health, "a", std::mt19937_64 { instance } };
+        for (int request = 0; request < 12; ++request) {
+            const auto choice = chooser.choose(
+                { this->route, this->engines, PromptSize { 5000, 1600 }, this->tried, {}, 10s }, this->now);
+            ASSERT_TRUE(choice);
+            ++requests[choice->target.id];
+        }
+    }
+    EXPECT_GE(requests.size(), 18U) << "of 21 engines";
+}
+
+// One instance restarts beside others that are serving: it relies on what they report at once.
+TEST_F(TargetChooserTest, InstanceThatStartsBesideServingPeersPlacesByTheirReports)
+{
+    TargetLoad busy;
+    busy.running = 15;
+    busy.answers = 15;
+    std::unordered_map<std::uint64_t, TargetLoad> loads;
+    for (int number = 1; number < 21; ++number)
+        loads.emplace(LoadLedger::hashOf("e" + std::to_string(100 + number)), busy);
+    this->ledger.updatePeer("peer", loads, this->now, 10s);
+    auto chooser = this->chooser(this->ledger, 1);
+    const auto choice = chooser.choose(
+        { this->route, this->engines, PromptSize { 5000, 1600 }, this->tried, {}, 10s }, this->now);
+    ASSERT_TRUE(choice);
+    EXPECT_EQ(choice->target.id, "e100");
+}
+
 TEST_F(TargetChooserTest, ExcludedTargetsAreNotChosen)
 {
     auto chooser = this->chooser(this->ledger, 1);
