Bound answers without end, and count only whole events as progress of a stream

Causes, by reading: Beast limits the header, but a chunk extension, a chunk size or a trailer is buffered until its end, and the buffer had no limit. A target in trouble that sends such bytes without end grows the process at the speed of the link until its machine's 160 MB are used, long before the request's time is over. An interim response was taken for the final answer and would have reached the caller. Each received byte restarted the time limit of a stream, so that a target that sends a byte now and then was never left.

--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -43,9 +43,13 @@
         }
     }
 
+    // Bytes that are received and not parsed yet. The parser consumes a body as it arrives, but waits for the end of a
+    // header, a chunk extension or a trailer, which a faulty server may never send.
+    static constexpr std::size_t MaximumBufferedBytes = 128 * 1024;
+
     beast::tcp_stream stream;
     std::string address;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { MaximumBufferedBytes };
     std::optional<http::response_parser<http::string_body>> parser;
     HttpResponseHeader header;
     TimePoint reusableUntil {};
@@ -58,6 +62,7 @@
 using KeepAliveCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
+constexpr unsigned FirstFinalStatus = 200;
 constexpr int LostProbes = 2; // Unanswered probes after which the connection fails.
 
 void enableProbes(tcp::socket& socket, std::chrono::seconds after)
@@ -200,6 +205,9 @@
         asio::redirect_error(asio::use_awaitable, failure));
     if (failure)
         co_return responseError(failure);
+    // No request asks for an interim response, so it is none of the answers that a server may give.
+    if (connection->parser->get().result_int() < FirstFinalStatus)
+        co_return HttpError::Malformed;
     connection->stream.expires_never();
     connection->header = HttpResponseHeader { connection->parser->get().base() };
     connection->reusableUntil
--- a/src/base/HttpServer.cpp
+++ b/src/base/HttpServer.cpp
@@ -29,6 +29,13 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+namespace {
+
+// A pipelined request and a piece of a body fit into it.
+constexpr std::size_t MinimumBufferBytes = 128 * 1024;
+
+}
+
 struct HttpServer::State {
     State(asio::io_context& context, HttpHandler& handler, HttpServerLimits limits)
         : context(context)
@@ -185,6 +192,8 @@
     asio::awaitable<bool> receive()
     {
         this->parser.emplace();
+        // A chunk extension or a trailer is buffered until its end, which may never come.
+        this->buffer.max_size(std::max(MinimumBufferBytes, 2 * this->state->limits.headerBytes));
         this->parser->header_limit(static_cast<std::uint32_t>(this->state->limits.headerBytes));
         this->parser->body_limit(this->state->limits.bodyBytes);
         const auto failure = co_await this->read();
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -254,11 +254,12 @@
     else
         call.stream.emplace(call.stream->lastId());
     auto& stream = *call.stream;
-    auto timeout = this->firstByteTimeout(call, choice);
+    // Only whole events count as progress: a target that sends a byte now and then is stalled.
+    auto nextEventBy = this->parts.clock.now() + this->firstByteTimeout(call, choice);
     bool hasFirstEvents = false; // This attempt has delivered events.
     while (true) {
+        const auto timeout = std::max<Duration>(Duration::zero(), nextEventBy - this->parts.clock.now());
         auto piece = co_await answer.readSome(std::min(timeout, this->remaining(call)));
-        timeout = this->gapTimeout(call, choice.target.id);
         if (!piece) {
             this->recordOutcome(call, choice.target, SendOutcome::Failed, name(piece.error()));
             co_return AttemptResult::MayHaveRun;
@@ -270,6 +271,8 @@
         call.lastEventAt = now;
         this->parts.health.recordActivity(choice.target.id, now);
         const auto events = stream.feed(piece.value());
+        if (!events.empty())
+            nextEventBy = now + this->gapTimeout(call, choice.target.id);
         if (!events.empty() && !hasFirstEvents) {
             hasFirstEvents = true;
             this->recordFirstEvents(call, choice, work);
--- a/test/HttpClient_test.cpp
+++ b/test/HttpClient_test.cpp
@@ -2,12 +2,16 @@
 
 #include <algorithm>
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/verb.hpp>
 #include <gtest/gtest.h>
 
@@ -83,5 +87,68 @@
     EXPECT_FALSE(this->hasTimerWhileWaiting({}));
 }
 
+struct EndlessAnswer {
+    std::string name;
+    std::string start;
+    std::string repeated;
+};
+
+// A server in trouble sends bytes that are no answer, without end, until its caller closes the connection.
+class HttpClientEndlessAnswerTest : public testing::TestWithParam<EndlessAnswer> {
+protected:
+    asio::awaitable<void> serve()
+    {
+        auto socket = co_await this->acceptor.async_accept(asio::use_awaitable);
+        boost::system::error_code failure;
+        co_await asio::async_write(
+            socket, asio::buffer(this->GetParam().start), asio::redirect_error(asio::use_awaitable, failure));
+        std::string block;
+        while (block.size() < 16 * 1024)
+            block += this->GetParam().repeated;
+        while (!failure && this->sentBytes < 64 * 1024 * 1024) {
+            co_await asio::async_write(
+                socket, asio::buffer(block), asio::redirect_error(asio::use_awaitable, failure));
+            this->sentBytes += block.size();
+        }
+    }
+
+    asio::io_context context { 1 };
+    tcp::acceptor acceptor { this->context, { asio::ip::address_v4::loopback(), 0 } };
+    std::size_t sentBytes { 0 };
+};
+
+// Extensions and trailers were buffered until their end: at the speed of the link, a machine with 160 MB was killed
+// before the request's time was over.
+TEST_P(HttpClientEndlessAnswerTest, FailsAndClosesTheConnectionAfterAFewMegabytes)
+{
+    HttpClient client { this->context.get_executor() };
+    std::optional<HttpResult<HttpResponse>> result;
+    asio::co_spawn(this->context, this->serve(), asio::detached);
+    asio::co_spawn(
+        this->context,
+        [&]() -> asio::awaitable<void> {
+            const auto address = "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+            result = co_await client.call(address, makeRequest(boost::beast::http::verb::get, "/", {}), 20s);
+        },
+        asio::detached);
+    this->context.run_for(30s);
+    ASSERT_TRUE(result);
+    ASSERT_FALSE(*result) << "taken for a whole answer with status " << result->value().result_int();
+    EXPECT_EQ(result->error(), HttpError::Malformed);
+    // What the kernel's buffers hold counts as sent.
+    EXPECT_LT(this->sentBytes, 16u * 1024 * 1024);
+}
+
+INSTANTIATE_TEST_SUITE_P(, HttpClientEndlessAnswerTest,
+    testing::Values(EndlessAnswer { "HeaderLine", "HTTP/1.1 200 OK\r\nA: ", "a" },
+        EndlessAnswer { "HeaderLines", "HTTP/1.1 200 OK\r\n", "A: a\r\n" },
+        EndlessAnswer { "StatusLine", "HTTP/1.1 200 ", "O" },
+        EndlessAnswer { "ChunkSize", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0" },
+        EndlessAnswer { "ChunkExtension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", "a" },
+        EndlessAnswer { "Trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: a\r\n" },
+        EndlessAnswer { "InterimResponses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+        EndlessAnswer { "NoHttp", "", "garbage" }),
+    [](const auto& row) { return row.param.name; });
+
 }
 }
--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -396,6 +396,34 @@
     EXPECT_EQ(this->first.received.size() + this->second.received.size(), 2U);
 }
 
+// A stalled target sends a byte of a comment now and then. Each byte restarted the time limit, so that the stream neither
+// moved to another target nor ended before the caller's deadline.
+TEST_F(ServingGatewayTest, StreamThatOnlySendsBytesNowAndThenContinuesAtAnotherTarget)
+{
+    this->registerTarget("t2", this->second.address);
+    const auto stallsOrContinues = [this](HttpExchange& exchange) -> asio::awaitable<void> {
+        if (exchange.request()["Last-Event-Id"] == "1") {
+            const auto reaction = events("id: 2\n\n", true);
+            co_return co_await reaction(exchange);
+        }
+        HttpResponseHeader header { answer(exchange, 200, "").base() };
+        header.erase(http::field::content_length);
+        header.set(http::field::content_type, "text/event-stream");
+        co_await exchange.beginStream(header);
+        co_await exchange.write("id: 1\n\n");
+        asio::steady_timer timer { this->context };
+        while (co_await exchange.write("i")) {
+            timer.expires_after(50ms);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    };
+    this->first.script = { stallsOrContinues };
+    this->second.script = { stallsOrContinues };
+    const auto startedAt = this->clock.now();
+    EXPECT_EQ(this->call(this->request("/stream/x")).value().body(), "id: 1\n\nid: 2\n\n");
+    EXPECT_LT(this->clock.now() - startedAt, 3s);
+}
+
 TEST_F(ServingGatewayTest, StreamThatCannotContinueIsNotEndedAsComplete)
 {
     this->first.script = { events("id: 1\n\nid: 2\nda", false) };
