--- a/bench/serving_bench.cpp
+++ b/bench/serving_bench.cpp
@@ -85,7 +85,7 @@
 {
     // Three zones in present deployments, eleven in the deployment planned for in two years.
     const auto zones = state.range(0) > 100 ? 11 : 3;
-    PeerExchange exchange { "self", "zone-0", {}, std::mt19937_64 { 1 } };
+    PeerExchange exchange { "self", "zone-0", {}, 2s, std::mt19937_64 { 1 } };
     TimePoint now { 1h };
     for (int peer = 0; peer < state.range(0); ++peer) {
         auto received = notice(0);
