--- a/test/PeerExchange_test.cpp
+++ b/test/PeerExchange_test.cpp
@@ -1,6 +1,7 @@
 #include "serving/PeerExchange.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <string>
 
@@ -238,6 +239,28 @@
     EXPECT_GE(firstFetches.size(), 10U);
 }
 
+// After a start of all instances the first reader of a zone announces the list of targets, and every instance that has
+// none yet fetches it at that moment. With thousands of targets a list has most of a megabyte.
+TEST_F(PeerExchangeTest, FirstFetchesOfTheTargetsAreSpreadOverTheZone)
+{
+    std::set<Duration> firstFetches;
+    for (std::uint64_t seed = 0; seed < 39; ++seed) {
+        PeerExchange one { "10.0.0.1:1", "zone-a", {}, TargetsBound, std::mt19937_64 { seed } };
+        for (int peer = 2; peer <= 39; ++peer) {
+            auto peerNotice = this->notice("10.0.0." + std::to_string(peer) + ":1", 1);
+            peerNotice.availabilityZone = "zone-a";
+            peerNotice.targetsAgeMs = peer == 2 ? 0 : std::numeric_limits<std::int32_t>::max();
+            one.receive(peerNotice, this->now);
+        }
+        this->own.targetsAge = Duration::max();
+        auto at = this->now;
+        while (only<FetchRecords>(one.tick(this->own, false, at)).empty() && at < this->now + 1s)
+            at += 10ms;
+        firstFetches.insert(at - this->now);
+    }
+    EXPECT_GE(firstFetches.size(), 10U);
+}
+
 TEST_F(PeerExchangeTest, RecordsAreFetchedWithinTheZoneIfPossible)
 {
     auto remote = this->notice("10.0.0.2:1", 1, 7);
