Log why no further attempt follows, and what is known of a silent stream

Change: events retry_denied (with a counter for each reason) and stream_silent. No decision changes. After: the 56 tests of the gateway, the node and the platform's formats pass.

--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -249,13 +249,32 @@
 
 bool ServingGateway::mayRetry(Call& call, AttemptResult last)
 {
-    if (call.tries >= MaximumTries || this->remaining(call) <= Duration::zero())
-        return false;
-    if (call.runs > 0 && (!call.route->mayRunAgain() || call.runs >= call.route->maximumAttempts))
-        return false;
-    if (last == AttemptResult::NotSent)
+    const auto obstacle = this->retryObstacle(call, last);
+    if (obstacle.empty())
         return true;
-    return this->parts.budget.trySpend(call.service->name, this->parts.clock.now());
+    this->parts.log.write("retry_denied",
+        { { "id", call.metadata.attemptId }, { "reason", obstacle }, { "tries", std::uint64_t { call.tries } },
+            { "runs", std::uint64_t { call.runs } }, { "left_ms", this->remaining(call) },
+            { "budget_left", this->parts.budget.remaining(call.service->name, this->parts.clock.now()) } });
+    this->parts.metrics.counter("marigold_denied_retries_total", "reason=\"" + std::string { obstacle } + "\"")
+        .increment();
+    return false;
+}
+
+// Why the request may not be sent again; empty if it may. Then the retry has been spent.
+std::string_view ServingGateway::retryObstacle(const Call& call, AttemptResult last)
+{
+    if (call.tries >= MaximumTries)
+        return "tries";
+    if (this->remaining(call) <= Duration::zero())
+        return "deadline";
+    if (call.runs > 0 && !call.route->mayRunAgain())
+        return "not_repeatable";
+    if (call.runs >= call.route->maximumAttempts)
+        return "attempts";
+    if (last == AttemptResult::NotSent || this->parts.budget.trySpend(call.service->name, this->parts.clock.now()))
+        return {};
+    return "budget";
 }
 
 Duration ServingGateway::remaining(const Call& call) const
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -101,6 +101,7 @@
     bool callerMayRetry(const Call& call) const;
     Duration jitteredRetryAfter(const Call& call);
     bool mayRetry(Call& call, AttemptResult last);
+    std::string_view retryObstacle(const Call& call, AttemptResult last);
     Duration remaining(const Call& call) const;
     Duration firstByteTimeout(const Call& call, const TargetChoice& choice) const;
     Duration gapTimeout(const Call& call, const std::string& target) const;
@@ -109,6 +110,7 @@
     void recordOutcome(Call& call, const TargetEntry& target, SendOutcome outcome, std::string_view detail);
     AttemptResult recordDeclined(
         Call& call, const TargetChoice& choice, const ResponseMetadata& response, TimePoint sentAt);
+    void recordSilence(const Call& call, const std::string& target, TimePoint progressAt, TimePoint expiredAt);
     void recordInterruptedAttempt(Call& call, std::string_view detail);
     void finish(Call& call, std::string_view outcome, unsigned status);
 
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -255,11 +255,14 @@
         call.stream.emplace(call.stream->lastId());
     auto& stream = *call.stream;
     // Only whole events count as progress: a target that sends a byte now and then is stalled.
-    auto nextEventBy = this->parts.clock.now() + this->firstByteTimeout(call, choice);
+    auto progressAt = this->parts.clock.now();
+    auto nextEventBy = progressAt + this->firstByteTimeout(call, choice);
     bool hasFirstEvents = false; // This attempt has delivered events.
     while (true) {
         const auto timeout = std::max<Duration>(Duration::zero(), nextEventBy - this->parts.clock.now());
         auto piece = co_await answer.readSome(std::min(timeout, this->remaining(call)));
+        if (!piece && piece.error() == HttpError::Timeout)
+            this->recordSilence(call, choice.target.id, progressAt, nextEventBy);
         if (!piece) {
             this->recordOutcome(call, choice.target, SendOutcome::Failed, name(piece.error()));
             co_return AttemptResult::MayHaveRun;
@@ -271,8 +274,10 @@
         call.lastEventAt = now;
         this->parts.health.recordActivity(choice.target.id, now);
         const auto events = stream.feed(piece.value());
-        if (!events.empty())
+        if (!events.empty()) {
+            progressAt = now;
             nextEventBy = now + this->gapTimeout(call, choice.target.id);
+        }
         if (!events.empty() && !hasFirstEvents) {
             hasFirstEvents = true;
             this->recordFirstEvents(call, choice, work);
@@ -330,6 +335,17 @@
             { "detail", detail }, { "after_ms", now - call.receivedAt } });
 }
 
+// Logs a stream without whole events since `progressAt`, whose limit expired at `expiredAt`.
+void ServingGateway::recordSilence(
+    const Call& call, const std::string& target, TimePoint progressAt, TimePoint expiredAt)
+{
+    const auto now = this->parts.clock.now();
+    this->parts.log.write("stream_silent",
+        { { "id", call.metadata.attemptId }, { "target", target }, { "silent_ms", now - progressAt },
+            { "limit_ms", expiredAt - progressAt }, { "backlog_ms", this->parts.ledger.total(target, now).backlogMs },
+            { "budget_left", this->parts.budget.remaining(call.service->name, now) } });
+}
+
 // Logs an attempt that was cut off while its target had the request. It says nothing about the target's health.
 void ServingGateway::recordInterruptedAttempt(Call& call, std::string_view detail)
 {
