Reproduce streams that are cut off because their retry was spent meanwhile

The first ones spend the retry; the others are given up first and denied a retry afterwards. A stream is also lost when the other target declines it. Both tests fail on this code: 'cut off' after 1.5 s.

--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -187,6 +187,32 @@
         return *result;
     }
 
+    // The whole body of the answer; "cut off" if the answer is incomplete.
+    std::string bodyOf(const std::string& path)
+    {
+        const auto answered = this->call(this->request(path));
+        return answered ? answered.value().body() : "cut off";
+    }
+
+    // Sends an event, is silent for longer than the limit for gaps, and sends the rest.
+    ScriptedTarget::Reaction silentBetweenEvents(std::function<void()> whenSilent)
+    {
+        return [this, whenSilent](HttpExchange& exchange) -> asio::awaitable<void> {
+            HttpResponseHeader header { answer(exchange, 200, "").base() };
+            header.erase(http::field::content_length);
+            header.set(http::field::content_type, "text/event-stream");
+            co_await exchange.beginStream(header);
+            co_await exchange.write("id: 1\n\n");
+            asio::steady_timer timer { this->context, 100ms };
+            co_await timer.async_wait(asio::use_awaitable);
+            whenSilent();
+            timer.expires_after(1700ms);
+            co_await timer.async_wait(asio::use_awaitable);
+            co_await exchange.write("id: 2\n\n");
+            co_await exchange.endStream();
+        };
+    }
+
     unsigned status(const std::string& path)
     {
         const auto answered = this->call(this->request(path));
@@ -424,6 +450,36 @@
     EXPECT_LT(this->clock.now() - startedAt, 3s);
 }
 
+// Several streams of one engine were silent over the limit for gaps while one retry was left for all of them. The first
+// one spent it, and the others were cut off although their engine was sound.
+TEST_F(ServingGatewayTest, SilentStreamWhoseRetryWasSpentMeanwhileIsNotCutOff)
+{
+    this->registerTarget("t2", this->second.address);
+    this->budget.setSettings({ 0, 10s, static_cast<double>(RetryBudget::MinimumSharers) });
+    const auto isSilentForAWhile
+        = this->silentBetweenEvents([this] { EXPECT_TRUE(this->budget.trySpend("s", this->clock.now())); });
+    this->first.script = { isSilentForAWhile };
+    this->second.script = { isSilentForAWhile };
+    EXPECT_EQ(this->bodyOf("/stream/x"), "id: 1\n\nid: 2\n\n");
+    EXPECT_EQ(this->first.received.size() + this->second.received.size(), 1U);
+}
+
+// The target that should have continued a silent stream declined it, and the stream was cut off although its own target
+// would have gone on.
+TEST_F(ServingGatewayTest, SilentStreamThatNoOtherTargetContinuesIsNotCutOff)
+{
+    this->registerTarget("t2", this->second.address);
+    const auto isSilentOrDeclines = [this](HttpExchange& exchange) -> asio::awaitable<void> {
+        const auto reaction
+            = exchange.request()["Last-Event-Id"] == "1" ? declined() : this->silentBetweenEvents([] { });
+        co_await reaction(exchange);
+    };
+    this->first.script = { isSilentOrDeclines };
+    this->second.script = { isSilentOrDeclines };
+    EXPECT_EQ(this->bodyOf("/stream/x"), "id: 1\n\nid: 2\n\n");
+    EXPECT_EQ(this->first.received.size() + this->second.received.size(), 2U);
+}
+
 TEST_F(ServingGatewayTest, StreamThatCannotContinueIsNotEndedAsComplete)
 {
     this->first.script = { events("id: 1\n\nid: 2\nda", false) };
