Replace a silent stream only once another target has begun to continue it

Cause: an attempt was ended when its limit for gaps expired, and whether another one could follow was decided afterwards. The class: a decision that is checked when it is armed and acted upon later without its precondition. Ruled out: the end of the process (stopped 2.3 s later, cut_requests=0). A backlog that becomes known late is real, but a longer limit would only let callers leave, which they do after 2 s. Change: the silent answer stays open. A successor is sought beside it, spends its retry itself, and takes over when its answer begins; whichever has the next events first goes on. If the silent one breaks off meanwhile, the successor is awaited. Attempts that may have been executed are counted when they are written, as two may be in progress. The time in which a slow caller takes its events no longer counts as silence of the target. The fixture now lets finished attempts end before its members are destroyed.

--- a/src/serving/ServingCall.h
+++ b/src/serving/ServingCall.h
@@ -23,7 +23,7 @@
     std::set<std::string> tried;
     std::string currentTarget; // Id of the target that has the request now; empty between attempts.
     unsigned tries { 0 };
-    unsigned runs { 0 }; // Attempts that may have been executed.
+    unsigned runs { 0 }; // Attempts that may have been executed, including those in progress.
     std::optional<Duration> retryAfter; // Retry-After of a refusal, if it differs from the default.
     std::optional<HttpResponse> targetFailure; // Forwarded if no other attempt succeeds.
     std::optional<EventStream> stream; // Set once events may reach the caller.
@@ -36,4 +36,24 @@
     bool isFinished { false };
 };
 
+// One attempt at a target, from its placement to the end of the answer.
+struct ServingGateway::Attempt {
+    Attempt(boost::asio::io_context& context, TargetChoice choice)
+        : choice(std::move(choice))
+        , changed(context, TimePoint::max())
+    {
+    }
+
+    TargetChoice choice;
+    std::vector<LedgerEntry> work;
+    std::optional<MemoryLease> lease;
+    std::optional<HttpCall> answer; // Set once the target answers.
+    TimePoint progressAt {}; // Time of the last whole events.
+    TimePoint nextEventBy {}; // The target counts as silent from then on.
+    bool hasEvents { false };
+    bool isSuperseded { false }; // Another attempt answers; this one has no effect any more.
+    Attempt* successor { nullptr }; // The attempt that is being opened because this one is silent.
+    boost::asio::steady_timer changed; // Cancelled when `progressAt` or `successor` changes.
+};
+
 }
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -145,8 +145,6 @@
         last = co_await this->send(call, *choice);
         if (last == AttemptResult::Done)
             co_return;
-        if (last == AttemptResult::MayHaveRun)
-            ++call.runs;
     }
     co_await this->finishWithoutAnswer(call);
 }
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -70,6 +70,7 @@
 
 private:
     struct Call; // See ServingCall.h.
+    struct Attempt; // See ServingCall.h.
 
     // Maximum number of targets tried for one call, including those that did not execute it.
     static constexpr unsigned MaximumTries = 4;
@@ -80,18 +81,27 @@
         NotSent, // Nothing was sent to a target.
         NotRun, // The target states that it did not execute the request.
         MayHaveRun, // Any other outcome.
+        Answering, // The target has begun to answer; the attempt has not ended.
     };
 
     bool admit(Call& call);
     boost::asio::awaitable<void> forward(Call& call);
     boost::asio::awaitable<std::optional<TargetChoice>> waitForPlacement(Call& call);
     boost::asio::awaitable<AttemptResult> send(Call& call, const TargetChoice& choice);
+    boost::asio::awaitable<AttemptResult> open(Call& call, Attempt& attempt);
+    AttemptResult checkAnswer(Call& call, Attempt& attempt, TimePoint sentAt);
     boost::asio::awaitable<bool> reserveMemory(
         Call& call, const TargetChoice& choice, MemoryLease& lease, ForwardingMetadata& forwarding);
     boost::asio::awaitable<AttemptResult> relayWhole(Call& call, HttpCall& answer, const std::string& target);
-    boost::asio::awaitable<AttemptResult> relayStream(
-        Call& call, HttpCall& answer, const TargetChoice& choice, std::vector<LedgerEntry>& work);
-    void recordFirstEvents(Call& call, const TargetChoice& choice, std::vector<LedgerEntry>& work);
+    boost::asio::awaitable<AttemptResult> relayStream(Call& call, std::unique_ptr<Attempt>& attempt);
+    boost::asio::awaitable<AttemptResult> relayEvents(Call& call, Attempt& attempt);
+    boost::asio::awaitable<AttemptResult> leaveToSuccessor(Attempt& attempt);
+    boost::asio::awaitable<void> replaceWhenSilent(Call& call, Attempt& attempt, std::unique_ptr<Attempt>& successor);
+    boost::asio::awaitable<void> waitForProgress(Attempt& attempt, TimePoint silentSince);
+    boost::asio::awaitable<void> openSuccessor(Call& call, Attempt& attempt, std::unique_ptr<Attempt>& successor);
+    void beginEvents(Call& call, Attempt& attempt);
+    void recordProgress(Call& call, Attempt& attempt, TimePoint now);
+    void recordFirstEvents(Call& call, Attempt& attempt);
     boost::asio::awaitable<void> finishWithoutAnswer(Call& call);
     boost::asio::awaitable<void> refuse(Call& call, unsigned status, std::string_view reason);
     boost::asio::awaitable<void> waitUntilDeadline(Call& call);
@@ -104,13 +114,15 @@
     std::string_view retryObstacle(const Call& call, AttemptResult last);
     Duration remaining(const Call& call) const;
     Duration firstByteTimeout(const Call& call, const TargetChoice& choice) const;
-    Duration gapTimeout(const Call& call, const std::string& target) const;
-    bool mayFailOver(const Call& call) const; // Whether another target may take over from the current one.
+    Duration firstByteLimit(const Call& call, const TargetChoice& choice) const;
+    Duration gapLimit(const Call& call, const std::string& target) const;
+    // Whether another target may take over after `runs` attempts that may have been executed.
+    bool mayFailOver(const Call& call, unsigned runs) const;
     std::vector<LedgerEntry> recordWork(const TargetChoice& choice);
     void recordOutcome(Call& call, const TargetEntry& target, SendOutcome outcome, std::string_view detail);
     AttemptResult recordDeclined(
         Call& call, const TargetChoice& choice, const ResponseMetadata& response, TimePoint sentAt);
-    void recordSilence(const Call& call, const std::string& target, TimePoint progressAt, TimePoint expiredAt);
+    void recordSilence(const Call& call, const Attempt& attempt);
     void recordInterruptedAttempt(Call& call, std::string_view detail);
     void finish(Call& call, std::string_view outcome, unsigned status);
 
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -2,6 +2,10 @@
 
 #include "serving/ServingCall.h"
 
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 // Part of ServingGateway: sends requests to targets and relays their answers.
 namespace marigoldpaddle {
 
@@ -44,6 +48,8 @@
     return "invalid";
 }
 
+// Pause before a continuation of a silent stream is tried again.
+constexpr Duration SuccessorRetryPeriod = std::chrono::milliseconds { 250 };
 // A helper that needs this long to decline is not answering the engine that asked it.
 constexpr Duration SilentHelperTime = std::chrono::seconds { 1 };
 
@@ -51,15 +57,18 @@
 // request was written: from then on it may be executed.
 class TargetWriteGate final : public WriteGate {
 public:
-    TargetWriteGate(const TargetDirectory& targets, const TargetEntry& target)
+    TargetWriteGate(const TargetDirectory& targets, const TargetEntry& target, unsigned& runs)
         : targets(targets)
         , target(target)
+        , runs(runs)
     {
     }
 
     bool mayWrite() override
     {
         this->isWritten = this->targets.acceptsWork(this->target);
+        if (this->isWritten)
+            ++this->runs;
         return this->isWritten;
     }
 
@@ -68,6 +77,7 @@
 private:
     const TargetDirectory& targets;
     const TargetEntry& target;
+    unsigned& runs;
 };
 
 }
@@ -75,25 +85,28 @@
 // Limits the wait of a request that may be sent again, so that time is left for another target.
 Duration ServingGateway::firstByteTimeout(const Call& call, const TargetChoice& choice) const
 {
-    if (!this->mayFailOver(call))
+    if (!this->mayFailOver(call, call.runs + 1))
         return this->remaining(call);
-    return std::min(this->remaining(call), 2 * choice.expected + call.route->objective);
+    return std::min(this->remaining(call), this->firstByteLimit(call, choice));
 }
 
-// A gap between events ends an attempt only while another target can continue the answer. A target that prefills a long
-// prompt sends nothing meanwhile, so its backlog is added.
-Duration ServingGateway::gapTimeout(const Call& call, const std::string& target) const
+Duration ServingGateway::firstByteLimit(const Call& call, const TargetChoice& choice) const
+{
+    return 2 * choice.expected + call.route->objective;
+}
+
+// After a longer gap between events, another target may continue the answer. A target that prefills a long prompt sends
+// nothing meanwhile, so its backlog is added.
+Duration ServingGateway::gapLimit(const Call& call, const std::string& target) const
 {
-    if (!this->mayFailOver(call))
-        return this->remaining(call);
     const auto load = this->parts.ledger.total(target, this->parts.clock.now());
     const auto reading = std::chrono::duration<double, std::milli> { 2 * load.backlogMs };
     return std::max(NormalGapLimit, 3 * call.route->gapObjective) + std::chrono::duration_cast<Duration>(reading);
 }
 
-bool ServingGateway::mayFailOver(const Call& call) const
+bool ServingGateway::mayFailOver(const Call& call, unsigned runs) const
 {
-    return call.route->mayRunAgain() && call.runs + 1 < call.route->maximumAttempts && call.tries < MaximumTries
+    return call.route->mayRunAgain() && runs < call.route->maximumAttempts && call.tries < MaximumTries
         && this->parts.budget.remaining(call.service->name, this->parts.clock.now()) >= 1;
 }
 
@@ -115,7 +128,25 @@
 
 asio::awaitable<ServingGateway::AttemptResult> ServingGateway::send(Call& call, const TargetChoice& choice)
 {
-    auto work = this->recordWork(choice);
+    auto attempt = std::make_unique<Attempt>(this->parts.context, choice);
+    const auto opened = co_await this->open(call, *attempt);
+    if (opened != AttemptResult::Answering)
+        co_return opened;
+    const auto& answer = *attempt->answer;
+    if (call.route->kind == RouteKind::Stream && isSuccess(answer.header().result_int()))
+        co_return co_await this->relayStream(call, attempt);
+    const auto& target = attempt->choice.target;
+    const auto ended = co_await this->relayWhole(call, *attempt->answer, target.id);
+    this->recordOutcome(
+        call, target, ended == AttemptResult::Done ? SendOutcome::Answered : SendOutcome::Failed, "whole");
+    co_return ended;
+}
+
+// Sends the request and waits for the header of the answer.
+asio::awaitable<ServingGateway::AttemptResult> ServingGateway::open(Call& call, Attempt& attempt)
+{
+    const auto& choice = attempt.choice;
+    attempt.work = this->recordWork(choice);
     call.currentTarget = choice.target.id;
     const auto now = this->parts.clock.now();
     this->parts.log.write("sent",
@@ -126,7 +157,6 @@
             { "targets_age_ms", this->parts.view.targets.age(now).value_or(Duration::zero()) } });
     ForwardingMetadata forwarding;
     forwarding.targetId = choice.target.id;
-    forwarding.remaining = this->remaining(call);
     forwarding.workspace = call.workspace;
     if (call.stream)
         forwarding.lastEventId = call.stream->lastId();
@@ -136,45 +166,52 @@
                                                         : ShortUrgency;
     for (const auto& helper : choice.helpers)
         forwarding.helpers.push_back({ helper.address, {} });
-    MemoryLease lease { { this->parts.context, this->parts.memory, this->parts.log, this->parts.memoryLeaseDuration },
-        call.metadata.attemptId };
-    if (!co_await this->reserveMemory(call, choice, lease, forwarding))
+    attempt.lease.emplace(MemoryLease::Parts { this->parts.context, this->parts.memory, this->parts.log,
+                              this->parts.memoryLeaseDuration },
+        call.metadata.attemptId);
+    if (!co_await this->reserveMemory(call, choice, *attempt.lease, forwarding))
         co_return AttemptResult::NotSent;
     forwarding.remaining = this->remaining(call);
     if (call.tries == 1)
         this->parts.budget.recordFirstSend(call.service->name, now);
 
-    TargetWriteGate gate { this->parts.view.targets, choice.target };
+    TargetWriteGate gate { this->parts.view.targets, choice.target, call.runs };
     const auto sentAt = this->parts.clock.now();
     const auto reuse = call.route->mayRunAgain() ? ConnectionReuse::Allowed : ConnectionReuse::Forbidden;
     auto answer = co_await this->parts.client.start(choice.target.address,
         this->parts.format.makeTargetRequest(call.exchange.request(), forwarding), this->firstByteTimeout(call, choice),
         reuse, &gate);
+    if (attempt.isSuperseded)
+        co_return AttemptResult::MayHaveRun;
     if (!answer) {
         this->recordOutcome(call, choice.target, SendOutcome::Unreachable, name(answer.error()));
         co_return gate.isWritten ? AttemptResult::MayHaveRun : AttemptResult::NotSent;
     }
-    auto& received = answer.value();
-    const auto response = this->parts.format.responseMetadata(received.header());
+    attempt.answer.emplace(std::move(answer).value());
+    co_return this->checkAnswer(call, attempt, sentAt);
+}
+
+// Whether the answer belongs to the request and may be forwarded.
+ServingGateway::AttemptResult ServingGateway::checkAnswer(Call& call, Attempt& attempt, TimePoint sentAt)
+{
+    const auto& choice = attempt.choice;
+    auto& answer = *attempt.answer;
+    const auto response = this->parts.format.responseMetadata(answer.header());
     if (response.attemptId != call.metadata.attemptId) {
-        received.discard();
+        answer.discard();
         this->recordOutcome(call, choice.target, SendOutcome::Failed, "answer_to_other_request");
-        co_return AttemptResult::MayHaveRun;
+        return AttemptResult::MayHaveRun;
     }
-    if (response.wasNotExecuted)
-        co_return this->recordDeclined(call, choice, response, sentAt);
-    const auto status = received.header().result_int();
-    if (isSuccess(status) && (!response.isSealed || response.hasContentEncoding)) {
-        received.discard();
+    if (response.wasNotExecuted) {
+        --call.runs;
+        return this->recordDeclined(call, choice, response, sentAt);
+    }
+    if (isSuccess(answer.header().result_int()) && (!response.isSealed || response.hasContentEncoding)) {
+        answer.discard();
         this->recordOutcome(call, choice.target, SendOutcome::Failed, "unsealed");
-        co_return AttemptResult::MayHaveRun;
+        return AttemptResult::MayHaveRun;
     }
-    if (call.route->kind == RouteKind::Stream && isSuccess(status))
-        co_return co_await this->relayStream(call, received, choice, work);
-    const auto ended = co_await this->relayWhole(call, received, choice.target.id);
-    this->recordOutcome(
-        call, choice.target, ended == AttemptResult::Done ? SendOutcome::Answered : SendOutcome::Failed, "whole");
-    co_return ended;
+    return AttemptResult::Answering;
 }
 
 // Records that the target, or a helper that it names, has not executed the request. The next attempt avoids whoever is
@@ -245,43 +282,59 @@
     co_return AttemptResult::Done;
 }
 
+// Relays a stream. A target that is silent for too long is replaced once another one has begun to continue the stream,
+// and not before: it may be sound and go on.
 asio::awaitable<ServingGateway::AttemptResult> ServingGateway::relayStream(
-    Call& call, HttpCall& answer, const TargetChoice& choice, std::vector<LedgerEntry>& work)
+    Call& call, std::unique_ptr<Attempt>& attempt)
 {
-    const bool isFirst = !call.stream;
-    if (isFirst)
-        call.stream.emplace(call.metadata.lastEventId);
-    else
+    using namespace asio::experimental::awaitable_operators;
+    while (true) {
+        this->beginEvents(call, *attempt);
+        std::unique_ptr<Attempt> successor;
+        const auto first
+            = co_await (this->relayEvents(call, *attempt) || this->replaceWhenSilent(call, *attempt, successor));
+        if (first.index() == 0)
+            co_return std::get<0>(first);
+        this->recordOutcome(call, attempt->choice.target, SendOutcome::Failed, name(HttpError::Timeout));
+        attempt = std::move(successor);
+        call.currentTarget = attempt->choice.target.id;
+    }
+}
+
+// Expects the events after the last delivered one.
+void ServingGateway::beginEvents(Call& call, Attempt& attempt)
+{
+    if (call.stream)
         call.stream.emplace(call.stream->lastId());
+    else
+        call.stream.emplace(call.metadata.lastEventId);
+    attempt.progressAt = this->parts.clock.now();
+    attempt.nextEventBy = attempt.progressAt + this->firstByteLimit(call, attempt.choice);
+}
+
+asio::awaitable<ServingGateway::AttemptResult> ServingGateway::relayEvents(Call& call, Attempt& attempt)
+{
+    const auto& target = attempt.choice.target;
+    auto& answer = *attempt.answer;
     auto& stream = *call.stream;
-    // Only whole events count as progress: a target that sends a byte now and then is stalled.
-    auto progressAt = this->parts.clock.now();
-    auto nextEventBy = progressAt + this->firstByteTimeout(call, choice);
-    bool hasFirstEvents = false; // This attempt has delivered events.
     while (true) {
-        const auto timeout = std::max<Duration>(Duration::zero(), nextEventBy - this->parts.clock.now());
-        auto piece = co_await answer.readSome(std::min(timeout, this->remaining(call)));
-        if (!piece && piece.error() == HttpError::Timeout)
-            this->recordSilence(call, choice.target.id, progressAt, nextEventBy);
-        if (!piece) {
-            this->recordOutcome(call, choice.target, SendOutcome::Failed, name(piece.error()));
+        auto piece = co_await answer.readSome(this->remaining(call));
+        if (attempt.isSuperseded)
             co_return AttemptResult::MayHaveRun;
+        if (!piece) {
+            this->recordOutcome(call, target, SendOutcome::Failed, name(piece.error()));
+            co_return co_await this->leaveToSuccessor(attempt);
         }
         const bool isEnd = piece.value().empty();
         const auto now = this->parts.clock.now();
         if (call.hasResponseStarted && !isEnd)
             call.longestGap = std::max(call.longestGap, now - call.lastEventAt);
         call.lastEventAt = now;
-        this->parts.health.recordActivity(choice.target.id, now);
+        this->parts.health.recordActivity(target.id, now);
         const auto events = stream.feed(piece.value());
-        if (!events.empty()) {
-            progressAt = now;
-            nextEventBy = now + this->gapTimeout(call, choice.target.id);
-        }
-        if (!events.empty() && !hasFirstEvents) {
-            hasFirstEvents = true;
-            this->recordFirstEvents(call, choice, work);
-        }
+        // Only whole events count as progress: a target that sends a byte now and then is stalled.
+        if (!events.empty())
+            this->recordProgress(call, attempt, now);
         if (!call.hasResponseStarted
             && (!events.empty() || (isEnd && !stream.isBroken() && !stream.hasPartialEvent()))) {
             call.hasResponseStarted = true;
@@ -291,15 +344,17 @@
         // Whole events before the failure are delivered: the next attempt continues after them.
         if (!events.empty() && !co_await call.exchange.write(events))
             break;
+        if (!events.empty())
+            attempt.nextEventBy = this->parts.clock.now() + this->gapLimit(call, target.id);
         if (stream.isBroken() || (isEnd && stream.hasPartialEvent())) {
             answer.discard();
-            this->recordOutcome(call, choice.target, SendOutcome::Failed, "broken_events");
-            co_return AttemptResult::MayHaveRun;
+            this->recordOutcome(call, target, SendOutcome::Failed, "broken_events");
+            co_return co_await this->leaveToSuccessor(attempt);
         }
         if (!isEnd)
             continue;
         const bool isDelivered = co_await call.exchange.endStream();
-        this->recordOutcome(call, choice.target, SendOutcome::Answered, "stream");
+        this->recordOutcome(call, target, SendOutcome::Answered, "stream");
         this->finish(call, isDelivered ? "answered" : "caller_gone", answer.header().result_int());
         co_return AttemptResult::Done;
     }
@@ -307,17 +362,104 @@
     co_return AttemptResult::Done;
 }
 
+// Records whole events. A successor that is being opened is no longer needed.
+void ServingGateway::recordProgress(Call& call, Attempt& attempt, TimePoint now)
+{
+    if (std::exchange(attempt.hasEvents, true) == false)
+        this->recordFirstEvents(call, attempt);
+    attempt.progressAt = now;
+    // The time that a slow caller takes to read the events is not the target's.
+    attempt.nextEventBy = TimePoint::max();
+    if (!attempt.successor)
+        return;
+    attempt.successor->isSuperseded = true;
+    call.currentTarget = attempt.choice.target.id;
+    attempt.changed.cancel();
+}
+
+// The attempt has failed. If a successor is being opened, waits until it answers, which cancels the wait, or fails.
+asio::awaitable<ServingGateway::AttemptResult> ServingGateway::leaveToSuccessor(Attempt& attempt)
+{
+    while (attempt.successor && !attempt.isSuperseded) {
+        boost::system::error_code cancelled;
+        co_await attempt.changed.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+    }
+    co_return AttemptResult::MayHaveRun;
+}
+
+// Returns once `successor` has begun to answer in place of the silent attempt.
+asio::awaitable<void> ServingGateway::replaceWhenSilent(
+    Call& call, Attempt& attempt, std::unique_ptr<Attempt>& successor)
+{
+    using namespace asio::experimental::awaitable_operators;
+    asio::steady_timer timer { this->parts.context };
+    std::optional<TimePoint> recordedSilence;
+    while (true) {
+        const auto now = this->parts.clock.now();
+        timer.expires_at(std::min(attempt.nextEventBy, now + NormalGapLimit));
+        co_await timer.async_wait(asio::use_awaitable);
+        if (this->parts.clock.now() < attempt.nextEventBy)
+            continue;
+        const auto silentSince = attempt.progressAt;
+        if (std::exchange(recordedSilence, silentSince) != silentSince)
+            this->recordSilence(call, attempt);
+        const auto first
+            = co_await (this->openSuccessor(call, attempt, successor) || this->waitForProgress(attempt, silentSince));
+        attempt.successor = nullptr;
+        if (first.index() == 0 && successor && attempt.progressAt == silentSince) {
+            attempt.isSuperseded = true;
+            co_return;
+        }
+        successor.reset();
+        attempt.changed.cancel();
+        if (attempt.progressAt == silentSince)
+            attempt.nextEventBy = this->parts.clock.now() + SuccessorRetryPeriod;
+    }
+}
+
+asio::awaitable<void> ServingGateway::waitForProgress(Attempt& attempt, TimePoint silentSince)
+{
+    while (attempt.progressAt == silentSince) {
+        boost::system::error_code cancelled;
+        co_await attempt.changed.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+    }
+}
+
+// Sends the request to another target while the current one is silent. `successor` stays empty if no target continues
+// the stream.
+asio::awaitable<void> ServingGateway::openSuccessor(Call& call, Attempt& attempt, std::unique_ptr<Attempt>& successor)
+{
+    if (!this->mayFailOver(call, call.runs))
+        co_return;
+    auto choice = co_await this->waitForPlacement(call);
+    if (!choice || !this->mayRetry(call, AttemptResult::MayHaveRun))
+        co_return;
+    ++call.tries;
+    call.tried.insert(choice->target.id);
+    auto next = std::make_unique<Attempt>(this->parts.context, std::move(*choice));
+    attempt.successor = next.get();
+    const auto opened = co_await this->open(call, *next);
+    if (next->isSuperseded || opened != AttemptResult::Answering)
+        co_return;
+    if (isSuccess(next->answer->header().result_int()))
+        successor = std::move(next);
+    else
+        this->recordOutcome(call, next->choice.target, SendOutcome::Failed, "target_failure");
+}
+
 // The prefill is finished: helpers are free again unless they hold a part of the prompt in memory.
-void ServingGateway::recordFirstEvents(Call& call, const TargetChoice& choice, std::vector<LedgerEntry>& work)
+void ServingGateway::recordFirstEvents(Call& call, Attempt& attempt)
 {
+    auto& work = attempt.work;
     std::ranges::for_each(work, &LedgerEntry::markPrefilled);
-    while (work.size() > 1 + choice.reservations)
+    while (work.size() > 1 + attempt.choice.reservations)
         work.pop_back();
     const auto now = this->parts.clock.now();
     if (!call.hasResponseStarted)
         this->parts.metrics.histogram("marigold_first_event_seconds").record(now - call.receivedAt);
     this->parts.log.write("first_event",
-        { { "id", call.metadata.attemptId }, { "target", choice.target.id }, { "after_ms", now - call.receivedAt },
+        { { "id", call.metadata.attemptId }, { "target", attempt.choice.target.id },
+            { "after_ms", now - call.receivedAt },
             { "prompt_tokens", call.metadata.prompt.value_or(PromptSize {}).promptTokens } });
 }
 
@@ -335,14 +477,14 @@
             { "detail", detail }, { "after_ms", now - call.receivedAt } });
 }
 
-// Logs a stream without whole events since `progressAt`, whose limit expired at `expiredAt`.
-void ServingGateway::recordSilence(
-    const Call& call, const std::string& target, TimePoint progressAt, TimePoint expiredAt)
+void ServingGateway::recordSilence(const Call& call, const Attempt& attempt)
 {
     const auto now = this->parts.clock.now();
+    const auto& target = attempt.choice.target.id;
     this->parts.log.write("stream_silent",
-        { { "id", call.metadata.attemptId }, { "target", target }, { "silent_ms", now - progressAt },
-            { "limit_ms", expiredAt - progressAt }, { "backlog_ms", this->parts.ledger.total(target, now).backlogMs },
+        { { "id", call.metadata.attemptId }, { "target", target }, { "silent_ms", now - attempt.progressAt },
+            { "limit_ms", attempt.nextEventBy - attempt.progressAt },
+            { "backlog_ms", this->parts.ledger.total(target, now).backlogMs },
             { "budget_left", this->parts.budget.remaining(call.service->name, now) } });
 }
 
--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -123,6 +123,13 @@
         this->address = "127.0.0.1:" + std::to_string(this->server.listen("127.0.0.1:0"));
     }
 
+    // An attempt whose answer has just been delivered refers to members that are destroyed before the event loop.
+    ~ServingGatewayTest() override
+    {
+        this->context.restart();
+        this->context.poll();
+    }
+
     void configure(std::uint64_t version = 1)
     {
         ServingConfiguration values;
@@ -480,6 +487,50 @@
     EXPECT_EQ(this->first.received.size() + this->second.received.size(), 2U);
 }
 
+// While another target prepares the continuation of a silent stream, the silent target goes on. Both of them have the
+// next event.
+TEST_F(ServingGatewayTest, SilentStreamThatGoesOnWhileAnotherTargetPreparesIsDeliveredOnce)
+{
+    this->registerTarget("t2", this->second.address);
+    const auto isSilentOrSlow = [this](HttpExchange& exchange) -> asio::awaitable<void> {
+        if (exchange.request()["Last-Event-Id"] == "1") {
+            asio::steady_timer timer { this->context, 600ms };
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        const auto reaction = exchange.request()["Last-Event-Id"] == "1" ? events("id: 2\n\n", true)
+                                                                         : this->silentBetweenEvents([] { });
+        co_await reaction(exchange);
+    };
+    this->first.script = { isSilentOrSlow };
+    this->second.script = { isSilentOrSlow };
+    EXPECT_EQ(this->bodyOf("/stream/x"), "id: 1\n\nid: 2\n\n");
+    EXPECT_EQ(this->first.received.size() + this->second.received.size(), 2U);
+}
+
+// The silent target breaks off while another one prepares the continuation, for which the last retry was spent.
+TEST_F(ServingGatewayTest, SilentStreamThatBreaksOffWhileAnotherTargetPreparesContinuesThere)
+{
+    this->registerTarget("t2", this->second.address);
+    this->budget.setSettings({ 0, 10s, static_cast<double>(RetryBudget::MinimumSharers) });
+    const auto breaksOffOrIsSlow = [this](HttpExchange& exchange) -> asio::awaitable<void> {
+        asio::steady_timer timer { this->context };
+        if (exchange.request()["Last-Event-Id"] == "1") {
+            timer.expires_after(400ms);
+            co_await timer.async_wait(asio::use_awaitable);
+            const auto reaction = events("id: 2\n\n", true);
+            co_return co_await reaction(exchange);
+        }
+        const auto reaction = events("id: 1\n\n", false);
+        co_await reaction(exchange);
+        timer.expires_after(1600ms);
+        co_await timer.async_wait(asio::use_awaitable);
+    };
+    this->first.script = { breaksOffOrIsSlow };
+    this->second.script = { breaksOffOrIsSlow };
+    EXPECT_EQ(this->bodyOf("/stream/x"), "id: 1\n\nid: 2\n\n");
+    EXPECT_EQ(this->first.received.size() + this->second.received.size(), 2U);
+}
+
 TEST_F(ServingGatewayTest, StreamThatCannotContinueIsNotEndedAsComplete)
 {
     this->first.script = { events("id: 1\n\nid: 2\nda", false) };
