Give up a late answer only once a retry has been spent for it

Cause: the same as for silent streams, before the first byte: the limit is armed while the budget has a retry, which other requests spend before it expires. Change: the request is awaited until its deadline; the wait ends early only when a retry has been spent for it and a target could execute it. The retry is then not spent again. Before: SlowAnswerWhoseRetryWasSpentMeanwhileIsAwaited fails (may_have_run). After: it passes, with the gateway's others.

--- a/src/serving/ServingCall.h
+++ b/src/serving/ServingCall.h
@@ -24,6 +24,7 @@
     std::string currentTarget; // Id of the target that has the request now; empty between attempts.
     unsigned tries { 0 };
     unsigned runs { 0 }; // Attempts that may have been executed, including those in progress.
+    bool hasSpentRetry { false }; // A retry was spent before the attempt that it replaces ended.
     std::optional<Duration> retryAfter; // Retry-After of a refusal, if it differs from the default.
     std::optional<HttpResponse> targetFailure; // Forwarded if no other attempt succeeds.
     std::optional<EventStream> stream; // Set once events may reach the caller.
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 #include "serving/ServingCall.h"
 
@@ -260,7 +261,7 @@
 }
 
 // Why the request may not be sent again; empty if it may. Then the retry has been spent.
-std::string_view ServingGateway::retryObstacle(const Call& call, AttemptResult last)
+std::string_view ServingGateway::retryObstacle(Call& call, AttemptResult last)
 {
     if (call.tries >= MaximumTries)
         return "tries";
@@ -270,7 +271,8 @@
         return "not_repeatable";
     if (call.runs >= call.route->maximumAttempts)
         return "attempts";
-    if (last == AttemptResult::NotSent || this->parts.budget.trySpend(call.service->name, this->parts.clock.now()))
+    if (last == AttemptResult::NotSent || std::exchange(call.hasSpentRetry, false)
+        || this->parts.budget.trySpend(call.service->name, this->parts.clock.now()))
         return {};
     return "budget";
 }
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -89,6 +89,9 @@
     boost::asio::awaitable<std::optional<TargetChoice>> waitForPlacement(Call& call);
     boost::asio::awaitable<AttemptResult> send(Call& call, const TargetChoice& choice);
     boost::asio::awaitable<AttemptResult> open(Call& call, Attempt& attempt);
+    boost::asio::awaitable<HttpResult<HttpCall>> startUnlessRetried(
+        Call& call, const TargetChoice& choice, boost::asio::awaitable<HttpResult<HttpCall>> start);
+    boost::asio::awaitable<void> waitForRetry(Call& call, Duration delay);
     AttemptResult checkAnswer(Call& call, Attempt& attempt, TimePoint sentAt);
     boost::asio::awaitable<bool> reserveMemory(
         Call& call, const TargetChoice& choice, MemoryLease& lease, ForwardingMetadata& forwarding);
@@ -111,9 +114,8 @@
     bool callerMayRetry(const Call& call) const;
     Duration jitteredRetryAfter(const Call& call);
     bool mayRetry(Call& call, AttemptResult last);
-    std::string_view retryObstacle(const Call& call, AttemptResult last);
+    std::string_view retryObstacle(Call& call, AttemptResult last);
     Duration remaining(const Call& call) const;
-    Duration firstByteTimeout(const Call& call, const TargetChoice& choice) const;
     Duration firstByteLimit(const Call& call, const TargetChoice& choice) const;
     Duration gapLimit(const Call& call, const std::string& target) const;
     // Whether another target may take over after `runs` attempts that may have been executed.
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -82,14 +82,6 @@
 
 }
 
-// Limits the wait of a request that may be sent again, so that time is left for another target.
-Duration ServingGateway::firstByteTimeout(const Call& call, const TargetChoice& choice) const
-{
-    if (!this->mayFailOver(call, call.runs + 1))
-        return this->remaining(call);
-    return std::min(this->remaining(call), this->firstByteLimit(call, choice));
-}
-
 Duration ServingGateway::firstByteLimit(const Call& call, const TargetChoice& choice) const
 {
     return 2 * choice.expected + call.route->objective;
@@ -178,9 +170,10 @@
     TargetWriteGate gate { this->parts.view.targets, choice.target, call.runs };
     const auto sentAt = this->parts.clock.now();
     const auto reuse = call.route->mayRunAgain() ? ConnectionReuse::Allowed : ConnectionReuse::Forbidden;
-    auto answer = co_await this->parts.client.start(choice.target.address,
-        this->parts.format.makeTargetRequest(call.exchange.request(), forwarding), this->firstByteTimeout(call, choice),
-        reuse, &gate);
+    auto request = this->parts.format.makeTargetRequest(call.exchange.request(), forwarding);
+    auto start
+        = this->parts.client.start(choice.target.address, std::move(request), this->remaining(call), reuse, &gate);
+    auto answer = co_await this->startUnlessRetried(call, choice, std::move(start));
     if (attempt.isSuperseded)
         co_return AttemptResult::MayHaveRun;
     if (!answer) {
@@ -191,6 +184,36 @@
     co_return this->checkAnswer(call, attempt, sentAt);
 }
 
+// Waits for the header of the answer. If another target may execute the request too, the wait ends once the answer is
+// late and a retry has been spent for it: without a retry, a late answer is better than none.
+asio::awaitable<HttpResult<HttpCall>> ServingGateway::startUnlessRetried(
+    Call& call, const TargetChoice& choice, asio::awaitable<HttpResult<HttpCall>> start)
+{
+    using namespace asio::experimental::awaitable_operators;
+    if (!this->mayFailOver(call, call.runs + 1))
+        co_return co_await std::move(start);
+    auto first = co_await (std::move(start) || this->waitForRetry(call, this->firstByteLimit(call, choice)));
+    if (first.index() == 0)
+        co_return std::get<0>(std::move(first));
+    co_return HttpError::Timeout;
+}
+
+// Returns after `delay`, once a retry has been spent for the call and a target could execute it.
+asio::awaitable<void> ServingGateway::waitForRetry(Call& call, Duration delay)
+{
+    asio::steady_timer timer { this->parts.context, delay };
+    while (!call.hasSpentRetry) {
+        co_await timer.async_wait(asio::use_awaitable);
+        timer.expires_after(SuccessorRetryPeriod);
+        const auto now = this->parts.clock.now();
+        const auto choice = this->chooser.choose({ *call.route, *call.service, call.metadata.prompt, call.tried,
+                                                     now - call.receivedAt, this->remaining(call) },
+            now);
+        if (choice && !choice->wouldMissDeadline)
+            call.hasSpentRetry = this->parts.budget.trySpend(call.service->name, now);
+    }
+}
+
 // Whether the answer belongs to the request and may be forwarded.
 ServingGateway::AttemptResult ServingGateway::checkAnswer(Call& call, Attempt& attempt, TimePoint sentAt)
 {
--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -568,6 +568,26 @@
     EXPECT_EQ(this->first.received.size() + this->second.received.size(), 1U);
 }
 
+// A request before its first byte was given up in favour of a retry that other requests had spent meanwhile, and was
+// refused with most of its time left.
+TEST_F(ServingGatewayTest, SlowAnswerWhoseRetryWasSpentMeanwhileIsAwaited)
+{
+    this->registerTarget("t2", this->second.address);
+    this->budget.setSettings({ 0, 10s, static_cast<double>(RetryBudget::MinimumSharers) });
+    const auto isSlow = [this](HttpExchange& exchange) -> asio::awaitable<void> {
+        EXPECT_TRUE(this->budget.trySpend("s", this->clock.now()));
+        // Longer than 900 ms, after which another target could take over.
+        asio::steady_timer timer { this->context, 1200ms };
+        co_await timer.async_wait(asio::use_awaitable);
+        auto response = answer(exchange, 200, "late");
+        co_await exchange.respond(std::move(response));
+    };
+    this->first.script = { isSlow };
+    this->second.script = { isSlow };
+    EXPECT_EQ(this->bodyOf("/safe/x"), "late");
+    EXPECT_EQ(this->first.received.size() + this->second.received.size(), 1U);
+}
+
 TEST_F(ServingGatewayTest, SlowTargetOfTheLastAttemptMayAnswerUntilTheDeadline)
 {
     this->first.script = { [this](HttpExchange& exchange) -> asio::awaitable<void> {
