--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -588,6 +588,32 @@
     EXPECT_EQ(this->first.received.size() + this->second.received.size(), 1U);
 }
 
+// The attempt that ends because the caller disconnects looked like a failed one, and spent a retry that was not made.
+TEST_F(ServingGatewayTest, CallerThatDisconnectsSpendsNoRetry)
+{
+    this->registerTarget("t2", this->second.address);
+    const auto isSilent = [this](HttpExchange&) -> asio::awaitable<void> {
+        asio::steady_timer timer { this->context, 1s };
+        co_await timer.async_wait(asio::use_awaitable);
+    };
+    this->first.script = { isSilent };
+    this->second.script = { isSilent };
+    const auto before = this->budget.remaining("s", this->clock.now());
+    asio::co_spawn(
+        this->context,
+        [this]() -> asio::awaitable<void> {
+            const auto abandoned = co_await this->caller.call(this->address, this->request("/safe/x"), 100ms);
+            EXPECT_FALSE(abandoned);
+            asio::steady_timer timer { this->context, 200ms };
+            co_await timer.async_wait(asio::use_awaitable);
+            this->context.stop();
+        },
+        asio::detached);
+    this->context.run();
+    EXPECT_GE(this->budget.remaining("s", this->clock.now()), before);
+    EXPECT_EQ(this->first.received.size() + this->second.received.size(), 1U);
+}
+
 TEST_F(ServingGatewayTest, SlowTargetOfTheLastAttemptMayAnswerUntilTheDeadline)
 {
     this->first.script = { [this](HttpExchange& exchange) -> asio::awaitable<void> {
