Do not write the error of a failed continuation into the stream

What callers saw: after a broken stream, the bytes of another answer's header in the middle of a chunked body, if the target that was to continue it answered with an error of its own below 500. Cause: an answer that is no stream is relayed whole, whether or not the caller has part of a stream already. Change: such an answer ends the attempt. Before: ContinuationWithAnErrorStatusIsNotWrittenIntoTheStream fails (malformed instead of truncated). After: it passes.

--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -128,6 +128,11 @@
     if (call.route->kind == RouteKind::Stream && isSuccess(answer.header().result_int()))
         co_return co_await this->relayStream(call, attempt);
     const auto& target = attempt->choice.target;
+    if (call.hasResponseStarted) {
+        attempt->answer->discard();
+        this->recordOutcome(call, target, SendOutcome::Failed, "no_continuation");
+        co_return AttemptResult::MayHaveRun;
+    }
     const auto ended = co_await this->relayWhole(call, *attempt->answer, target.id);
     this->recordOutcome(
         call, target, ended == AttemptResult::Done ? SendOutcome::Answered : SendOutcome::Failed, "whole");
--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -531,6 +531,23 @@
     EXPECT_EQ(this->first.received.size() + this->second.received.size(), 2U);
 }
 
+// The target that should continue a broken stream answers with an error of its own. Its answer was written into the
+// middle of the stream.
+TEST_F(ServingGatewayTest, ContinuationWithAnErrorStatusIsNotWrittenIntoTheStream)
+{
+    this->registerTarget("t2", this->second.address);
+    const auto breaksOffOrRejects = [](HttpExchange& exchange) -> asio::awaitable<void> {
+        const auto reaction
+            = exchange.request()["Last-Event-Id"] == "1" ? respondWith(404, "no") : events("id: 1\n\n", false);
+        co_await reaction(exchange);
+    };
+    this->first.script = { breaksOffOrRejects };
+    this->second.script = { breaksOffOrRejects };
+    const auto answered = this->call(this->request("/stream/x"));
+    ASSERT_FALSE(answered);
+    EXPECT_EQ(answered.error(), HttpError::Truncated);
+}
+
 TEST_F(ServingGatewayTest, StreamThatCannotContinueIsNotEndedAsComplete)
 {
     this->first.script = { events("id: 1\n\nid: 2\nda", false) };
