Log the parts of prompts whose answers end before their first event

The logs of second1 do not tell what the requests have in common that end engines. Such an answer has a header and no event. Change: the ids of the shared parts are decoded, and the event cut_before_events names them with the workspace. No decision changes. After: the tests of the gateway and of the header format pass, one of them new.

--- a/src/serving/CallFormat.h
+++ b/src/serving/CallFormat.h
@@ -28,6 +28,7 @@
     std::optional<PromptSize> prompt;
     std::optional<std::int64_t> outputEstimate; // Tokens; accurate in the median, often far off.
     std::optional<std::uint64_t> lastEventId; // Resumes the stream after this event.
+    std::vector<std::string> sharedParts; // Ids of the parts of the prompt that other prompts may have too, in order.
 };
 
 // A target that prefills a part of the prompt of another target.
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -125,6 +125,7 @@
     AttemptResult recordDeclined(
         Call& call, const TargetChoice& choice, const ResponseMetadata& response, TimePoint sentAt);
     void recordSilence(const Call& call, const Attempt& attempt);
+    void recordCutBeforeEvents(const Call& call, const std::string& target);
     void recordInterruptedAttempt(Call& call, std::string_view detail);
     void finish(Call& call, std::string_view outcome, unsigned status);
 
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -350,6 +350,8 @@
         if (attempt.isSuperseded)
             co_return AttemptResult::MayHaveRun;
         if (!piece) {
+            if (piece.error() == HttpError::Truncated && !attempt.hasEvents)
+                this->recordCutBeforeEvents(call, target.id);
             this->recordOutcome(call, target, SendOutcome::Failed, name(piece.error()));
             co_return co_await this->leaveToSuccessor(attempt);
         }
@@ -516,6 +518,20 @@
             { "budget_left", this->parts.budget.remaining(call.service->name, now) } });
 }
 
+// Logs an answer that ended between its header and its first event: the target may have ended because of the prompt.
+void ServingGateway::recordCutBeforeEvents(const Call& call, const std::string& target)
+{
+    if (call.isAbandoned)
+        return;
+    std::string parts;
+    for (const auto& part : call.metadata.sharedParts)
+        parts += (parts.empty() ? "" : ",") + part;
+    this->parts.log.write("cut_before_events",
+        { { "id", call.metadata.attemptId }, { "target", target },
+            { "workspace", call.workspace.empty() ? "-" : std::string_view { call.workspace } },
+            { "parts", parts.empty() ? "-" : std::string_view { parts } } });
+}
+
 // Logs an attempt that was cut off while its target had the request. It says nothing about the target's health.
 void ServingGateway::recordInterruptedAttempt(Call& call, std::string_view detail)
 {
--- a/test/PlatformFormat_test.cpp
+++ b/test/PlatformFormat_test.cpp
@@ -44,6 +44,16 @@
     EXPECT_FALSE(metadata.lastEventId);
 }
 
+TEST_F(HeaderFormatTest, LastPartOfThePromptIsNotShared)
+{
+    EXPECT_EQ(this->format.callerMetadata(this->request).sharedParts, std::vector<std::string> { "5c1e" });
+    this->request.set("Marigoldpaddle-Prompt-Prefix", "5c1e:800, 91bd:410,e440:250");
+    const std::vector<std::string> shared { "5c1e", "91bd" };
+    EXPECT_EQ(this->format.callerMetadata(this->request).sharedParts, shared);
+    this->request.set("Marigoldpaddle-Prompt-Prefix", "5c1e:800");
+    EXPECT_TRUE(this->format.callerMetadata(this->request).sharedParts.empty());
+}
+
 TEST_F(HeaderFormatTest, MalformedNumbersCountAsAbsent)
 {
     this->request.set("Marigoldpaddle-Deadline-Remaining", "soon");
