Reproduce a prompt part under which one target ends after the other

Before: the test fails: all 40 attempts of 20 requests reach a target, where 5 are allowed, and the last request is answered 502 in place of a refusal.

--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <functional>
+#include <numeric>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -91,6 +92,17 @@
     };
 }
 
+// Begins the answer to a prompt with the part and ends before its first event. Other prompts are answered.
+ScriptedTarget::Reaction endsUnder(const std::string& part)
+{
+    return [=](HttpExchange& exchange) -> asio::awaitable<void> {
+        const std::string parts { exchange.request()["Marigoldpaddle-Prompt-Prefix"] };
+        const auto isUnderPart = parts.find(part + ':') != std::string::npos;
+        const auto reaction = isUnderPart ? events("id: 1", false) : events("id: 1\n\n", true);
+        co_await reaction(exchange);
+    };
+}
+
 ScriptedTarget::Reaction closeWithoutAnswer()
 {
     return [](HttpExchange&) -> asio::awaitable<void> {
@@ -407,6 +419,37 @@
     EXPECT_EQ(declines, 1U);
 }
 
+// One part of a prompt ends every engine that begins to answer it. Requests with it ended one engine after the other.
+TEST_F(ServingGatewayTest, PromptPartUnderWhichTargetsEndIsNoLongerSent)
+{
+    this->first.script = { endsUnder("bad") };
+    std::vector<std::unique_ptr<ScriptedTarget>> others;
+    for (int index = 2; index <= 12; ++index) {
+        others.push_back(std::make_unique<ScriptedTarget>(this->context));
+        others.back()->script = { endsUnder("bad") };
+        this->registerTarget("t" + std::to_string(index), others.back()->address);
+    }
+    const auto promptWith = [&](const std::string& parts) {
+        auto request = this->request("/stream/x");
+        request.set("Marigoldpaddle-Prompt-Prefix", parts);
+        return this->call(std::move(request));
+    };
+    const auto received = [&] {
+        return std::accumulate(others.begin(), others.end(), this->first.received.size(),
+            [](std::size_t sum, const auto& target) { return sum + target->received.size(); });
+    };
+    for (int index = 0; index < 20; ++index)
+        EXPECT_TRUE(promptWith("common:40,bad:800,own" + std::to_string(index) + ":100")); // Refused, whole.
+    EXPECT_LE(received(), 5U);
+    const auto refused = promptWith("common:40,bad:800,last:100");
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused.value().result_int(), 503U);
+    // Prompts that share their other parts with these are served.
+    const auto sound = promptWith("common:40,good:800,own:100");
+    ASSERT_TRUE(sound);
+    EXPECT_EQ(sound.value().body(), "id: 1\n\n");
+}
+
 TEST_F(ServingGatewayTest, StreamIsForwardedWhole)
 {
     this->first.script = { events("id: 1\n\nid: 2\n\n", true) };
