Quarantine prompts with a part under which targets end

Cause: nothing related the ends of targets to what their requests have in common. Each request looked like a victim and was sent to a sound engine. The class: a failure that the request causes is treated as one of the target. Ruled out: a caller or key, as sound requests of the same ones are answered; an overload, as one request is enough. Change: PromptQuarantine counts such ends for each shared part: a part is suspected after three targets and two requests, unless answers with it were sound lately. A part that occurs with another in nearly all of these crashes is refused only together with it. Instances tell each other of each crash at once and repeat it for three seconds; new peers get all of them. A prompt under quarantine is refused with 503 before anything is written, also where it waits for a connection. Limits: the knowledge is lost when all instances are lost at once; a quarantine ends after 10 minutes.

--- a/src/serving/PeerExchange.cpp
+++ b/src/serving/PeerExchange.cpp
@@ -116,6 +116,16 @@
     return commands;
 }
 
+PeerCommands PeerExchange::notifyAll(TimePoint now)
+{
+    PeerCommands commands;
+    for (const auto& [address, peer] : this->peers) {
+        if (this->isLive(peer, now))
+            commands.push_back(SendNotice { address });
+    }
+    return commands;
+}
+
 std::size_t PeerExchange::livePeers(TimePoint now) const
 {
     return static_cast<std::size_t>(
--- a/src/serving/PeerExchange.h
+++ b/src/serving/PeerExchange.h
@@ -99,6 +99,9 @@
     // Returns commands to notify all live peers of the local zone that this instance has read the platform.
     PeerCommands announceView(TimePoint now);
 
+    // Returns commands to notify all live peers, for news that are rare and urgent.
+    PeerCommands notifyAll(TimePoint now);
+
     // Number of live peers of the local zone that precede this instance in an order that all of them agree on.
     std::size_t readerRank(TimePoint now) const;
 
--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
+#include <ranges>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -25,6 +27,9 @@
 constexpr Duration FetchTimeout = std::chrono::milliseconds { 400 };
 // Limit of one notice: a datagram that UDP carries over loopback and, fragmented, over other networks.
 constexpr std::size_t MaximumNoticeBytes = 16 * 1024;
+// Notices repeat a crash for some rounds, also in the longest interval between two of them.
+constexpr Duration CrashAnnouncementPeriod = std::chrono::seconds { 3 };
+constexpr std::size_t MaximumCrashesPerNotice = 16;
 
 std::int64_t milliseconds(Duration duration)
 {
@@ -152,7 +157,11 @@
         const auto now = this->parts.clock.now();
         if (!this->exchange.receive(*notice, now))
             return;
-        this->perform(this->exchange.replyToNewPeers(now));
+        const auto replies = this->exchange.replyToNewPeers(now);
+        if (!replies.empty())
+            this->lastNewPeerAt = now;
+        this->perform(replies);
+        this->learnCrashes(*notice, now);
         this->parts.follower.applyPeerView(toSummary(*notice), fromWire(notice->targetChanges));
         std::unordered_map<std::uint64_t, TargetLoad> loads;
         for (const auto& record : notice->loads)
@@ -167,6 +176,48 @@
             this->parts.ledger.updateZoneOccupancy(notice->availabilityZone, notice->zoneOccupancy, now);
     }
 
+    void learnCrashes(const wire::LoadNotice& notice, TimePoint now)
+    {
+        auto& quarantine = this->parts.quarantine;
+        for (const auto& sound : notice.soundParts) {
+            const auto part = static_cast<std::uint64_t>(sound.part);
+            quarantine.recordSound({ &part, 1 }, now - toAge(sound.ageMs));
+        }
+        for (const auto& record : notice.crashes) {
+            TargetCrash crash { static_cast<std::uint64_t>(record.target), static_cast<std::uint64_t>(record.request),
+                {}, now - toAge(record.ageMs) };
+            std::ranges::transform(record.parts, std::back_inserter(crash.parts),
+                [](std::int64_t part) { return static_cast<std::uint64_t>(part); });
+            if (!quarantine.recordCrash(std::move(crash), now))
+                continue;
+            this->parts.log.write("crash_learned",
+                { { "source", notice.sender }, { "suspected_parts", std::uint64_t { quarantine.size() } } });
+        }
+    }
+
+    // Crashes of targets are repeated for a while, as datagrams get lost. A new peer gets all of them.
+    void addCrashes(wire::LoadNotice& notice, TimePoint now) const
+    {
+        const auto& quarantine = this->parts.quarantine;
+        const auto isForNewPeer = this->lastNewPeerAt && now - *this->lastNewPeerAt < CrashAnnouncementPeriod;
+        const auto crashes
+            = quarantine.crashesLearnedSince(isForNewPeer ? TimePoint::min() : now - CrashAnnouncementPeriod);
+        if (crashes.empty())
+            return;
+        for (const auto& crash : crashes | std::views::take(MaximumCrashesPerNotice)) {
+            auto& record = notice.crashes.emplace_back();
+            record.target = static_cast<std::int64_t>(crash.target);
+            record.request = static_cast<std::int64_t>(crash.request);
+            record.parts.assign(crash.parts.begin(), crash.parts.end());
+            record.ageMs = milliseconds(now - crash.at);
+        }
+        for (const auto& sound : quarantine.soundParts()) {
+            auto& record = notice.soundParts.emplace_back();
+            record.part = static_cast<std::int64_t>(sound.part);
+            record.ageMs = milliseconds(now - sound.at);
+        }
+    }
+
     asio::awaitable<void> runTicks()
     {
         asio::steady_timer timer { this->parts.context };
@@ -238,6 +289,7 @@
         notice.targetsOffset = static_cast<std::int64_t>(summary.targetsOffset);
         notice.storeEra = static_cast<std::int64_t>(summary.era);
         notice.leaving = this->isLeaving;
+        this->addCrashes(notice, now);
         const auto startBy = this->parts.waiting.earliestStartBy();
         notice.waitingStartByMs
             = startBy == TimePoint::max() ? -1 : std::max<std::int64_t>(0, milliseconds(startBy - now));
@@ -354,6 +406,7 @@
     std::array<char, 64 * 1024> buffer {};
     bool lastNoticeHadLoads { false }; // The last notice had loads, so their absence is a change too.
     bool isLeaving { false };
+    std::optional<TimePoint> lastNewPeerAt;
 };
 
 PeerRunner::PeerRunner(const Parts& parts, std::string address, std::string availabilityZone,
@@ -383,6 +436,11 @@
     this->state->announceWork();
 }
 
+void PeerRunner::announceCrashes()
+{
+    this->state->perform(this->state->exchange.notifyAll(this->state->parts.clock.now()));
+}
+
 void PeerRunner::announceLeaving()
 {
     this->state->isLeaving = true;
--- a/src/serving/PeerRunner.h
+++ b/src/serving/PeerRunner.h
@@ -16,6 +16,7 @@
 #include "rpc/RpcServer.h"
 #include "serving/LoadLedger.h"
 #include "serving/PeerExchange.h"
+#include "serving/PromptQuarantine.h"
 #include "serving/ViewFollower.h"
 #include "serving/WaitingPrompts.h"
 
@@ -31,6 +32,7 @@
         ViewFollower& follower;
         LoadLedger& ledger;
         WaitingPrompts& waiting;
+        PromptQuarantine& quarantine;
         EventLog& log;
         MetricsRegistry& metrics;
         std::function<void()> onConfigurationInstalled; // Called after each, from the platform or a peer.
@@ -51,6 +53,9 @@
     // Notifies peers of new work at once, before they place their own.
     void notifyPeersNow();
 
+    // Notifies all peers of a target that ended under a prompt.
+    void announceCrashes();
+
     // Notifies peers that this instance is leaving.
     void announceLeaving();
 
--- a/src/serving/ServingCall.h
+++ b/src/serving/ServingCall.h
@@ -17,6 +17,7 @@
     TimePoint deadline {};
     CallerMetadata metadata;
     std::shared_ptr<const ActiveConfiguration> configuration;
+    std::vector<std::uint64_t> sharedParts; // Hashes of the metadata's.
     const Route* route { nullptr };
     const ServiceProfile* service { nullptr };
     std::string workspace;
@@ -32,6 +33,7 @@
     Duration longestGap {}; // Between two chunks of the answer.
     bool hasResponseStarted { false }; // The caller has received bytes of the answer, or is about to.
     bool hasNoCapacity { false }; // Targets exist, but none could take the request in time.
+    bool isQuarantined { false }; // Targets end under a part of the prompt.
     bool isRefusedByShutdown { false }; // The instance shuts down before the request could be placed.
     bool isAbandoned { false }; // The caller is gone or its deadline has passed: outcomes no longer count.
     bool isFinished { false };
@@ -49,9 +51,11 @@
     std::vector<LedgerEntry> work;
     std::optional<MemoryLease> lease;
     std::optional<HttpCall> answer; // Set once the target answers.
+    TimePoint firstEventAt {};
     TimePoint progressAt {}; // Time of the last whole events.
     TimePoint nextEventBy {}; // The target counts as silent from then on.
     bool hasEvents { false };
+    bool isSound { false }; // The target has been writing for a while.
     bool isSuperseded { false }; // Another attempt answers; this one has no effect any more.
     Attempt* successor { nullptr }; // The attempt that is being opened because this one is silent.
     boost::asio::steady_timer changed; // Cancelled when `progressAt` or `successor` changes.
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -1,6 +1,7 @@
 #include "serving/ServingGateway.h"
 
 #include <algorithm>
+#include <iterator>
 #include <random>
 #include <utility>
 
@@ -66,6 +67,11 @@
     this->notifyPlaced = std::move(notify);
 }
 
+void ServingGateway::onTargetCrash(std::function<void()> notify)
+{
+    this->notifyCrash = std::move(notify);
+}
+
 void ServingGateway::beginShutdown(TimePoint intakeUntil, TimePoint endsAt)
 {
     this->intakeUntil = intakeUntil;
@@ -77,6 +83,7 @@
     using namespace asio::experimental::awaitable_operators;
     Call call { exchange, this->parts.clock.now() };
     call.metadata = this->parts.format.callerMetadata(exchange.request());
+    std::ranges::transform(call.metadata.sharedParts, std::back_inserter(call.sharedParts), &LoadLedger::hashOf);
     call.configuration = this->parts.view.configuration();
     if (!call.configuration)
         co_return co_await this->refuse(call, 503, "no_configuration");
@@ -166,6 +173,8 @@
     std::optional<WaitingEntry> waitingEntry; // Entry among the waiting long prompts.
     std::optional<TimePoint> placeableSince;
     while (true) {
+        if (this->isQuarantined(call))
+            co_return std::nullopt;
         const auto now = this->parts.clock.now();
         auto choice = this->chooser.choose({ *call.route, *call.service, call.metadata.prompt, call.tried,
                                                now - call.receivedAt, this->remaining(call) },
@@ -215,6 +224,16 @@
     }
 }
 
+// Whether targets end under a part of the prompt. It is refused for as long as that is believed.
+bool ServingGateway::isQuarantined(Call& call) const
+{
+    if (!this->parts.quarantine.isQuarantined(call.sharedParts))
+        return false;
+    call.isQuarantined = true;
+    call.retryAfter = this->parts.quarantine.remaining(this->parts.clock.now());
+    return true;
+}
+
 // Logs why a prompt was refused although there are targets.
 void ServingGateway::recordNotPlaced(Call& call, const TargetChoice& best)
 {
@@ -273,6 +292,8 @@
         return "not_repeatable";
     if (call.runs >= call.route->maximumAttempts)
         return "attempts";
+    if (this->isQuarantined(call))
+        return "quarantined";
     if (last == AttemptResult::NotSent || std::exchange(call.hasSpentRetry, false)
         || this->parts.budget.trySpend(call.service->name, this->parts.clock.now()))
         return {};
@@ -303,10 +324,11 @@
     if (call.runs > 0 || (call.tries > 0 && isPastDeadline))
         co_return co_await this->refuse(call, isPastDeadline ? 504 : 502, "may_have_run");
     co_await this->refuse(call, 503,
-        call.isRefusedByShutdown ? "stopping"
-            : call.hasNoCapacity ? "no_place"
-            : call.tries > 0     ? "targets_declined"
-                                 : "no_target");
+        call.isQuarantined             ? "quarantined"
+            : call.isRefusedByShutdown ? "stopping"
+            : call.hasNoCapacity       ? "no_place"
+            : call.tries > 0           ? "targets_declined"
+                                       : "no_target");
 }
 
 asio::awaitable<void> ServingGateway::refuse(Call& call, unsigned status, std::string_view reason)
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -23,6 +23,7 @@
 #include "serving/EventStream.h"
 #include "serving/LoadLedger.h"
 #include "serving/MemoryLease.h"
+#include "serving/PromptQuarantine.h"
 #include "serving/RetryBudget.h"
 #include "serving/ServingView.h"
 #include "serving/TargetChooser.h"
@@ -46,6 +47,7 @@
         RetryBudget& budget;
         HttpClient& client;
         EngineMemory& memory;
+        PromptQuarantine& quarantine;
         EventLog& log;
         MetricsRegistry& metrics;
         std::string instance; // Prefix of the ids of memory reservations.
@@ -59,6 +61,10 @@
     // own.
     void onPromptPlaced(std::function<void()> notify);
 
+    // `notify` is called when a target ended while it began to answer a prompt, so that peers learn of it before they
+    // send a similar one.
+    void onTargetCrash(std::function<void()> notify);
+
     // Graceful shutdown: from `intakeUntil` on, requests whose deadline is after `endsAt` are refused.
     void beginShutdown(TimePoint intakeUntil, TimePoint endsAt);
 
@@ -110,6 +116,7 @@
     boost::asio::awaitable<void> waitUntilDeadline(Call& call);
     boost::asio::awaitable<void> waitForCallerDisconnect(Call& call);
     void recordNotPlaced(Call& call, const TargetChoice& best);
+    bool isQuarantined(Call& call) const;
     bool isIntakeClosedFor(const Call& call) const;
     bool callerMayRetry(const Call& call) const;
     Duration jitteredRetryAfter(const Call& call);
@@ -126,12 +133,14 @@
         Call& call, const TargetChoice& choice, const ResponseMetadata& response, TimePoint sentAt);
     void recordSilence(const Call& call, const Attempt& attempt);
     void recordCutBeforeEvents(const Call& call, const std::string& target);
+    void recordSound(const Call& call, Attempt& attempt);
     void recordInterruptedAttempt(Call& call, std::string_view detail);
     void finish(Call& call, std::string_view outcome, unsigned status);
 
     Parts parts;
     TargetChooser chooser;
     std::function<void()> notifyPlaced;
+    std::function<void()> notifyCrash;
     std::set<boost::asio::steady_timer*> deadlines; // Deadline timers of the requests in progress.
     TimePoint intakeUntil { TimePoint::max() };
     TimePoint endsAt { TimePoint::max() };
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <span>
 
 #include "serving/ServingCall.h"
 
@@ -50,23 +51,28 @@
 
 // Pause before a continuation of a silent stream is tried again.
 constexpr Duration SuccessorRetryPeriod = std::chrono::milliseconds { 250 };
+// A target that has been writing for this long does not end because of the prompt: that happens within a pass or two.
+constexpr Duration SoundAnswerTime = std::chrono::milliseconds { 500 };
 // A helper that needs this long to decline is not answering the engine that asked it.
 constexpr Duration SilentHelperTime = std::chrono::seconds { 1 };
 
-// Allows the write unless the target began to leave while the connection or memory was awaited. Records whether the
-// request was written: from then on it may be executed.
+// Allows the write unless the target began to leave, or the prompt was found to end targets, while the connection or
+// memory was awaited. Counts the attempts that may be executed: those that were written.
 class TargetWriteGate final : public WriteGate {
 public:
-    TargetWriteGate(const TargetDirectory& targets, const TargetEntry& target, unsigned& runs)
+    TargetWriteGate(const TargetDirectory& targets, const TargetEntry& target, const PromptQuarantine& quarantine,
+        std::span<const std::uint64_t> sharedParts, unsigned& runs)
         : targets(targets)
         , target(target)
+        , quarantine(quarantine)
+        , sharedParts(sharedParts)
         , runs(runs)
     {
     }
 
     bool mayWrite() override
     {
-        this->isWritten = this->targets.acceptsWork(this->target);
+        this->isWritten = this->targets.acceptsWork(this->target) && !this->quarantine.isQuarantined(this->sharedParts);
         if (this->isWritten)
             ++this->runs;
         return this->isWritten;
@@ -77,6 +83,8 @@
 private:
     const TargetDirectory& targets;
     const TargetEntry& target;
+    const PromptQuarantine& quarantine;
+    std::span<const std::uint64_t> sharedParts;
     unsigned& runs;
 };
 
@@ -172,7 +180,8 @@
     if (call.tries == 1)
         this->parts.budget.recordFirstSend(call.service->name, now);
 
-    TargetWriteGate gate { this->parts.view.targets, choice.target, call.runs };
+    TargetWriteGate gate { this->parts.view.targets, choice.target, this->parts.quarantine, call.sharedParts,
+        call.runs };
     const auto sentAt = this->parts.clock.now();
     const auto reuse = call.route->mayRunAgain() ? ConnectionReuse::Allowed : ConnectionReuse::Forbidden;
     auto request = this->parts.format.makeTargetRequest(call.exchange.request(), forwarding);
@@ -181,6 +190,8 @@
     auto answer = co_await this->startUnlessRetried(call, choice, std::move(start));
     if (attempt.isSuperseded)
         co_return AttemptResult::MayHaveRun;
+    if (!answer && !gate.isWritten && this->isQuarantined(call))
+        co_return AttemptResult::NotSent;
     if (!answer) {
         this->recordOutcome(call, choice.target, SendOutcome::Unreachable, name(answer.error()));
         co_return gate.isWritten ? AttemptResult::MayHaveRun : AttemptResult::NotSent;
@@ -378,11 +389,14 @@
             attempt.nextEventBy = this->parts.clock.now() + this->gapLimit(call, target.id);
         if (stream.isBroken() || (isEnd && stream.hasPartialEvent())) {
             answer.discard();
+            if (isEnd && !attempt.hasEvents)
+                this->recordCutBeforeEvents(call, target.id);
             this->recordOutcome(call, target, SendOutcome::Failed, "broken_events");
             co_return co_await this->leaveToSuccessor(attempt);
         }
         if (!isEnd)
             continue;
+        this->recordSound(call, attempt);
         const bool isDelivered = co_await call.exchange.endStream();
         this->recordOutcome(call, target, SendOutcome::Answered, "stream");
         this->finish(call, isDelivered ? "answered" : "caller_gone", answer.header().result_int());
@@ -395,8 +409,12 @@
 // Records whole events. A successor that is being opened is no longer needed.
 void ServingGateway::recordProgress(Call& call, Attempt& attempt, TimePoint now)
 {
-    if (std::exchange(attempt.hasEvents, true) == false)
+    if (!std::exchange(attempt.hasEvents, true)) {
+        attempt.firstEventAt = now;
         this->recordFirstEvents(call, attempt);
+    }
+    if (now - attempt.firstEventAt >= SoundAnswerTime)
+        this->recordSound(call, attempt);
     attempt.progressAt = now;
     // The time that a slow caller takes to read the events is not the target's.
     attempt.nextEventBy = TimePoint::max();
@@ -518,18 +536,29 @@
             { "budget_left", this->parts.budget.remaining(call.service->name, now) } });
 }
 
-// Logs an answer that ended between its header and its first event: the target may have ended because of the prompt.
+void ServingGateway::recordSound(const Call& call, Attempt& attempt)
+{
+    if (!std::exchange(attempt.isSound, true))
+        this->parts.quarantine.recordSound(call.sharedParts, this->parts.clock.now());
+}
+
+// Records an answer that ended between its header and its first event: the target may have ended because of the prompt.
 void ServingGateway::recordCutBeforeEvents(const Call& call, const std::string& target)
 {
-    if (call.isAbandoned)
+    if (call.isAbandoned || call.sharedParts.empty())
         return;
+    const auto now = this->parts.clock.now();
+    const bool isNew = this->parts.quarantine.recordCrash(
+        { LoadLedger::hashOf(target), LoadLedger::hashOf(call.metadata.attemptId), call.sharedParts, now }, now);
     std::string parts;
     for (const auto& part : call.metadata.sharedParts)
         parts += (parts.empty() ? "" : ",") + part;
     this->parts.log.write("cut_before_events",
         { { "id", call.metadata.attemptId }, { "target", target },
-            { "workspace", call.workspace.empty() ? "-" : std::string_view { call.workspace } },
-            { "parts", parts.empty() ? "-" : std::string_view { parts } } });
+            { "workspace", call.workspace.empty() ? "-" : std::string_view { call.workspace } }, { "parts", parts },
+            { "suspected_parts", std::uint64_t { this->parts.quarantine.size() } } });
+    if (isNew && this->notifyCrash)
+        this->notifyCrash();
 }
 
 // Logs an attempt that was cut off while its target had the request. It says nothing about the target's health.
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -193,11 +193,12 @@
         , follower(context, clock, platform.store, platform.records, this->view, this->log, this->metrics,
               settings.follower, std::mt19937_64 { std::random_device {}() })
         , gateway({ context, clock, platform.format, this->view, this->ledger, this->waiting, this->health,
-                      this->budget, this->client, platform.memory, this->log, this->metrics, settings.instance,
-                      settings.memoryLeaseDuration },
+                      this->budget, this->client, platform.memory, this->quarantine, this->log, this->metrics,
+                      settings.instance, settings.memoryLeaseDuration },
               TargetChooser { this->view.targets, this->ledger, this->health, settings.availabilityZone,
                   std::mt19937_64 { std::random_device {}() } })
-        , peers({ context, clock, this->view, this->follower, this->ledger, this->waiting, this->log, this->metrics,
+        , peers({ context, clock, this->view, this->follower, this->ledger, this->waiting, this->quarantine, this->log,
+                    this->metrics,
                     [this] {
                         this->callers.setLimits(limitsFrom(this->view.configuration()->values.limits));
                     } },
@@ -235,6 +236,7 @@
             this->updateReadiness();
             this->client.closeStaleConnections();
             this->health.expire(this->clock.now());
+            this->quarantine.expire(this->clock.now());
             this->budget.updateInstanceCount(this->peers.livePeers() + 1);
             this->updateGauges();
         }
@@ -249,6 +251,7 @@
         if (const auto age = this->view.targets.age(now))
             this->metrics.gauge("marigold_targets_age_seconds").set(seconds(*age));
         this->metrics.gauge("marigold_configuration_version").set(static_cast<double>(this->view.version()));
+        this->metrics.gauge("marigold_suspected_prompt_parts").set(static_cast<double>(this->quarantine.size()));
         this->metrics.gauge("marigold_live_peers").set(static_cast<double>(this->peers.livePeers()));
         this->metrics.gauge("marigold_requests_active").set(static_cast<double>(this->callers.activeExchanges()));
         this->metrics.gauge("marigold_log_lines_dropped").set(static_cast<double>(this->log.dropped()));
@@ -268,6 +271,7 @@
     LoadLedger ledger;
     WaitingPrompts waiting;
     TargetHealth health;
+    PromptQuarantine quarantine;
     HttpClient client;
     RetryBudget budget;
     ViewFollower follower;
@@ -303,6 +307,7 @@
     state.follower.start(state.peers);
     state.peers.start();
     state.gateway.onPromptPlaced([&state] { state.peers.notifyPeersNow(); });
+    state.gateway.onTargetCrash([&state] { state.peers.announceCrashes(); });
     asio::co_spawn(state.context, state.runHousekeeping(), asio::detached);
     return ports;
 }
--- /dev/null
+++ b/test/PromptQuarantine_test.cpp
@@ -0,0 +1,181 @@
+#include "serving/PromptQuarantine.h"
+
+#include <gtest/gtest.h>
+
+namespace marigoldpaddle {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t Common = 1;
+constexpr std::uint64_t Bad = 2;
+constexpr std::uint64_t Companion = 3;
+constexpr std::uint64_t Other = 4;
+
+class PromptQuarantineTest : public testing::Test {
+protected:
+    // Another target ends under another request with these parts.
+    bool crash(std::vector<std::uint64_t> parts)
+    {
+        ++this->last;
+        return this->quarantine.recordCrash({ this->last, this->last, std::move(parts), this->now }, this->now);
+    }
+
+    bool isQuarantined(const std::vector<std::uint64_t>& parts) const
+    {
+        return this->quarantine.isQuarantined(parts);
+    }
+
+    PromptQuarantine quarantine { 10min };
+    TimePoint now { 1h };
+    std::uint64_t last { 0 };
+};
+
+TEST_F(PromptQuarantineTest, PartUnderWhichThreeTargetsEndedIsQuarantined)
+{
+    this->crash({ Bad });
+    this->crash({ Bad });
+    EXPECT_FALSE(this->isQuarantined({ Bad }));
+    this->crash({ Bad });
+    EXPECT_TRUE(this->isQuarantined({ Bad }));
+    EXPECT_TRUE(this->isQuarantined({ Other, Bad }));
+    EXPECT_FALSE(this->isQuarantined({ Other }));
+    EXPECT_FALSE(this->isQuarantined({}));
+}
+
+// One request that meets three failing targets says nothing about prompts that share its parts.
+TEST_F(PromptQuarantineTest, SingleRequestDoesNotQuarantineItsParts)
+{
+    for (std::uint64_t target = 1; target <= 4; ++target)
+        this->quarantine.recordCrash({ target, 7, { Bad }, this->now }, this->now);
+    EXPECT_FALSE(this->isQuarantined({ Bad }));
+}
+
+TEST_F(PromptQuarantineTest, SingleTargetThatFailsOftenDoesNotQuarantineTheParts)
+{
+    for (std::uint64_t request = 1; request <= 4; ++request)
+        this->quarantine.recordCrash({ 7, request, { Bad }, this->now }, this->now);
+    EXPECT_FALSE(this->isQuarantined({ Bad }));
+}
+
+// Prompts of the same caller share their first part with those that end targets. They must still be served.
+TEST_F(PromptQuarantineTest, PartOfARecentSoundAnswerIsNotQuarantined)
+{
+    this->quarantine.recordSound(std::vector { Common }, this->now);
+    this->now += 1s;
+    for (int index = 0; index < 3; ++index)
+        this->crash({ Common, Bad });
+    EXPECT_FALSE(this->isQuarantined({ Common, Other }));
+    EXPECT_TRUE(this->isQuarantined({ Common, Bad }));
+    EXPECT_TRUE(this->isQuarantined({ Bad }));
+}
+
+TEST_F(PromptQuarantineTest, LaterSoundAnswerEndsTheSuspicionOfItsParts)
+{
+    for (int index = 0; index < 3; ++index)
+        this->crash({ Bad });
+    this->quarantine.recordSound(std::vector { Bad }, this->now + 1ms);
+    EXPECT_FALSE(this->isQuarantined({ Bad }));
+}
+
+// A part that was sound long ago may be at fault now, as after a change of the targets' weights.
+TEST_F(PromptQuarantineTest, PartOfAnOldSoundAnswerIsQuarantined)
+{
+    this->quarantine.recordSound(std::vector { Bad }, this->now);
+    this->now += PromptQuarantine::SoundLifetime + 1ms;
+    for (int index = 0; index < 3; ++index)
+        this->crash({ Bad });
+    EXPECT_TRUE(this->isQuarantined({ Bad }));
+}
+
+// Another fault ends a target under a prompt of the same caller. The part that they share must not be blamed for it.
+TEST_F(PromptQuarantineTest, UnrelatedCrashDoesNotBlameTheCommonPart)
+{
+    this->crash({ Common, Other });
+    this->crash({ Common, Bad });
+    this->crash({ Common, Bad });
+    EXPECT_FALSE(this->isQuarantined({ Common, Companion }));
+    EXPECT_TRUE(this->isQuarantined({ Common, Bad }));
+}
+
+TEST_F(PromptQuarantineTest, PartThatAlwaysOccursWithAnotherIsSentWithoutIt)
+{
+    for (int index = 0; index < 3; ++index)
+        this->crash({ Companion, Bad });
+    EXPECT_TRUE(this->isQuarantined({ Companion, Bad }));
+    EXPECT_FALSE(this->isQuarantined({ Companion }));
+    EXPECT_FALSE(this->isQuarantined({ Bad }));
+}
+
+TEST_F(PromptQuarantineTest, FurtherCrashesTellWhichOfTwoPartsIsAtFault)
+{
+    for (int index = 0; index < 3; ++index)
+        this->crash({ Companion, Bad });
+    this->crash({ Other, Bad });
+    this->crash({ Other, Bad });
+    EXPECT_TRUE(this->isQuarantined({ Bad }));
+    EXPECT_FALSE(this->isQuarantined({ Companion }));
+}
+
+TEST_F(PromptQuarantineTest, SoundAnswerTellsWhichOfTwoPartsIsAtFault)
+{
+    for (int index = 0; index < 3; ++index)
+        this->crash({ Companion, Bad });
+    this->now += 1ms;
+    this->quarantine.recordSound(std::vector { Companion }, this->now);
+    EXPECT_TRUE(this->isQuarantined({ Bad }));
+}
+
+TEST_F(PromptQuarantineTest, PartsThatEndTargetsIndependentlyAreBothQuarantined)
+{
+    this->quarantine.recordSound(std::vector { Common }, this->now);
+    for (int index = 0; index < 3; ++index) {
+        this->crash({ Common, Bad });
+        this->crash({ Common, Other });
+    }
+    EXPECT_TRUE(this->isQuarantined({ Common, Bad }));
+    EXPECT_TRUE(this->isQuarantined({ Common, Other }));
+    EXPECT_FALSE(this->isQuarantined({ Common }));
+}
+
+TEST_F(PromptQuarantineTest, SameCrashReportedAgainIsNotCounted)
+{
+    EXPECT_TRUE(this->quarantine.recordCrash({ 1, 1, { Bad }, this->now }, this->now));
+    EXPECT_FALSE(this->quarantine.recordCrash({ 1, 1, { Bad }, this->now }, this->now + 1s));
+}
+
+TEST_F(PromptQuarantineTest, QuarantineEndsWhenItsCrashesAreTooOld)
+{
+    for (int index = 0; index < 3; ++index)
+        this->crash({ Bad });
+    this->quarantine.expire(this->now + 10min - 1ms);
+    EXPECT_TRUE(this->isQuarantined({ Bad }));
+    EXPECT_EQ(this->quarantine.remaining(this->now + 4min), Duration { 6min });
+    this->quarantine.expire(this->now + 10min);
+    EXPECT_FALSE(this->isQuarantined({ Bad }));
+    EXPECT_EQ(this->quarantine.remaining(this->now + 10min), Duration::zero());
+}
+
+TEST_F(PromptQuarantineTest, CrashesArePassedOnAsLongAsTheyAreNew)
+{
+    this->crash({ Bad });
+    EXPECT_EQ(this->quarantine.crashesLearnedSince(this->now).size(), 1U);
+    EXPECT_TRUE(this->quarantine.crashesLearnedSince(this->now + 1ms).empty());
+}
+
+TEST_F(PromptQuarantineTest, CrashesThatTellNothingNewAreNotKept)
+{
+    for (int index = 0; index < 3; ++index)
+        EXPECT_TRUE(this->crash({ Bad }));
+    EXPECT_FALSE(this->crash({ Bad }));
+}
+
+TEST_F(PromptQuarantineTest, NumberOfCrashesIsBounded)
+{
+    for (std::size_t index = 0; index < PromptQuarantine::MaximumCrashes; ++index)
+        EXPECT_TRUE(this->crash({ 100 + index }));
+    EXPECT_FALSE(this->crash({ Bad }));
+}
+
+}
+}
--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -249,13 +249,14 @@
     HttpClient client { this->context.get_executor() };
     HttpClient caller { this->context.get_executor() };
     RefusingMemory memory;
+    PromptQuarantine quarantine;
     EventLog log { this->clock, { "test", 0, 16 } };
     MetricsRegistry metrics;
     ScriptedTarget first { this->context };
     ScriptedTarget second { this->context };
     ServingGateway gateway { { this->context, this->clock, this->format, this->view, this->ledger, this->waiting,
-                                 this->health, this->budget, this->client, this->memory, this->log, this->metrics,
-                                 "test", 3s },
+                                 this->health, this->budget, this->client, this->memory, this->quarantine, this->log,
+                                 this->metrics, "test", 3s },
         TargetChooser { this->view.targets, this->ledger, this->health, "a", std::mt19937_64 { 1 } } };
     HttpServer server { this->context, this->gateway };
     std::string address;
@@ -429,8 +430,9 @@
         others.back()->script = { endsUnder("bad") };
         this->registerTarget("t" + std::to_string(index), others.back()->address);
     }
-    const auto promptWith = [&](const std::string& parts) {
+    auto promptWith = [&, prompts = 0](const std::string& parts) mutable {
         auto request = this->request("/stream/x");
+        request.set("Marigoldpaddle-Attempt-Id", "attempt" + std::to_string(++prompts));
         request.set("Marigoldpaddle-Prompt-Prefix", parts);
         return this->call(std::move(request));
     };
@@ -788,8 +790,8 @@
 {
     ServingView empty;
     ServingGateway unconfigured { { this->context, this->clock, this->format, empty, this->ledger, this->waiting,
-                                      this->health, this->budget, this->client, this->memory, this->log, this->metrics,
-                                      "test", 3s },
+                                      this->health, this->budget, this->client, this->memory, this->quarantine,
+                                      this->log, this->metrics, "test", 3s },
         TargetChooser { empty.targets, this->ledger, this->health, "a", std::mt19937_64 { 1 } } };
     HttpServer other { this->context, unconfigured };
     this->address = "127.0.0.1:" + std::to_string(other.listen("127.0.0.1:0"));
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -319,6 +319,20 @@
 
 // Instance to instance on the serving path, as one UDP datagram: the load that the sender has placed on targets, and
 // the age of its view of the platform. `sequence` increases within an incarnation. A notice expires after `validMs`.
+// A target that ended while it began to answer a prompt. Ids are hashes.
+struct TargetCrashRecord {
+    1: i64 target
+    2: i64 request
+    3: list<i64> parts // Parts of the prompt that other prompts may have too.
+    4: i64 ageMs
+}
+
+// A part of a prompt that was in a sound answer.
+struct SoundPartRecord {
+    1: i64 part
+    2: i64 ageMs
+}
+
 struct LoadNotice {
     1: string sender
     2: i64 incarnation
@@ -338,6 +352,8 @@
     16: i64 configurationAgeMs // Since the sender's configuration was known to be the newest.
     17: list<KeyValueRecord> targetChanges // Registrations that the sender's last read changed; no value: removed.
     18: bool partial // `loads` has only some of the targets; the loads of the others did not change.
+    19: list<TargetCrashRecord> crashes // Those that the sender learned of lately; all of them for a new peer.
+    20: list<SoundPartRecord> soundParts // Those of the crashes' parts that were in sound answers lately.
 }
 
 // Instance to instance: requests records that the receiver has read from the platform. Sent when the sender cannot read
