Limit how many peers an instance sends the list of targets to at a time

Cause: after a common start every instance of a zone fetched the list of targets in the tick in which its first reader announced it. A list of thousands of targets does not fit into a notice. 38 receivers shared the link of one source, each gave up after a fixed 400 ms, dropped what it had and asked again. A receiver that had the list announced it only with its next periodic notice, and an instance without any list took only those younger than 0.45 of the bound, so that the first reader stayed the only source most of the time. Ruled out: a random delay alone, as for the configuration. With 5 ms for each peer of the zone, and 240 ms for a list, all have asked the one source before the first transfer ends. A fixed number of first receivers by rank: slower in a small zone, and a frozen receiver would hold up those behind it. Larger time-outs alone: none of the receivers of a shared link has the list before all have it. Change: a source sends the list to two peers at a time (TransferSlots; a slot ends when the answer is written, or expires with a frozen receiver). Others wait in turn for 0.1 of the drain bound and are then told that it is busy, and ask a source drawn anew. A first list is announced at once; an instance without a list takes any within the bound, asks on the notice that offers it instead of in its next tick, after a random delay of 5 ms for each peer of the zone, 0.1 of the bound at most. One list is fetched at a time, with a time-out from the bound; a fetch of the configuration does not wait for it. RpcHandler::handle() can store what is to live until its answer is written.

--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -214,7 +214,8 @@
     }
 }
 
-asio::awaitable<std::optional<wire::Payload>> Dispatcher::handle(wire::Payload request)
+asio::awaitable<std::optional<wire::Payload>> Dispatcher::handle(
+    wire::Payload request, std::shared_ptr<void>& /*untilWritten*/)
 {
     wire::Payload answer;
     if (request.__isset.acquire) {
--- a/src/dispatch/Dispatcher.h
+++ b/src/dispatch/Dispatcher.h
@@ -57,7 +57,8 @@
     // Hands over all owned cells, stops accepting requests and announces the stop to the other instances.
     void beginGracefulShutdown();
 
-    boost::asio::awaitable<std::optional<wire::Payload>> handle(wire::Payload request) override;
+    boost::asio::awaitable<std::optional<wire::Payload>> handle(
+        wire::Payload request, std::shared_ptr<void>& untilWritten) override;
     boost::asio::awaitable<void> handle(HttpExchange& exchange) override;
     HttpResponse makeFaultResponse(HttpFault fault) override;
 
--- a/src/rpc/Framing.cpp
+++ b/src/rpc/Framing.cpp
@@ -64,10 +64,10 @@
 {
 }
 
-void FrameWriter::send(std::string frame)
+void FrameWriter::send(std::string frame, std::shared_ptr<void> untilWritten)
 {
     this->bytes += frame.size();
-    this->frames.push_back(std::move(frame));
+    this->frames.push_back({ std::move(frame), std::move(untilWritten) });
     if (this->isWriting)
         return;
     this->isWriting = true;
@@ -89,8 +89,8 @@
         this->frames.pop_front();
         error_code failure;
         co_await asio::async_write(
-            *this->socket, asio::buffer(frame), asio::redirect_error(asio::use_awaitable, failure));
-        this->bytes -= frame.size();
+            *this->socket, asio::buffer(frame.bytes), asio::redirect_error(asio::use_awaitable, failure));
+        this->bytes -= frame.bytes.size();
         if (!failure)
             continue;
         this->frames.clear();
--- a/src/rpc/Framing.h
+++ b/src/rpc/Framing.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <memory>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -29,16 +30,22 @@
     explicit FrameWriter(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
 
     // Queues a frame. A write error closes the socket and drops the queued frames; frames queued later are dropped too.
-    void send(std::string frame);
+    // `untilWritten` is destroyed once the frame has been written or dropped.
+    void send(std::string frame, std::shared_ptr<void> untilWritten = nullptr);
 
     // Returns the size of the frames that are queued or being written, in bytes.
     std::size_t queuedBytes() const;
 
 private:
+    struct Frame {
+        std::string bytes;
+        std::shared_ptr<void> untilWritten;
+    };
+
     boost::asio::awaitable<void> writeQueuedFrames();
 
     std::shared_ptr<boost::asio::ip::tcp::socket> socket;
-    std::deque<std::string> frames;
+    std::deque<Frame> frames;
     std::size_t bytes { 0 };
     bool isWriting { false };
 };
--- a/src/rpc/RpcServer.cpp
+++ b/src/rpc/RpcServer.cpp
@@ -71,8 +71,9 @@
     asio::awaitable<void> handleMessage(std::shared_ptr<wire::Envelope> message)
     {
         std::optional<wire::Payload> payload;
+        std::shared_ptr<void> untilWritten;
         try {
-            payload = co_await this->state->handler.handle(std::move(message->payload));
+            payload = co_await this->state->handler.handle(std::move(message->payload), untilWritten);
         } catch (const std::exception& failure) {
             LOG(ERROR) << "RPC message handler failed: " << failure.what();
         }
@@ -81,7 +82,7 @@
         wire::Envelope reply;
         reply.callId = message->callId;
         reply.payload = std::move(*payload);
-        this->writer->send(internal::encodeFrame(reply));
+        this->writer->send(internal::encodeFrame(reply), std::move(untilWritten));
     }
 
     std::shared_ptr<tcp::socket> socket;
--- a/src/rpc/RpcServer.h
+++ b/src/rpc/RpcServer.h
@@ -16,8 +16,11 @@
     virtual ~RpcHandler() = default;
 
     // Handles one message and returns its answer; no answer is sent if it is empty. The answer to a one-way message is
-    // discarded.
-    virtual boost::asio::awaitable<std::optional<wire::Payload>> handle(wire::Payload request) = 0;
+    // discarded. What the handler stores in `untilWritten` is destroyed once the answer has been written to the
+    // connection, or dropped with it.
+    virtual boost::asio::awaitable<std::optional<wire::Payload>> handle(
+        wire::Payload request, std::shared_ptr<void>& untilWritten)
+        = 0;
 };
 
 // Serves framed envelopes over TCP. Calls on the same connection are handled concurrently, and each answer is sent when
--- a/src/serving/PeerExchange.cpp
+++ b/src/serving/PeerExchange.cpp
@@ -14,9 +14,18 @@
 // A list of targets that is older than this share of its bound is replaced by a peer's. By then the readers of the zone
 // have read it again, so this instance has missed an announcement or differs from them.
 constexpr double StaleTargetsShareOfBound = 0.45;
+// The random delay of the first fetch of a list takes at most this share of its bound, whatever the size of the zone.
+constexpr double FetchSpreadShareOfBound = 0.1;
+constexpr double TransferWaitShareOfBound = 0.1;
+constexpr double TransferTimeoutShareOfBound = 0.5;
 // A peer's list has to be newer by this time to be fetched.
 constexpr Duration WorthwhileAgeDifference = std::chrono::milliseconds { 200 };
 
+Duration shareOf(Duration duration, double share)
+{
+    return std::chrono::duration_cast<Duration>(duration * share);
+}
+
 }
 
 PeerExchange::PeerExchange(std::string self, std::string availabilityZone, std::vector<std::string> seeds,
@@ -89,10 +98,15 @@
     if (version <= this->highestVersion)
         return;
     this->highestVersion = version;
+    this->fetchConfigurationFrom = now + this->drawFetchDelay(now);
+}
+
+Duration PeerExchange::drawFetchDelay(TimePoint now)
+{
     const auto localPeers = std::ranges::count_if(
         this->peers, [&](const auto& item) { return this->isLocal(item.second) && this->isLive(item.second, now); });
     std::uniform_real_distribution<double> share { 0, static_cast<double>(localPeers) };
-    this->fetchConfigurationFrom = now + std::chrono::duration_cast<Duration>(FetchSpreadPerPeer * share(this->random));
+    return shareOf(FetchSpreadPerPeer, share(this->random));
 }
 
 std::size_t PeerExchange::readerRank(TimePoint now) const
@@ -150,7 +164,7 @@
     if (now - this->lastNoticeAt >= (didChange ? period : std::max<Duration>(IdlePeriod, period)))
         this->notifyLivePeers(commands, now);
     this->contactSilentPeers(commands, now);
-    this->fetchNewerRecords(commands, own, now);
+    std::ranges::move(this->fetchNewerRecords(own, now), std::back_inserter(commands));
     return commands;
 }
 
@@ -230,34 +244,82 @@
     });
 }
 
-void PeerExchange::fetchNewerRecords(PeerCommands& commands, const LocalState& own, TimePoint now)
+Duration PeerExchange::staleTargetsAge() const
 {
-    if (now - this->lastFetch < FetchInterval)
-        return;
-    const bool wantsConfiguration
-        = this->highestVersion > own.configurationVersion && now >= this->fetchConfigurationFrom;
-    const auto staleAge = std::chrono::duration_cast<Duration>(this->targetsBound * StaleTargetsShareOfBound);
-    const bool wantsTargets = own.targetsAge > staleAge;
-    // A list passes through several instances, so its age counts from the notice that stated it.
-    const auto hasNewerTargets = [&](const Peer& peer) {
-        const auto age = now - peer.targetsReadAt;
-        return age < staleAge && age + WorthwhileAgeDifference < own.targetsAge;
-    };
+    return shareOf(this->targetsBound, StaleTargetsShareOfBound);
+}
+
+// A list passes through several instances, so its age counts from the notice that stated it.
+bool PeerExchange::hasUsefulTargets(const Peer& peer, const LocalState& own, TimePoint now) const
+{
+    const auto age = now - peer.targetsReadAt;
+    const auto longest = own.targetsAge == Duration::max() ? this->targetsBound : this->staleTargetsAge();
+    return age < longest && age + WorthwhileAgeDifference < own.targetsAge;
+}
+
+// Draws the delay of the first fetch when a peer first has the list: after a common start that is the same moment for
+// the whole zone.
+bool PeerExchange::mayFetchTargets(const LocalState& own, TimePoint now)
+{
+    const bool hasSource
+        = own.targetsAge > this->staleTargetsAge() && std::ranges::any_of(this->peers, [&](const auto& item) {
+              return this->isLive(item.second, now) && this->hasUsefulTargets(item.second, own, now);
+          });
+    if (!hasSource)
+        this->fetchTargetsFrom.reset();
+    else if (!this->fetchTargetsFrom)
+        this->fetchTargetsFrom
+            = now + std::min(this->drawFetchDelay(now), shareOf(this->targetsBound, FetchSpreadShareOfBound));
+    return hasSource && !this->isFetchingTargets && now >= *this->fetchTargetsFrom
+        && now - this->lastTargetsFetch >= FetchInterval;
+}
+
+PeerCommands PeerExchange::fetchNewerRecords(const LocalState& own, TimePoint now)
+{
+    PeerCommands commands;
+    const bool wantsTargets = this->mayFetchTargets(own, now);
+    const bool wantsConfiguration = this->highestVersion > own.configurationVersion
+        && now >= this->fetchConfigurationFrom && now - this->lastConfigurationFetch >= FetchInterval;
     std::vector<std::string_view> localSources;
     std::vector<std::string_view> remoteSources;
     for (const auto& [address, peer] : this->peers) {
         if (!this->isLive(peer, now))
             continue;
         if ((wantsConfiguration && peer.configurationVersion > own.configurationVersion)
-            || (wantsTargets && hasNewerTargets(peer)))
+            || (wantsTargets && this->hasUsefulTargets(peer, own, now)))
             (this->isLocal(peer) ? localSources : remoteSources).push_back(address);
     }
     const auto& sources = localSources.empty() ? remoteSources : localSources;
     if (sources.empty())
-        return;
-    this->lastFetch = now;
+        return commands;
     std::uniform_int_distribution<std::size_t> pick { 0, sources.size() - 1 };
-    commands.push_back(FetchRecords { std::string { sources[pick(this->random)] }, wantsTargets });
+    const auto source = this->peers.find(sources[pick(this->random)]);
+    const bool fetchesTargets = wantsTargets && this->hasUsefulTargets(source->second, own, now);
+    if (wantsConfiguration)
+        this->lastConfigurationFetch = now;
+    if (fetchesTargets) {
+        this->lastTargetsFetch = now;
+        this->isFetchingTargets = true;
+    }
+    commands.push_back(FetchRecords { source->first, fetchesTargets });
+    return commands;
+}
+
+void PeerExchange::endTargetsFetch(bool wasBusy)
+{
+    this->isFetchingTargets = false;
+    if (wasBusy)
+        this->lastTargetsFetch = {};
+}
+
+Duration PeerExchange::transferWait() const
+{
+    return shareOf(this->targetsBound, TransferWaitShareOfBound);
+}
+
+Duration PeerExchange::transferTimeout() const
+{
+    return shareOf(this->targetsBound, TransferTimeoutShareOfBound);
 }
 
 std::vector<std::string> PeerExchange::addressSample()
--- a/src/serving/PeerExchange.h
+++ b/src/serving/PeerExchange.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -68,11 +69,14 @@
     static constexpr Duration StartupPeriod = std::chrono::seconds { 3 };
     // Peers without a notice for this long are removed, except seeds.
     static constexpr Duration PeerExpiry = std::chrono::seconds { 60 };
-    // Minimum interval between two fetches.
+    // Minimum interval between two fetches of the same records.
     static constexpr Duration FetchInterval = std::chrono::milliseconds { 400 };
-    // The first fetch of a newer configuration is delayed at random by up to this time for each live peer of the zone.
-    // Most of them then find several sources, where all would ask the one reader at once.
+    // The first fetch of newer records is delayed at random by up to this time for each live peer of the zone. Most of
+    // them then find several sources, where all would ask the one reader at once.
     static constexpr Duration FetchSpreadPerPeer = std::chrono::milliseconds { 5 };
+    // Lists of targets that an instance sends at the same time. With two, the link is in use while one of the receivers
+    // processes its list.
+    static constexpr std::size_t ConcurrentTransfers = 2;
 
     // `self` is the address where peers reach this instance; `seeds` are addresses that may be outdated.
     // `targetsBound` is the time within which a leaving target has to be known.
@@ -93,6 +97,21 @@
     // Returns the commands due now. `didChange` states whether the loads changed since the last notice.
     PeerCommands tick(const LocalState& own, bool didChange, TimePoint now);
 
+    // Returns commands to fetch records that are newer than `own` and due now. Also part of tick(); called in between,
+    // an instance without a list of targets does not wait for the next period to fetch one.
+    PeerCommands fetchNewerRecords(const LocalState& own, TimePoint now);
+
+    // Ends the fetch of a list of targets that a command has started. There is one at a time. After `wasBusy`, the next
+    // one may start at once, from a source that is drawn anew.
+    void endTargetsFetch(bool wasBusy);
+
+    // How long a peer's request waits for a transfer slot of this instance before it is told that this one is busy. By
+    // then other instances have the list too.
+    Duration transferWait() const;
+
+    // Time for sending a list, after which the receiver gives up and the slot is free again.
+    Duration transferTimeout() const;
+
     // Returns commands to notify peers of a placed prompt at once; none if that would exceed the traffic budget.
     PeerCommands notifyNow(TimePoint now);
 
@@ -140,8 +159,11 @@
     std::vector<std::string_view> nextLocalRecipients(const std::vector<std::string_view>& local, std::size_t count);
     void notifyLivePeers(PeerCommands& commands, TimePoint now);
     void contactSilentPeers(PeerCommands& commands, TimePoint now);
-    void fetchNewerRecords(PeerCommands& commands, const LocalState& own, TimePoint now);
     void scheduleConfigurationFetch(std::uint64_t version, TimePoint now);
+    bool mayFetchTargets(const LocalState& own, TimePoint now);
+    bool hasUsefulTargets(const Peer& peer, const LocalState& own, TimePoint now) const;
+    Duration staleTargetsAge() const;
+    Duration drawFetchDelay(TimePoint now);
 
     std::string self;
     std::string availabilityZone;
@@ -153,10 +175,13 @@
     TimePoint lastRefill {};
     double noticeTokens { NoticeBurst };
     std::string lastLocalRecipient; // Of the last periodic notice; the next ones go to those that follow it.
-    TimePoint lastFetch {};
+    TimePoint lastConfigurationFetch {};
+    TimePoint lastTargetsFetch {};
     Duration targetsBound;
     std::uint64_t highestVersion { 0 }; // Of the configurations that peers have in force.
     TimePoint fetchConfigurationFrom {}; // Earliest time for fetching `highestVersion`.
+    std::optional<TimePoint> fetchTargetsFrom; // Set while a peer has a list of targets that this instance needs.
+    bool isFetchingTargets { false };
 };
 
 }
--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -2,16 +2,19 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "base/Http.h"
 #include "rpc/Codec.h"
+#include "serving/TransferSlots.h"
 
 namespace marigoldpaddle {
 
@@ -111,6 +114,74 @@
         .count();
 }
 
+// The peers' requests for the list of targets that wait for a transfer slot, in the order in which they came.
+struct TransferQueue {
+    TransferSlots slots { PeerExchange::ConcurrentTransfers };
+    std::deque<std::shared_ptr<asio::steady_timer>> waiting; // Cancelled when a slot may be free.
+    bool isClosed { false }; // The runner no longer exists.
+
+    void wakeFirst()
+    {
+        if (!this->waiting.empty())
+            this->waiting.front()->cancel();
+    }
+
+    void release(TransferSlots::Id slot)
+    {
+        this->slots.release(slot);
+        this->wakeFirst();
+    }
+};
+
+// Holds a transfer slot while a list is being written to its receiver.
+class TransferHold {
+public:
+    TransferHold(std::shared_ptr<TransferQueue> queue, TransferSlots::Id slot)
+        : queue(std::move(queue))
+        , slot(slot)
+    {
+    }
+
+    TransferHold(const TransferHold&) = delete;
+    TransferHold& operator=(const TransferHold&) = delete;
+
+    ~TransferHold()
+    {
+        this->queue->release(this->slot);
+    }
+
+private:
+    std::shared_ptr<TransferQueue> queue;
+    TransferSlots::Id slot;
+};
+
+// Waits in turn for a transfer slot, which is taken for `timeout` at most. Empty if none is free within `wait`.
+asio::awaitable<std::shared_ptr<void>> takeTransferSlot(
+    std::shared_ptr<TransferQueue> queue, const Clock& clock, Duration wait, Duration timeout)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    auto turn = std::make_shared<asio::steady_timer>(executor);
+    queue->waiting.push_back(turn);
+    const auto until = clock.now() + wait;
+    std::shared_ptr<void> hold;
+    while (!queue->isClosed) {
+        const auto now = clock.now();
+        std::optional<TransferSlots::Id> slot;
+        if (queue->waiting.front() == turn)
+            slot = queue->slots.take(now, now + timeout);
+        if (slot)
+            hold = std::make_shared<TransferHold>(queue, *slot);
+        if (slot || now >= until)
+            break;
+        error_code cancelled;
+        turn->expires_after(until - now);
+        co_await turn->async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+    }
+    std::erase(queue->waiting, turn);
+    queue->wakeFirst();
+    co_return hold;
+}
+
 }
 
 struct PeerRunner::State {
@@ -128,6 +199,14 @@
     {
     }
 
+    ~State()
+    {
+        this->transfers->isClosed = true;
+    }
+
+    State(const State&) = delete;
+    State& operator=(const State&) = delete;
+
     asio::awaitable<void> receive()
     {
         while (true) {
@@ -154,6 +233,8 @@
             return;
         this->perform(this->exchange.replyToNewPeers(now));
         this->parts.follower.applyPeerView(toSummary(*notice), fromWire(notice->targetChanges));
+        if (const auto own = this->localState(now); own.targetsAge == Duration::max())
+            this->perform(this->exchange.fetchNewerRecords(own, now));
         std::unordered_map<std::uint64_t, TargetLoad> loads;
         for (const auto& record : notice->loads)
             loads.emplace(static_cast<std::uint64_t>(record.target), toLoad(record));
@@ -321,9 +402,16 @@
         wire::Payload payload;
         payload.__set_platformRecords(request);
         const auto askedAt = this->parts.clock.now();
-        const auto answer = co_await this->client.call(command.address, payload, FetchTimeout);
-        this->parts.metrics.counter("marigold_peer_fetches_total", answer ? "outcome=\"ok\"" : "outcome=\"failed\"")
-            .increment();
+        auto timeout = FetchTimeout;
+        if (command.wantsTargets)
+            timeout = std::max(timeout, this->exchange.transferWait() + this->exchange.transferTimeout());
+        const auto answer = co_await this->client.call(command.address, payload, timeout);
+        const bool wasBusy = command.wantsTargets && answer && answer.value().__isset.platformRecordsAnswer
+            && !answer.value().platformRecordsAnswer.__isset.targets;
+        if (command.wantsTargets)
+            this->exchange.endTargetsFetch(wasBusy);
+        const std::string outcome { !answer ? "failed" : wasBusy ? "busy" : "ok" };
+        this->parts.metrics.counter("marigold_peer_fetches_total", "outcome=\"" + outcome + "\"").increment();
         if (!answer || !answer.value().__isset.platformRecordsAnswer) {
             this->client.disconnect(command.address);
             co_return;
@@ -338,7 +426,11 @@
         peer.era = static_cast<std::uint64_t>(records.storeEra);
         peer.targetsOffset = static_cast<std::uint64_t>(records.targetsOffset);
         peer.targetsAge = toAge(records.targetsAgeMs) + (this->parts.clock.now() - askedAt);
+        const bool hadList = this->parts.view.targets.age(this->parts.clock.now()).has_value();
         this->parts.follower.installTargets(fromWire(records.targets), peer, command.address);
+        // Announces a first list at once, so that peers find more than one source for it.
+        if (!hadList && this->parts.view.targets.age(this->parts.clock.now()))
+            this->perform(this->exchange.announceView(this->parts.clock.now()));
     }
 
     Parts parts;
@@ -348,6 +440,7 @@
     udp::socket socket;
     RpcServer server;
     RpcClient client;
+    std::shared_ptr<TransferQueue> transfers { std::make_shared<TransferQueue>() };
     std::int64_t incarnation;
     std::int64_t sequence { 0 };
     udp::endpoint source;
@@ -417,7 +510,8 @@
     return this->state->exchange.livePeers(this->state->parts.clock.now());
 }
 
-asio::awaitable<std::optional<wire::Payload>> PeerRunner::handle(wire::Payload request)
+asio::awaitable<std::optional<wire::Payload>> PeerRunner::handle(
+    wire::Payload request, std::shared_ptr<void>& untilWritten)
 {
     if (!request.__isset.platformRecords)
         co_return std::nullopt;
@@ -431,8 +525,16 @@
         record.value = configuration->value.value_or(std::string {});
         answer.__set_configuration(record);
     }
-    const auto summary = parts.follower.summary(parts.clock.now());
-    if (asked.wantsTargets && summary.targetsAge < Duration::max()) {
+    if (asked.wantsTargets && parts.view.targets.age(parts.clock.now())) {
+        // A newer configuration does not wait for the list.
+        const auto wait = answer.__isset.configuration ? Duration::zero() : this->state->exchange.transferWait();
+        auto queue = this->state->transfers;
+        untilWritten = co_await takeTransferSlot(queue, parts.clock, wait, this->state->exchange.transferTimeout());
+        if (queue->isClosed)
+            co_return std::nullopt;
+    }
+    if (untilWritten) {
+        const auto summary = parts.follower.summary(parts.clock.now());
         answer.__set_targets(toWire(parts.follower.targetRecords()));
         answer.targetsAgeMs = toMilliseconds(summary.targetsAge);
         answer.storeEra = static_cast<std::int64_t>(summary.era);
--- a/src/serving/PeerRunner.h
+++ b/src/serving/PeerRunner.h
@@ -60,7 +60,8 @@
     void configurationInstalled() override;
     void targetsRead(std::span<const KeyedRecord> changes) override;
 
-    boost::asio::awaitable<std::optional<wire::Payload>> handle(wire::Payload request) override;
+    boost::asio::awaitable<std::optional<wire::Payload>> handle(
+        wire::Payload request, std::shared_ptr<void>& untilWritten) override;
 
 private:
     struct State;
--- a/standins/DispatcherStandin.cpp
+++ b/standins/DispatcherStandin.cpp
@@ -52,7 +52,8 @@
     this->claimAnswer.verdict = wire::ClaimVerdict::Won;
 }
 
-asio::awaitable<std::optional<wire::Payload>> DispatcherStandin::handle(wire::Payload request)
+asio::awaitable<std::optional<wire::Payload>> DispatcherStandin::handle(
+    wire::Payload request, std::shared_ptr<void>& /*untilWritten*/)
 {
     wire::Payload answer;
     if (request.__isset.view) {
--- a/standins/DispatcherStandin.h
+++ b/standins/DispatcherStandin.h
@@ -29,7 +29,8 @@
 
     explicit DispatcherStandin(boost::asio::io_context& context);
 
-    boost::asio::awaitable<std::optional<wire::Payload>> handle(wire::Payload request) override;
+    boost::asio::awaitable<std::optional<wire::Payload>> handle(
+        wire::Payload request, std::shared_ptr<void>& untilWritten) override;
 
     // Returns the number of granted placements that were neither finished nor withdrawn.
     std::size_t openPlacements() const;
--- a/test/FollowerRuntime_test.cpp
+++ b/test/FollowerRuntime_test.cpp
@@ -29,7 +29,8 @@
     {
     }
 
-    boost::asio::awaitable<std::optional<wire::Payload>> handle(wire::Payload request) override
+    boost::asio::awaitable<std::optional<wire::Payload>> handle(
+        wire::Payload request, std::shared_ptr<void>& /*untilWritten*/) override
     {
         wire::Payload answer;
         const auto known = static_cast<std::uint64_t>(request.configuration.knownOffset);
--- a/test/PeerExchange_test.cpp
+++ b/test/PeerExchange_test.cpp
@@ -2,11 +2,15 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 #include <gtest/gtest.h>
 
+#include "serving/TransferSlots.h"
+
 namespace marigoldpaddle {
 namespace {
 
@@ -261,6 +265,53 @@
     EXPECT_GE(firstFetches.size(), 10U);
 }
 
+// While one list is on its way, a second one would only share the link with it.
+TEST_F(PeerExchangeTest, OneListIsFetchedAtATime)
+{
+    auto peerNotice = this->notice("10.0.0.2:1", 1);
+    peerNotice.validMs = 10'000;
+    this->exchange.receive(peerNotice, this->now);
+    this->own.targetsAge = Duration::max();
+    EXPECT_EQ(only<FetchRecords>(this->exchange.fetchNewerRecords(this->own, this->now)).size(), 1U);
+    EXPECT_TRUE(only<FetchRecords>(this->exchange.fetchNewerRecords(this->own, this->now + 1s)).empty());
+    this->exchange.endTargetsFetch(false);
+    EXPECT_EQ(only<FetchRecords>(this->exchange.fetchNewerRecords(this->own, this->now + 1s)).size(), 1U);
+}
+
+TEST_F(PeerExchangeTest, AnotherSourceIsAskedAtOnceAfterABusyOne)
+{
+    this->exchange.receive(this->notice("10.0.0.2:1", 1), this->now);
+    this->own.targetsAge = Duration::max();
+    EXPECT_EQ(only<FetchRecords>(this->exchange.fetchNewerRecords(this->own, this->now)).size(), 1U);
+    this->exchange.endTargetsFetch(true);
+    EXPECT_EQ(only<FetchRecords>(this->exchange.fetchNewerRecords(this->own, this->now + 10ms)).size(), 1U);
+}
+
+// Peers that do not read the store themselves repeat the age of their list in notices of a second and more apart. An
+// instance without a list that took only young ones found the reader alone as a source most of the time.
+TEST_F(PeerExchangeTest, InstanceWithoutAListTakesOneThatIsWithinTheBound)
+{
+    auto peerNotice = this->notice("10.0.0.2:1", 1);
+    peerNotice.validMs = 10'000;
+    peerNotice.targetsAgeMs = 3000;
+    this->exchange.receive(peerNotice, this->now);
+    this->own.targetsAge = Duration::max();
+    EXPECT_TRUE(only<FetchRecords>(this->exchange.fetchNewerRecords(this->own, this->now + 1s)).empty());
+    EXPECT_EQ(only<FetchRecords>(this->exchange.fetchNewerRecords(this->own, this->now)).size(), 1U);
+}
+
+// A fetch of the configuration does not wait for a list that is on its way.
+TEST_F(PeerExchangeTest, ConfigurationIsFetchedWhileAListIsOnItsWay)
+{
+    this->exchange.receive(this->notice("10.0.0.2:1", 1), this->now);
+    this->own.targetsAge = Duration::max();
+    EXPECT_EQ(only<FetchRecords>(this->exchange.fetchNewerRecords(this->own, this->now)).size(), 1U);
+    this->exchange.receive(this->notice("10.0.0.2:1", 2, 7), this->now);
+    const auto fetches = only<FetchRecords>(this->exchange.fetchNewerRecords(this->own, this->now + 10ms));
+    ASSERT_EQ(fetches.size(), 1U);
+    EXPECT_FALSE(fetches.front().wantsTargets);
+}
+
 TEST_F(PeerExchangeTest, RecordsAreFetchedWithinTheZoneIfPossible)
 {
     auto remote = this->notice("10.0.0.2:1", 1, 7);
@@ -338,5 +389,215 @@
     EXPECT_EQ(sent.front().address, "10.0.0.2:1");
 }
 
+// A zone whose instances know each other and have no list of targets, after a common start. One of them reads it from
+// the store. Each instance has a link of its own, which the lists that it sends share evenly; a datagram takes a step.
+class PeerExchangeZoneTest : public PeerExchangeTest {
+protected:
+    static constexpr Duration Step = 5ms;
+    static constexpr Duration ShortBound = 2s;
+
+    struct Instance {
+        PeerExchange exchange;
+        TransferSlots slots { PeerExchange::ConcurrentTransfers };
+        std::optional<TimePoint> readAt {};
+        std::int64_t sequence { 0 };
+        TimePoint nextTick {};
+        std::size_t transfersBegun { 0 };
+        unsigned transfersCutOff { 0 };
+    };
+
+    struct Request {
+        std::size_t source { 0 };
+        std::size_t receiver { 0 };
+        TimePoint askedAt {};
+        std::optional<TransferSlots::Id> slot {}; // Set while the list is being sent.
+        Duration remaining {}; // Time to send the remainder on an idle link.
+    };
+
+    static std::string addressOf(std::size_t index)
+    {
+        return "10.0.0." + std::to_string(index + 1) + ":1";
+    }
+
+    LocalState stateOf(const Instance& instance) const
+    {
+        return { 1, instance.readAt ? this->now - *instance.readAt : Duration::max() };
+    }
+
+    wire::LoadNotice noticeOf(std::size_t index)
+    {
+        auto& instance = this->instances[index];
+        auto notice = this->notice(addressOf(index), ++instance.sequence);
+        notice.availabilityZone = "zone-a";
+        notice.validMs = 10'000;
+        notice.targetsAgeMs = std::numeric_limits<std::int32_t>::max();
+        if (instance.readAt)
+            notice.targetsAgeMs
+                = std::chrono::duration_cast<std::chrono::milliseconds>(this->now - *instance.readAt).count();
+        return notice;
+    }
+
+    void startZone(std::size_t size)
+    {
+        for (std::size_t index = 0; index < size; ++index) {
+            Instance instance { PeerExchange {
+                addressOf(index), "zone-a", {}, ShortBound, std::mt19937_64 { index } } };
+            instance.nextTick = this->now + Step * (index * 7 % 20);
+            this->instances.push_back(std::move(instance));
+        }
+        for (std::size_t sender = 0; sender < size; ++sender) {
+            const auto notice = this->noticeOf(sender);
+            for (auto& receiver : this->instances)
+                receiver.exchange.receive(notice, this->now);
+        }
+        for (auto& instance : this->instances)
+            instance.exchange.replyToNewPeers(this->now);
+    }
+
+    void perform(std::size_t index, const PeerCommands& commands)
+    {
+        for (const auto& command : commands) {
+            if (const auto* send = std::get_if<SendNotice>(&command))
+                this->sent.emplace_back(std::stoul(send->address.substr(7)) - 1, this->noticeOf(index));
+            else if (const auto* fetch = std::get_if<FetchRecords>(&command))
+                this->requests.push_back({ std::stoul(fetch->address.substr(7)) - 1, index, this->now });
+        }
+    }
+
+    void installList(std::size_t index, TimePoint readAt)
+    {
+        this->instances[index].readAt = readAt;
+        this->perform(index, this->instances[index].exchange.announceView(this->now));
+    }
+
+    void deliverNotices()
+    {
+        for (const auto& [index, notice] : std::exchange(this->sent, {})) {
+            auto& receiver = this->instances[index];
+            receiver.exchange.receive(notice, this->now);
+            if (!receiver.readAt)
+                this->perform(index, receiver.exchange.fetchNewerRecords(this->stateOf(receiver), this->now));
+        }
+    }
+
+    void runTicks()
+    {
+        for (std::size_t index = 0; index < this->instances.size(); ++index) {
+            auto& instance = this->instances[index];
+            if (this->now < instance.nextTick)
+                continue;
+            instance.nextTick += PeerExchange::ShortestPeriod;
+            this->perform(index, instance.exchange.tick(this->stateOf(instance), false, this->now));
+        }
+    }
+
+    // Whether the request is over: the list has arrived, the source is busy, or the receiver has given up.
+    bool isOver(Request& request, std::size_t sharers)
+    {
+        auto& source = this->instances[request.source];
+        auto& receiver = this->instances[request.receiver];
+        const auto& exchange = receiver.exchange;
+        const auto waited = this->now - request.askedAt;
+        if (!request.slot) {
+            request.slot = source.slots.take(this->now, this->now + exchange.transferTimeout());
+            source.transfersBegun += request.slot ? 1 : 0;
+            if (request.slot || waited < exchange.transferWait())
+                return false;
+            receiver.exchange.endTargetsFetch(true);
+            return true;
+        }
+        request.remaining -= Step / sharers;
+        if (request.remaining > Duration::zero() && waited < exchange.transferWait() + exchange.transferTimeout())
+            return false;
+        source.slots.release(*request.slot);
+        receiver.exchange.endTargetsFetch(false);
+        if (request.remaining > Duration::zero())
+            ++source.transfersCutOff;
+        else
+            this->installList(request.receiver, *source.readAt);
+        return true;
+    }
+
+    void runTransfers()
+    {
+        std::map<std::size_t, std::size_t> sharers;
+        for (const auto& request : this->requests)
+            sharers[request.source] += request.slot ? 1 : 0;
+        std::vector<Request> open;
+        for (auto& request : std::exchange(this->requests, {})) {
+            if (!this->isOver(request, std::max<std::size_t>(1, sharers[request.source])))
+                open.push_back(request);
+        }
+        std::ranges::move(this->requests, std::back_inserter(open));
+        this->requests = std::move(open);
+    }
+
+    // Returns the time until every instance has the list, of which one takes `transferTime` on an idle link.
+    Duration timeUntilAllHaveTheList(std::size_t size, Duration transferTime)
+    {
+        this->startZone(size);
+        const auto startedAt = this->now;
+        const auto hasList = [](const Instance& instance) {
+            return instance.readAt.has_value();
+        };
+        this->installList(0, this->now);
+        while (!std::ranges::all_of(this->instances, hasList) && this->now - startedAt < 60s) {
+            this->now += Step;
+            // The reader reads again before its list is old.
+            if (this->now - *this->instances[0].readAt >= ShortBound / 4)
+                this->installList(0, this->now);
+            this->deliverNotices();
+            this->runTicks();
+            for (auto& request : this->requests) {
+                if (request.remaining == Duration::zero())
+                    request.remaining = transferTime;
+            }
+            this->runTransfers();
+        }
+        return this->now - startedAt;
+    }
+
+    unsigned transfersCutOff() const
+    {
+        unsigned sum = 0;
+        for (const auto& instance : this->instances)
+            sum += instance.transfersCutOff;
+        return sum;
+    }
+
+    std::vector<Instance> instances;
+    std::vector<std::pair<std::size_t, wire::LoadNotice>> sent; // Receivers of datagrams on their way.
+    std::vector<Request> requests; // In the order in which they came.
+};
+
+struct ZoneStart {
+    std::size_t instances;
+    std::chrono::milliseconds transferTime; // Of one list on an idle link.
+    std::chrono::milliseconds limit; // Until every instance has the list.
+};
+
+class PeerExchangeZoneStartTest : public PeerExchangeZoneTest, public testing::WithParamInterface<ZoneStart> { };
+
+// 3,000 targets are a list of 600 kB, which takes 240 ms on a link of 20 Mbit/s and 5 ms on one of 1 Gbit/s. Instances
+// that all fetched it from its first reader got their shares of its link so late that they gave up and asked again.
+TEST_P(PeerExchangeZoneStartTest, EveryInstanceSoonHasTheList)
+{
+    const auto time = this->timeUntilAllHaveTheList(this->GetParam().instances, this->GetParam().transferTime);
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    this->RecordProperty("milliseconds", static_cast<int>(milliseconds));
+    this->RecordProperty("cutOff", static_cast<int>(this->transfersCutOff()));
+    EXPECT_LE(milliseconds, this->GetParam().limit.count());
+    EXPECT_EQ(this->transfersCutOff(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, PeerExchangeZoneStartTest,
+    testing::Values(ZoneStart { 4, 5ms, 200ms }, ZoneStart { 10, 5ms, 200ms }, ZoneStart { 60, 5ms, 1000ms },
+        ZoneStart { 100, 5ms, 1000ms }, ZoneStart { 10, 240ms, 3000ms }, ZoneStart { 39, 240ms, 3000ms },
+        ZoneStart { 60, 240ms, 3000ms }, ZoneStart { 100, 240ms, 3000ms }),
+    [](const auto& info) {
+        return std::to_string(info.param.instances) + "InstancesAnd" + std::to_string(info.param.transferTime.count())
+            + "Milliseconds";
+    });
+
 }
 }
