Retry a refused first read as seldom as the instance's rank says

Cause: an instance without a view counted as the first reader of its zone, also after the store had refused it. After a common start that is every instance, and each repeated its reads of the targets and of the configuration within a quarter of the bound, where one reader a zone is enough to notice that the store serves again. Ruled out: delaying the first read itself. An instance that starts alone has to read at once, and before it hears of peers it cannot know its rank; that stays. Change: the rank that the peers give applies from the first read on. How much of the time after a common start this takes is not measured.

--- a/src/serving/ViewFollower.cpp
+++ b/src/serving/ViewFollower.cpp
@@ -112,7 +112,7 @@
 {
     while (true) {
         const auto now = this->clock.now();
-        const auto rank = this->view.configuration() ? this->audience->readerRank() : 0;
+        const auto rank = this->audience->readerRank();
         const auto wait = this->configurationSchedule.timeUntilDue(rank, this->configurationAge(now), now);
         if (wait > Duration::zero()) {
             co_await this->pause(wait);
@@ -164,7 +164,7 @@
     while (true) {
         const auto now = this->clock.now();
         const auto age = this->targetsAge(now);
-        const auto rank = age == Duration::max() ? 0 : this->audience->readerRank();
+        const auto rank = this->audience->readerRank();
         const auto wait = this->targetsSchedule.timeUntilDue(rank, age, now);
         if (wait > Duration::zero()) {
             co_await this->pause(wait);
--- a/test/ViewFollower_test.cpp
+++ b/test/ViewFollower_test.cpp
@@ -101,6 +101,13 @@
             this->view.targets.available("engines"), [&](const TargetEntry* target) { return target->id == id; });
     }
 
+    // Calls for the targets with an outcome, as counted by the follower.
+    std::uint64_t targetsCalls(const std::string& outcome)
+    {
+        return this->metrics.counter("marigold_platform_calls_total", "stream=\"targets\",outcome=\"" + outcome + "\"")
+            .value();
+    }
+
     bool seesTarget(const std::string& id)
     {
         return this->runUntil([&] { return this->view.targets.find(id) != nullptr; });
@@ -178,6 +185,22 @@
     EXPECT_LT(*this->view.targets.age(this->clock.now()), 50ms);
 }
 
+// After a start of all instances none has a view. Each of them counted as the first reader of its zone, so that those
+// which the store refused went on calling it as often as the one whose calls are enough.
+TEST_F(ViewFollowerTest, InstanceWithoutAViewThatIsNotAmongTheReadersRetriesSeldom)
+{
+    this->audience.rank = ReadSchedule::Ranks;
+    this->store.faults.areNewestReadsDown = true;
+    this->configure(1);
+    this->registerTarget("first");
+    this->follower.start(this->audience);
+    this->runFor(5 * Bound);
+    EXPECT_GE(this->targetsCalls("rejected"), 3U);
+    EXPECT_LE(this->targetsCalls("rejected"), 12U);
+    this->store.faults.areNewestReadsDown = false;
+    EXPECT_TRUE(this->runUntil([this] { return this->view.configuration() && this->view.targets.size() > 0; }));
+}
+
 class FaultsViewFollowerRestoreTest : public ViewFollowerTest { };
 
 // The store comes back from a copy that lacks the last registrations, and gives their offsets out again. A read from an
