Continue a refused listing of the targets at the part that was refused

Cause: the store lists the targets in parts of 500 records at most. When it refused one of them, or a part took longer than the time-out, the whole listing began anew with the first part. After a common start all instances list at once, so that every refusal added the calls of the parts before it. An instance also read to the end of its listing although a peer had sent it the list meanwhile, and installed the older of the two. Ruled out: leaving the rest of a long listing to the first ranks of a zone, with peers passing it on. Before instances know each other all have a low rank, and in a small zone on weak links the store is the faster source. Change: PlatformStore::newestPart() reads one part; ViewFollower keeps the parts that it has for the next attempt, for two bounds at most, drops them when the era rises, and ends the listing when a peer's list is newer.

--- a/src/serving/PlatformStore.h
+++ b/src/serving/PlatformStore.h
@@ -33,6 +33,7 @@
     // Rises each time the store comes back from an older copy of itself. Offsets of an earlier era are void: they are
     // given out again.
     std::uint64_t era { 0 };
+    bool hasMore { false }; // Of a part of a listing: others follow.
 };
 
 // Reads the platform's keyed streams. Errors are returned as PlatformError.
@@ -44,6 +45,10 @@
     // Trimmed when the store changed its era between two parts of the listing.
     virtual boost::asio::awaitable<PlatformResult<KeyedPage>> newest(KeyedStream stream) = 0;
 
+    // Returns a part of that listing, in the order of the keys: the records that follow the key `after`, or the first
+    // ones if it is empty. Continue with the last key while `hasMore`, and at the `next` of the first part.
+    virtual boost::asio::awaitable<PlatformResult<KeyedPage>> newestPart(KeyedStream stream, std::string after) = 0;
+
     // Returns the records from offset `from` on, waiting up to `wait` for the first (long poll). Trimmed when `from` is
     // no longer retained.
     virtual boost::asio::awaitable<PlatformResult<KeyedPage>> changes(
--- a/src/serving/ViewFollower.cpp
+++ b/src/serving/ViewFollower.cpp
@@ -1,6 +1,7 @@
 #include "serving/ViewFollower.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -163,9 +164,8 @@
 {
     while (true) {
         const auto now = this->clock.now();
-        const auto age = this->targetsAge(now);
         const auto rank = this->audience->readerRank();
-        const auto wait = this->targetsSchedule.timeUntilDue(rank, age, now);
+        const auto wait = this->targetsSchedule.timeUntilDue(rank, this->targetsAge(now), now);
         if (wait > Duration::zero()) {
             co_await this->pause(wait);
             continue;
@@ -185,7 +185,11 @@
     if (this->targetsAge(startedAt) / CompleteReadBounds > this->settings.targetsBound)
         this->targetsPosition.reset();
     this->dropOutdated(this->targetsPosition);
-    const bool isComplete = !this->targetsPosition;
+    if (!this->targetsPosition) {
+        const bool didRead = co_await this->readListingPart();
+        co_return didRead;
+    }
+    this->listing.reset();
     auto page = co_await this->read(KeyedStream::Targets, this->targetsPosition, Duration::zero());
     this->recordCall(KeyedStream::Targets, page ? std::nullopt : std::optional { page.error() });
     if (!page) {
@@ -197,20 +201,71 @@
     const auto& content = page.value();
     if (content.era < this->era)
         co_return false;
-    if (this->acceptEra(content.era, "platform") && !isComplete) {
+    if (this->acceptEra(content.era, "platform")) {
         // The offset was given out again, so the page is an arbitrary part of the new contents.
         this->targetsPosition.reset();
         std::uniform_real_distribution<double> share { 0, RecoverySpreadShareOfBound };
         co_await this->pause(std::chrono::duration_cast<Duration>(this->settings.targetsBound * share(this->random)));
         co_return true;
     }
-    const auto changes = this->applyTargets(content.records, isComplete, startedAt);
+    const auto changes = this->applyTargets(content.records, false, startedAt);
     this->targetsPosition = { content.era, content.next };
     this->view.targets.recordRead(startedAt);
     this->audience->targetsRead(changes);
     co_return true;
 }
 
+// Reads the next part of the complete listing, and installs the listing after the last one. After a failure the parts
+// that were read are kept for the next attempt: when many instances read at once, the store refuses some of their
+// calls, and listings that began anew would only add to them. Returns whether the store answered.
+asio::awaitable<bool> ViewFollower::readListingPart()
+{
+    const auto startedAt = this->clock.now();
+    this->dropOutdatedListing(startedAt);
+    const bool isFirst = !this->listing;
+    std::string after = isFirst ? std::string {} : this->listing->page.records.back().key;
+    auto part = co_await this->store.newestPart(KeyedStream::Targets, std::move(after));
+    this->recordCall(KeyedStream::Targets, part ? std::nullopt : std::optional { part.error() });
+    if (!part || part.value().era < this->era)
+        co_return false;
+    auto& content = part.value();
+    this->acceptEra(content.era, "platform");
+    if (isFirst) {
+        this->listing = Listing { std::move(content), startedAt };
+    } else if (content.era == this->listing->page.era) {
+        // Later parts may have higher offsets. Reading continues at the first part's, so that records written between
+        // the parts are not missed.
+        this->listing->page.hasMore = content.hasMore;
+        std::ranges::move(content.records, std::back_inserter(this->listing->page.records));
+    }
+    this->dropOutdatedListing(this->clock.now());
+    if (this->listing && !this->listing->page.hasMore)
+        this->installListing();
+    co_return true;
+}
+
+// Forgets parts of an earlier era, parts that are too old to be completed, and those that are older than a list that a
+// peer has sent meanwhile.
+void ViewFollower::dropOutdatedListing(TimePoint now)
+{
+    if (!this->listing)
+        return;
+    const auto age = now - this->listing->startedAt;
+    if (this->listing->page.era < this->era || age > this->settings.targetsBound * CompleteReadBounds
+        || age > this->targetsAge(now))
+        this->listing.reset();
+}
+
+void ViewFollower::installListing()
+{
+    const auto complete = std::move(*this->listing);
+    this->listing.reset();
+    const auto changes = this->applyTargets(complete.page.records, true, complete.startedAt);
+    this->targetsPosition = { complete.page.era, complete.page.next };
+    this->view.targets.recordRead(complete.startedAt);
+    this->audience->targetsRead(changes);
+}
+
 asio::awaitable<PlatformResult<KeyedPage>> ViewFollower::read(
     KeyedStream stream, const std::optional<Position>& position, Duration wait)
 {
--- a/src/serving/ViewFollower.h
+++ b/src/serving/ViewFollower.h
@@ -92,10 +92,19 @@
         std::uint64_t next { 0 };
     };
 
+    // The parts of a complete listing of the targets that were read so far.
+    struct Listing {
+        KeyedPage page;
+        TimePoint startedAt {}; // Of the read of the first part.
+    };
+
     boost::asio::awaitable<void> followConfiguration();
     boost::asio::awaitable<void> followTargets();
     boost::asio::awaitable<bool> readConfiguration(std::size_t rank);
     boost::asio::awaitable<bool> readTargets();
+    boost::asio::awaitable<bool> readListingPart();
+    void installListing();
+    void dropOutdatedListing(TimePoint now);
     // Reads the changes from `position` on or, without one, the newest record of every key.
     boost::asio::awaitable<PlatformResult<KeyedPage>> read(
         KeyedStream stream, const std::optional<Position>& position, Duration wait);
@@ -124,6 +133,7 @@
     std::optional<TimePoint> configurationReadAt; // When the installed configuration was known to be the newest.
     std::optional<Position> configurationPosition;
     std::optional<Position> targetsPosition;
+    std::optional<Listing> listing;
     TargetRecords records;
     std::uint64_t era { 0 }; // Highest era of the store that this instance has seen.
     std::map<KeyedStream, bool> connected;
--- a/test/PeerRunner_test.cpp
+++ b/test/PeerRunner_test.cpp
@@ -26,6 +26,11 @@
         co_return PlatformError::Unreachable;
     }
 
+    asio::awaitable<PlatformResult<KeyedPage>> newestPart(KeyedStream, std::string) override
+    {
+        co_return PlatformError::Unreachable;
+    }
+
     asio::awaitable<PlatformResult<KeyedPage>> changes(KeyedStream, std::uint64_t, Duration) override
     {
         co_return PlatformError::Unreachable;
--- a/test/ViewFollower_test.cpp
+++ b/test/ViewFollower_test.cpp
@@ -33,6 +33,36 @@
     std::vector<KeyedRecord> changes;
 };
 
+// Refuses all parts of a listing but the first one while the test wants it.
+class RefusingStore final : public PlatformStore {
+public:
+    explicit RefusingStore(PlatformStore& store)
+        : store(store)
+    {
+    }
+
+    asio::awaitable<PlatformResult<KeyedPage>> newest(KeyedStream stream) override
+    {
+        return this->store.newest(stream);
+    }
+
+    asio::awaitable<PlatformResult<KeyedPage>> newestPart(KeyedStream stream, std::string after) override
+    {
+        if (this->refusesLaterParts && !after.empty())
+            co_return PlatformError::Rejected;
+        auto page = co_await this->store.newestPart(stream, std::move(after));
+        co_return page;
+    }
+
+    asio::awaitable<PlatformResult<KeyedPage>> changes(KeyedStream stream, std::uint64_t from, Duration wait) override
+    {
+        return this->store.changes(stream, from, wait);
+    }
+
+    PlatformStore& store;
+    bool refusesLaterParts { false };
+};
+
 // A follower that reads the stand-in of the store over loopback.
 class ViewFollowerTest : public ::testing::Test {
 protected:
@@ -40,7 +70,7 @@
 
     ViewFollowerTest()
         : address("127.0.0.1:" + std::to_string(this->server.listen("127.0.0.1:0")))
-        , follower(this->context, this->clock, this->keyed, this->records, this->view, this->log, this->metrics,
+        , follower(this->context, this->clock, this->refusing, this->records, this->view, this->log, this->metrics,
               { Bound, Bound, 20ms }, std::mt19937_64 { 1 })
     {
     }
@@ -120,6 +150,7 @@
     std::string address;
     HttpClient client { this->context.get_executor() };
     platform::StoreClient keyed { this->client, this->address, 1s };
+    RefusingStore refusing { this->keyed };
     platform::RecordFormat records;
     ServingView view;
     EventLog log { this->clock, { "test", 0, 64 } };
@@ -201,6 +232,77 @@
     EXPECT_TRUE(this->runUntil([this] { return this->view.configuration() && this->view.targets.size() > 0; }));
 }
 
+// The store lists the targets in parts. When it refused one of them, as it does when many instances start at once, the
+// listing began anew, and the calls for the parts before it were made again.
+class ViewFollowerLongListingTest : public ViewFollowerTest {
+protected:
+    static constexpr std::size_t Targets = 700; // Two parts.
+
+    // Starts the follower and waits until it has read the first part and the store has refused the second one.
+    void startWithARefusedPart()
+    {
+        this->configure(1);
+        for (std::size_t number = 0; number < Targets; ++number)
+            this->registerTarget("target-" + std::to_string(number));
+        this->refusing.refusesLaterParts = true;
+        this->follower.start(this->audience);
+        ASSERT_TRUE(this->runUntil([this] { return this->targetsCalls("rejected") > 0; }));
+        ASSERT_EQ(this->view.targets.size(), 0U);
+        ASSERT_EQ(this->targetsCalls("ok"), 1U);
+    }
+
+    std::size_t listedBytes() const
+    {
+        return this->store.newestResponseBytes();
+    }
+};
+
+TEST_F(ViewFollowerLongListingTest, RefusedPartIsReadAgainWithoutThosePrecedingIt)
+{
+    this->startWithARefusedPart();
+    this->refusing.refusesLaterParts = false;
+    ASSERT_TRUE(this->runUntil([this] { return this->view.targets.size() > 0; }));
+    EXPECT_EQ(this->view.targets.size(), Targets);
+    EXPECT_EQ(this->targetsCalls("ok"), 2U);
+}
+
+TEST_F(ViewFollowerLongListingTest, RegistrationWrittenBetweenThePartsIsNotMissed)
+{
+    this->startWithARefusedPart();
+    this->registerTarget("a-target"); // Precedes the keys of the first part.
+    this->refusing.refusesLaterParts = false;
+    EXPECT_TRUE(this->seesTarget("a-target"));
+    EXPECT_EQ(this->view.targets.size(), Targets + 1);
+}
+
+TEST_F(ViewFollowerLongListingTest, ListOfAPeerEndsTheListing)
+{
+    this->startWithARefusedPart();
+    ViewSummary peer;
+    peer.targetsAge = 0ms;
+    peer.era = this->follower.summary(this->clock.now()).era;
+    this->follower.installTargets({ { "of-a-peer",
+                                      R"({"service":"engines","address":"10.0.0.9:80","zone":"a","state":"ready",)"
+                                      R"("slots":16,"born":5})" } },
+        peer, "peer");
+    const auto bytes = this->listedBytes();
+    this->refusing.refusesLaterParts = false;
+    this->runFor(Bound);
+    EXPECT_EQ(this->listedBytes(), bytes);
+    EXPECT_TRUE(this->isAvailable("of-a-peer"));
+}
+
+TEST_F(ViewFollowerLongListingTest, PartsOfBeforeARestoreAreDropped)
+{
+    this->startWithARefusedPart();
+    this->store.keepCopy();
+    this->store.restoreCopy();
+    this->refusing.refusesLaterParts = false;
+    ASSERT_TRUE(this->runUntil([this] { return this->view.targets.size() > 0; }));
+    EXPECT_EQ(this->view.targets.size(), Targets);
+    EXPECT_EQ(this->follower.summary(this->clock.now()).era, 2U);
+}
+
 class FaultsViewFollowerRestoreTest : public ViewFollowerTest { };
 
 // The store comes back from a copy that lacks the last registrations, and gives their offsets out again. A read from an
