Let HTTP calls outlive the client that started them

HttpCall kept a plain pointer to its HttpClient; a suspended call with its whole answer, destroyed with the event loop after the client, returned its connection to the pool of an object that no longer existed. start() also read the client's limits after it had been suspended. Operators saw nothing: the program exits without destroying calls. Ruled out: the order of the members in the harnesses alone; it also happens to any call that is kept longer than its client, with the event loop running. Change: the pool is an object that the client owns and calls refer to weakly; without it a call closes its connection. start() copies what it needs before it is suspended, so that a client may also be destroyed while calls connect or wait for a header. The two harnesses no longer silence the store before they end, so that their tests exercise the order of destruction again. Before: three of the four tests of HttpClientLifetimeTest fail under AddressSanitizer with heap-use-after-free (the fourth checks that a connection is still kept for reuse otherwise). After: they pass.

--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <charconv>
+#include <map>
 #include <optional>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -114,8 +117,55 @@
 
 }
 
-HttpCall::HttpCall(HttpClient& client, std::unique_ptr<Connection> connection)
-    : client(&client)
+// The idle connections of a client, by address.
+class HttpCall::Pool {
+public:
+    explicit Pool(std::size_t connectionsPerAddress)
+        : connectionsPerAddress(connectionsPerAddress)
+    {
+    }
+
+    // Returns a connection that is still open; null if there is none.
+    std::unique_ptr<Connection> take(const std::string& address)
+    {
+        auto& connections = this->idleConnections[address];
+        while (!connections.empty()) {
+            auto connection = std::move(connections.back());
+            connections.pop_back();
+            if (std::chrono::steady_clock::now() < connection->reusableUntil
+                && isStillOpen(connection->stream.socket()))
+                return connection;
+        }
+        return nullptr;
+    }
+
+    void put(std::unique_ptr<Connection> connection)
+    {
+        auto& connections = this->idleConnections[connection->address];
+        if (connections.size() >= this->connectionsPerAddress)
+            return;
+        connection->parser.reset();
+        connections.push_back(std::move(connection));
+    }
+
+    void closeStaleConnections()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        for (auto& [address, connections] : this->idleConnections) {
+            std::erase_if(connections, [&](const auto& connection) {
+                return now >= connection->reusableUntil || !isStillOpen(connection->stream.socket());
+            });
+        }
+        std::erase_if(this->idleConnections, [](const auto& item) { return item.second.empty(); });
+    }
+
+private:
+    std::size_t connectionsPerAddress;
+    std::map<std::string, std::vector<std::unique_ptr<Connection>>, std::less<>> idleConnections;
+};
+
+HttpCall::HttpCall(std::weak_ptr<Pool> pool, std::unique_ptr<Connection> connection)
+    : pool(std::move(pool))
     , connection(std::move(connection))
 {
 }
@@ -126,9 +176,11 @@
 {
     // Bytes after a complete response do not belong to any request, so the next response on the connection could not be
     // matched to its request. Such a connection is closed.
-    if (this->connection && this->connection->parser && this->connection->parser->is_done()
-        && this->connection->parser->keep_alive() && this->connection->buffer.size() == 0)
-        this->client->returnToPool(std::move(this->connection));
+    if (!this->connection || !this->connection->parser || !this->connection->parser->is_done()
+        || !this->connection->parser->keep_alive() || this->connection->buffer.size() > 0)
+        return;
+    if (const auto pool = this->pool.lock())
+        pool->put(std::move(this->connection));
 }
 
 void HttpCall::discard()
@@ -177,6 +229,7 @@
 HttpClient::HttpClient(asio::any_io_executor executor, HttpClientLimits limits)
     : executor(std::move(executor))
     , limits(limits)
+    , pool(std::make_shared<Pool>(limits.idleConnectionsPerAddress))
 {
 }
 
@@ -185,10 +238,16 @@
 asio::awaitable<HttpResult<HttpCall>> HttpClient::start(
     std::string address, HttpRequest request, Duration timeout, ConnectionReuse reuse, WriteGate* gate)
 {
-    auto connected = co_await this->connect(address, reuse);
-    if (!connected)
-        co_return connected.error();
-    auto connection = std::move(connected).value();
+    // The client may be destroyed while this coroutine is suspended.
+    const std::weak_ptr<Pool> pool = this->pool;
+    const auto limits = this->limits;
+    auto connection = reuse == ConnectionReuse::Allowed ? this->pool->take(address) : nullptr;
+    if (!connection) {
+        auto connected = co_await HttpClient::connect(this->executor, limits, address);
+        if (!connected)
+            co_return connected.error();
+        connection = std::move(connected).value();
+    }
     if (gate && !gate->mayWrite())
         co_return HttpError::ConnectFailed;
     if (request[http::field::host].empty())
@@ -200,7 +259,7 @@
     if (failure)
         co_return HttpError::SendFailed;
     connection->parser.emplace();
-    connection->parser->body_limit(this->limits.maximumResponseBytes);
+    connection->parser->body_limit(limits.maximumResponseBytes);
     co_await http::async_read_header(connection->stream, connection->buffer, *connection->parser,
         asio::redirect_error(asio::use_awaitable, failure));
     if (failure)
@@ -211,8 +270,8 @@
     connection->stream.expires_never();
     connection->header = HttpResponseHeader { connection->parser->get().base() };
     connection->reusableUntil
-        = std::chrono::steady_clock::now() + keepAliveLifetime(connection->header, this->limits.idleLifetime);
-    co_return HttpCall { *this, std::move(connection) };
+        = std::chrono::steady_clock::now() + keepAliveLifetime(connection->header, limits.idleLifetime);
+    co_return HttpCall { pool, std::move(connection) };
 }
 
 asio::awaitable<HttpResult<HttpResponse>> HttpClient::call(
@@ -230,64 +289,33 @@
 }
 
 asio::awaitable<HttpResult<std::unique_ptr<HttpCall::Connection>>> HttpClient::connect(
-    std::string address, ConnectionReuse reuse)
+    asio::any_io_executor executor, HttpClientLimits limits, std::string address)
 {
-    if (reuse == ConnectionReuse::Allowed) {
-        if (auto connection = this->takeFromPool(address))
-            co_return connection;
-    }
-    auto connection = std::make_unique<Connection>(this->executor, address);
+    auto connection = std::make_unique<Connection>(executor, address);
     const auto [host, port] = splitAddress(address);
     error_code failure;
     const auto parsed = asio::ip::make_address(host, failure);
     if (failure)
         co_return HttpError::ConnectFailed;
-    connection->stream.expires_after(this->limits.connectTimeout);
+    connection->stream.expires_after(limits.connectTimeout);
     co_await connection->stream.async_connect(
         tcp::endpoint { parsed, port }, asio::redirect_error(asio::use_awaitable, failure));
     if (failure)
         co_return HttpError::ConnectFailed;
     auto& socket = connection->stream.socket();
     socket.set_option(tcp::no_delay(true), failure);
-    if (this->limits.unacknowledgedTimeout > Duration::zero()) {
-        const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(this->limits.unacknowledgedTimeout);
+    if (limits.unacknowledgedTimeout > Duration::zero()) {
+        const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(limits.unacknowledgedTimeout);
         socket.set_option(UserTimeout { static_cast<int>(timeout.count()) }, failure);
     }
-    if (this->limits.probeAfter > std::chrono::seconds { 0 })
-        enableProbes(socket, this->limits.probeAfter);
+    if (limits.probeAfter > std::chrono::seconds { 0 })
+        enableProbes(socket, limits.probeAfter);
     co_return connection;
 }
 
-std::unique_ptr<HttpCall::Connection> HttpClient::takeFromPool(const std::string& address)
-{
-    auto& connections = this->idleConnections[address];
-    while (!connections.empty()) {
-        auto connection = std::move(connections.back());
-        connections.pop_back();
-        if (std::chrono::steady_clock::now() < connection->reusableUntil && isStillOpen(connection->stream.socket()))
-            return connection;
-    }
-    return nullptr;
-}
-
 void HttpClient::closeStaleConnections()
 {
-    const auto now = std::chrono::steady_clock::now();
-    for (auto& [address, connections] : this->idleConnections) {
-        std::erase_if(connections, [&](const auto& connection) {
-            return now >= connection->reusableUntil || !isStillOpen(connection->stream.socket());
-        });
-    }
-    std::erase_if(this->idleConnections, [](const auto& item) { return item.second.empty(); });
-}
-
-void HttpClient::returnToPool(std::unique_ptr<Connection> connection)
-{
-    auto& connections = this->idleConnections[connection->address];
-    if (connections.size() >= this->limits.idleConnectionsPerAddress)
-        return;
-    connection->parser.reset();
-    connections.push_back(std::move(connection));
+    this->pool->closeStaleConnections();
 }
 
 }
--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -1,10 +1,7 @@
 #pragma once
 
-#include <map>
 #include <memory>
 #include <string>
-#include <string_view>
-#include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -43,7 +40,7 @@
 class HttpClient;
 
 // A request that was sent and its response, which is read incrementally. The destructor returns the connection to the
-// pool if the whole response was read, and closes it otherwise.
+// client's pool if the whole response was read, and closes it otherwise, or if the client no longer exists.
 class HttpCall {
 public:
     HttpCall(HttpCall&&) noexcept;
@@ -64,13 +61,15 @@
 private:
     friend class HttpClient;
     struct Connection;
-    HttpCall(HttpClient& client, std::unique_ptr<Connection> connection);
+    class Pool;
+    HttpCall(std::weak_ptr<Pool> pool, std::unique_ptr<Connection> connection);
 
-    HttpClient* client;
+    std::weak_ptr<Pool> pool; // Of the client. An event loop destroys suspended calls after the client is gone.
     std::unique_ptr<Connection> connection;
 };
 
-// Sends HTTP/1.1 requests over pooled connections. Not thread-safe; must outlive its calls.
+// Sends HTTP/1.1 requests over pooled connections. Not thread-safe. Calls may outlive it, also while they connect or
+// wait for a header.
 class HttpClient {
 public:
     explicit HttpClient(boost::asio::any_io_executor executor, HttpClientLimits limits = {});
@@ -90,15 +89,14 @@
     void closeStaleConnections();
 
 private:
-    friend class HttpCall;
     using Connection = HttpCall::Connection;
-    boost::asio::awaitable<HttpResult<std::unique_ptr<Connection>>> connect(std::string address, ConnectionReuse reuse);
-    std::unique_ptr<Connection> takeFromPool(const std::string& address);
-    void returnToPool(std::unique_ptr<Connection> connection);
+    using Pool = HttpCall::Pool;
+    static boost::asio::awaitable<HttpResult<std::unique_ptr<Connection>>> connect(
+        boost::asio::any_io_executor executor, HttpClientLimits limits, std::string address);
 
     boost::asio::any_io_executor executor;
     HttpClientLimits limits;
-    std::map<std::string, std::vector<std::unique_ptr<Connection>>, std::less<>> idleConnections;
+    std::shared_ptr<Pool> pool;
 };
 
 }
--- a/test/HttpClient_test.cpp
+++ b/test/HttpClient_test.cpp
@@ -15,12 +15,17 @@
 #include <boost/beast/http/verb.hpp>
 #include <gtest/gtest.h>
 
+#include "RawServer.h"
+
 namespace marigoldpaddle {
 namespace {
 
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using testing::RawAnswer;
+using testing::RawEnding;
+using testing::RawServer;
 
 // The kernel's timer of the loopback connection to `port`, as two hexadecimal digits; empty without a connection.
 std::string kernelTimer(std::uint16_t port)
@@ -44,7 +49,7 @@
     return {};
 }
 
-class HttpClientSilentServerTest : public testing::Test {
+class HttpClientSilentServerTest : public ::testing::Test {
 protected:
     // Sends a request to a server that accepts it and never answers. Returns whether the kernel has set a timer for
     // the connection, as it does for keep-alive probes, while the client waits.
@@ -94,7 +99,7 @@
 };
 
 // A server in trouble sends bytes that are no answer, without end, until its caller closes the connection.
-class HttpClientEndlessAnswerTest : public testing::TestWithParam<EndlessAnswer> {
+class HttpClientEndlessAnswerTest : public ::testing::TestWithParam<EndlessAnswer> {
 protected:
     asio::awaitable<void> serve()
     {
@@ -139,7 +144,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(, HttpClientEndlessAnswerTest,
-    testing::Values(EndlessAnswer { "HeaderLine", "HTTP/1.1 200 OK\r\nA: ", "a" },
+    ::testing::Values(EndlessAnswer { "HeaderLine", "HTTP/1.1 200 OK\r\nA: ", "a" },
         EndlessAnswer { "HeaderLines", "HTTP/1.1 200 OK\r\n", "A: a\r\n" },
         EndlessAnswer { "StatusLine", "HTTP/1.1 200 ", "O" },
         EndlessAnswer { "ChunkSize", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0" },
@@ -149,5 +154,104 @@
         EndlessAnswer { "NoHttp", "", "garbage" }),
     [](const auto& row) { return row.param.name; });
 
+// Calls that are destroyed after their client, as when an event loop ends with suspended coroutines. A call that had
+// its whole answer returned its connection to the pool of the client that no longer existed.
+class HttpClientLifetimeTest : public ::testing::Test {
+protected:
+    void startCall()
+    {
+        asio::co_spawn(
+            this->context,
+            [&]() -> asio::awaitable<void> {
+                this->isConnecting = true;
+                auto started = co_await this->client->start(
+                    this->server.address(), makeRequest(boost::beast::http::verb::get, "/", {}), 10s);
+                this->wasStarted = started.has_value();
+                if (started)
+                    this->call.emplace(std::move(started).value());
+            },
+            asio::detached);
+    }
+
+    void readAnswer()
+    {
+        asio::co_spawn(
+            this->context,
+            [&]() -> asio::awaitable<void> {
+                const auto body = co_await this->call->readAll(10s);
+                this->body = body ? body.value() : "failed";
+            },
+            asio::detached);
+        this->runUntil([this] { return !this->body.empty(); });
+    }
+
+    bool runUntil(const std::function<bool()>& condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + 10s;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            this->context.run_one_for(10ms);
+        return condition();
+    }
+
+    asio::io_context context { 1 };
+    RawServer server { this->context, [](const HttpRequest&) {
+                          return RawAnswer { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole" };
+                      } };
+    std::unique_ptr<HttpClient> client { std::make_unique<HttpClient>(this->context.get_executor()) };
+    bool isConnecting { false };
+    std::optional<bool> wasStarted;
+    std::optional<HttpCall> call;
+    std::string body;
+};
+
+TEST_F(HttpClientLifetimeTest, ConnectionOfACallThatEndsBeforeItsClientIsKept)
+{
+    this->startCall();
+    ASSERT_TRUE(this->runUntil([this] { return this->call.has_value(); }));
+    this->readAnswer();
+    EXPECT_EQ(this->body, "whole");
+    this->call.reset();
+    this->context.run_for(50ms);
+    EXPECT_EQ(this->server.openConnections(), 1U);
+}
+
+TEST_F(HttpClientLifetimeTest, CallWithItsWholeAnswerClosesItsConnectionWhenItsClientIsGone)
+{
+    this->startCall();
+    ASSERT_TRUE(this->runUntil([this] { return this->call.has_value(); }));
+    this->readAnswer();
+    EXPECT_EQ(this->body, "whole");
+    this->client.reset();
+    EXPECT_EQ(this->server.openConnections(), 1U);
+    this->call.reset();
+    EXPECT_TRUE(this->runUntil([this] { return this->server.openConnections() == 0; }));
+}
+
+TEST_F(HttpClientLifetimeTest, CallThatWaitsForItsAnswerEndsNormallyWhenItsClientIsGone)
+{
+    this->startCall();
+    ASSERT_TRUE(this->runUntil([this] { return this->server.connections() == 1; }));
+    ASSERT_FALSE(this->wasStarted);
+    this->client.reset();
+    ASSERT_TRUE(this->runUntil([this] { return this->wasStarted.has_value(); }));
+    ASSERT_TRUE(this->call);
+    this->readAnswer();
+    EXPECT_EQ(this->body, "whole");
+    this->call.reset();
+    EXPECT_TRUE(this->runUntil([this] { return this->server.openConnections() == 0; }));
+}
+
+TEST_F(HttpClientLifetimeTest, CallThatConnectsEndsNormallyWhenItsClientIsGone)
+{
+    this->startCall();
+    ASSERT_TRUE(this->runUntil([this] { return this->isConnecting; }));
+    ASSERT_EQ(this->server.connections(), 0U);
+    this->client.reset();
+    ASSERT_TRUE(this->runUntil([this] { return this->wasStarted.has_value(); }));
+    ASSERT_TRUE(this->call);
+    this->readAnswer();
+    EXPECT_EQ(this->body, "whole");
+}
+
 }
 }
--- a/test/PlatformHarness.cpp
+++ b/test/PlatformHarness.cpp
@@ -95,12 +95,6 @@
 // Suspended coroutines refer to the members; they end with the context, before these members are destroyed.
 PlatformHarness::~PlatformHarness()
 {
-    // A call that has its whole answer returns its connection to the client, which is destroyed before the suspended
-    // calls are. Calls to a silent store have none.
-    this->store.faults.isLogDown = true;
-    this->store.faults.areNewestReadsDown = true;
-    this->store.faults.isSilent = true;
-    this->pause(200ms);
     this->storeServer.closeConnections();
     for (auto& [id, engine] : this->engines)
         engine.server->closeConnections();
--- a/test/ViewFollower_test.cpp
+++ b/test/ViewFollower_test.cpp
@@ -45,16 +45,6 @@
     {
     }
 
-    // A call that has its whole answer returns its connection to the client, which is destroyed before the suspended
-    // calls are. Calls to a silent store have none.
-    ~ViewFollowerTest() override
-    {
-        this->store.faults.isLogDown = true;
-        this->store.faults.areNewestReadsDown = true;
-        this->store.faults.isSilent = true;
-        this->runFor(200ms);
-    }
-
     void registerTarget(const std::string& id, bool isLeaving = false, std::uint64_t incarnation = 5)
     {
         TargetDescription target;
