--- a/test/HttpClient_test.cpp
+++ b/test/HttpClient_test.cpp
@@ -13,7 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/verb.hpp>
-#include <gtest/gtest.h>
+#include <gmock/gmock.h>
 
 #include "RawServer.h"
 
@@ -253,5 +253,74 @@
     EXPECT_EQ(this->body, "whole");
 }
 
+// Answers with neither a length nor chunks, whose end is the end of their connection. Only an orderly end completes
+// them: one that a reset cuts off must not pass for the whole answer.
+class HttpClientAnswerWithoutLengthTest : public ::testing::TestWithParam<std::string> {
+protected:
+    HttpResult<HttpResponse> call(RawEnding ending, const std::string& body)
+    {
+        this->answer = { this->GetParam() + body, ending };
+        std::optional<HttpResult<HttpResponse>> result;
+        asio::co_spawn(
+            this->context,
+            [&]() -> asio::awaitable<void> {
+                result = co_await this->client.call(
+                    this->server.address(), makeRequest(boost::beast::http::verb::get, "/", {}), 2s);
+            },
+            asio::detached);
+        this->context.run_for(50ms);
+        return result.value_or(HttpError::Timeout);
+    }
+
+    asio::io_context context { 1 };
+    RawAnswer answer;
+    RawServer server { this->context, [this](const HttpRequest&) {
+                          return this->answer;
+                      } };
+    HttpClient client { this->context.get_executor() };
+};
+
+TEST_P(HttpClientAnswerWithoutLengthTest, AnswerThatEndsInOrderIsWhole)
+{
+    const auto result = this->call(RawEnding::Close, "the whole answer");
+    ASSERT_TRUE(result) << name(result.error());
+    EXPECT_EQ(result.value().body(), "the whole answer");
+}
+
+TEST_P(HttpClientAnswerWithoutLengthTest, EmptyAnswerThatEndsInOrderIsWhole)
+{
+    const auto result = this->call(RawEnding::Close, "");
+    ASSERT_TRUE(result) << name(result.error());
+    EXPECT_EQ(result.value().body(), "");
+}
+
+// The connection is only half closed, so that an idle connection in the pool would be seen here as open.
+TEST_P(HttpClientAnswerWithoutLengthTest, ConnectionIsClosedAndNotUsedAgain)
+{
+    ASSERT_TRUE(this->call(RawEnding::Close, "first"));
+    EXPECT_EQ(this->server.openConnections(), 0U);
+    ASSERT_TRUE(this->call(RawEnding::Close, "second"));
+    EXPECT_EQ(this->server.connections(), 2U);
+}
+
+TEST_P(HttpClientAnswerWithoutLengthTest, AnswerThatIsResetIsTruncated)
+{
+    for (const std::string body : { "", "the whole answer" }) {
+        const auto result = this->call(RawEnding::Reset, body);
+        ASSERT_FALSE(result) << "taken for a whole answer: " << result.value().body();
+        // The reset may discard the header as well, before the client has read it.
+        EXPECT_THAT(result.error(), ::testing::AnyOf(HttpError::Truncated, HttpError::NoAnswer));
+    }
+}
+
+TEST_P(HttpClientAnswerWithoutLengthTest, AnswerThatNeverEndsIsNotWhole)
+{
+    EXPECT_FALSE(this->call(RawEnding::None, "the whole answer"));
+}
+
+INSTANTIATE_TEST_SUITE_P(, HttpClientAnswerWithoutLengthTest,
+    ::testing::Values("HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\nKeep-Alive: timeout=60\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n"));
+
 }
 }
