Let the stand-in of the engine answer without length or chunks

The users' engines may answer so; the stand-in always sent chunks, and no test of a whole instance met such streams. Change: a fault ends_with_connection of POST /standin/faults; together with cut_after_events the connection ends orderly inside an event. The server gets beginStreamWithoutLength(): a stream that its handler does not end is reset, so that the part does not pass for the whole. Chunked streams are sent as before. After: an instance answers four prompts of such engines whole with one run each, and continues a stream that ends inside an event at the other engine (ServingNodeTest.StreamsThatEndWithTheirConnectionAreAnsweredWhole and .StreamThatEndsWithItsConnectionInsideAnEventContinuesAtAnotherEngine); HttpServerStreamWithoutLengthTest passes.

--- a/src/base/HttpServer.cpp
+++ b/src/base/HttpServer.cpp
@@ -81,7 +81,8 @@
                 break;
         }
         error_code ignored;
-        this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        if (this->isStreamChunked || this->isResponseComplete)
+            this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
         this->stream.close();
     }
 
@@ -114,12 +115,15 @@
     asio::awaitable<bool> beginStream(HttpResponseHeader header) override
     {
         header.chunked(true);
-        header.keep_alive(this->keepsAlive());
-        http::response_serializer<http::empty_body> serializer { header };
-        this->stream.expires_after(this->state->limits.sendTimeout);
-        error_code failure;
-        co_await http::async_write_header(this->stream, serializer, asio::redirect_error(asio::use_awaitable, failure));
-        co_return this->recordSendResult(failure);
+        co_return co_await this->writeHeader(std::move(header));
+    }
+
+    asio::awaitable<bool> beginStreamWithoutLength(HttpResponseHeader header) override
+    {
+        this->isStreamChunked = false;
+        this->isReusable = false;
+        this->setResetOnClose(true);
+        co_return co_await this->writeHeader(std::move(header));
     }
 
     asio::awaitable<bool> write(std::string_view piece) override
@@ -128,13 +132,22 @@
             co_return this->isReusable;
         this->stream.expires_after(this->state->limits.sendTimeout);
         error_code failure;
-        co_await asio::async_write(this->stream, http::make_chunk(asio::buffer(piece.data(), piece.size())),
-            asio::redirect_error(asio::use_awaitable, failure));
+        const auto bytes = asio::buffer(piece.data(), piece.size());
+        if (this->isStreamChunked)
+            co_await asio::async_write(
+                this->stream, http::make_chunk(bytes), asio::redirect_error(asio::use_awaitable, failure));
+        else
+            co_await asio::async_write(this->stream, bytes, asio::redirect_error(asio::use_awaitable, failure));
         co_return this->recordSendResult(failure);
     }
 
     asio::awaitable<bool> endStream() override
     {
+        if (!this->isStreamChunked) {
+            this->setResetOnClose(false);
+            this->isResponseComplete = true;
+            co_return this->stream.socket().is_open();
+        }
         this->stream.expires_after(this->state->limits.sendTimeout);
         error_code failure;
         co_await asio::async_write(
@@ -161,6 +174,23 @@
     }
 
 private:
+    asio::awaitable<bool> writeHeader(HttpResponseHeader header)
+    {
+        header.keep_alive(this->keepsAlive());
+        http::response_serializer<http::empty_body> serializer { header };
+        this->stream.expires_after(this->state->limits.sendTimeout);
+        error_code failure;
+        co_await http::async_write_header(this->stream, serializer, asio::redirect_error(asio::use_awaitable, failure));
+        co_return this->recordSendResult(failure);
+    }
+
+    // Makes the connection be reset when it is closed, which the caller sees as the break of a response without length.
+    void setResetOnClose(bool isReset)
+    {
+        error_code ignored;
+        this->stream.socket().set_option(asio::socket_base::linger(isReset, 0), ignored);
+    }
+
     bool keepsAlive() const
     {
         return this->isReusable && !this->state->isDraining && !this->state->announcesClose && this->parser
@@ -179,6 +209,7 @@
         ++this->state->exchanges;
         this->isHandling = true;
         this->isResponseComplete = false;
+        this->isStreamChunked = true;
     }
 
     void endExchange()
@@ -295,6 +326,7 @@
     bool isReusable { true };
     bool isHandling { false };
     bool isResponseComplete { false };
+    bool isStreamChunked { true }; // Otherwise the stream ends with the connection.
 };
 
 HttpServer::HttpServer(asio::io_context& context, HttpHandler& handler, HttpServerLimits limits)
--- a/src/base/HttpServer.h
+++ b/src/base/HttpServer.h
@@ -49,6 +49,11 @@
     // Send a response in pieces, with chunked encoding. Each returns false if the caller has disconnected or does not
     // read within the send timeout; nothing more can be sent after that.
     virtual boost::asio::awaitable<bool> beginStream(HttpResponseHeader header) = 0;
+
+    // Like beginStream(), but with neither a length nor chunks: endStream() ends the response by closing the
+    // connection. If it is not called the connection is reset, since an orderly end would complete the response.
+    virtual boost::asio::awaitable<bool> beginStreamWithoutLength(HttpResponseHeader header) = 0;
+
     virtual boost::asio::awaitable<bool> write(std::string_view piece) = 0;
     virtual boost::asio::awaitable<bool> endStream() = 0;
 
@@ -60,7 +65,7 @@
 public:
     virtual ~HttpHandler() = default;
 
-    // Handles one request. Must call respond(), or beginStream() and endStream(), unless the caller has disconnected.
+    // Handles one request. Must call respond(), or begin and end a stream, unless the caller has disconnected.
     virtual boost::asio::awaitable<void> handle(HttpExchange& exchange) = 0;
 
     // Returns the response to a request that could not be read.
--- a/standins/PlatformEngineStandin.cpp
+++ b/standins/PlatformEngineStandin.cpp
@@ -158,6 +158,13 @@
     this->endJob(*job);
 }
 
+asio::awaitable<bool> PlatformEngineStandin::beginAnswer(HttpExchange& exchange, HttpResponseHeader header)
+{
+    if (this->faults.endsWithConnection)
+        co_return co_await exchange.beginStreamWithoutLength(std::move(header));
+    co_return co_await exchange.beginStream(std::move(header));
+}
+
 asio::awaitable<void> PlatformEngineStandin::streamAnswer(HttpExchange& exchange, Job& job, Answer& answer)
 {
     co_await this->waitForEvent(job);
@@ -178,7 +185,7 @@
     header.set(http::field::content_type, "text/event-stream");
     header.set(AttemptIdHeader, answer.attemptId);
     header.set(SealHeader, this->settings.id);
-    if (!co_await exchange.beginStream(std::move(header)))
+    if (!co_await this->beginAnswer(exchange, std::move(header)))
         co_return;
     while (!job.events.empty()) {
         const auto event = job.events.front();
@@ -192,7 +199,10 @@
         if (this->faults.cutAfterEvents > 0 && answer.nextEventId > this->faults.cutAfterEvents) {
             this->faults.cutAfterEvents = 0;
             co_await exchange.write(std::string_view { text }.substr(0, text.size() / 2));
-            co_return; // The stream is not ended, so the connection is closed.
+            // Without chunks the orderly end of the connection is the break; with chunks the missing last one is.
+            if (this->faults.endsWithConnection)
+                co_await exchange.endStream();
+            co_return;
         }
         if (!co_await exchange.write(text))
             co_return;
@@ -334,6 +344,7 @@
     readField(object, "cut_after_events", this->faults.cutAfterEvents);
     readField(object, "late_orders", this->faults.lateOrders);
     readField(object, "order_delay_ms", this->faults.orderDelayMs);
+    readField(object, "ends_with_connection", this->faults.endsWithConnection);
     readField(object, "slowness", this->faults.slowness);
     this->model.setSlowness(this->faults.slowness);
     return jsonResponse(200, json::object {});
--- a/standins/PlatformEngineStandin.h
+++ b/standins/PlatformEngineStandin.h
@@ -31,6 +31,7 @@
     std::uint64_t cutAfterEvents { 0 }; // Breaks the next stream in the event after this event id, once; 0 is off.
     std::uint64_t lateOrders { 0 }; // Counter of orders that get no response and are executed after orderDelayMs.
     std::uint64_t orderDelayMs { 2000 };
+    bool endsWithConnection { false }; // Answers to prompts have neither a length nor chunks.
     double slowness { 1 }; // Factor on the duration of every pass.
 };
 
@@ -77,6 +78,7 @@
     };
 
     boost::asio::awaitable<void> handleCompletion(HttpExchange& exchange);
+    boost::asio::awaitable<bool> beginAnswer(HttpExchange& exchange, HttpResponseHeader header);
     boost::asio::awaitable<void> streamAnswer(HttpExchange& exchange, Job& job, Answer& answer);
     boost::asio::awaitable<void> requestRemotePart(std::string address, std::string body, std::shared_ptr<Job> job);
     boost::asio::awaitable<void> handlePart(HttpExchange& exchange);
--- a/test/HttpServer_test.cpp
+++ b/test/HttpServer_test.cpp
@@ -1,5 +1,7 @@
 #include "base/HttpServer.h"
 
+#include <optional>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -7,6 +9,8 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include "base/HttpClient.h"
+
 namespace marigoldpaddle {
 namespace {
 
@@ -66,5 +70,71 @@
     EXPECT_GT(this->handler.acceptedBytes, 0u);
 }
 
+// Streams one piece without a length, and ends the stream if told so.
+class StreamWithoutLengthHandler final : public HttpHandler {
+public:
+    asio::awaitable<void> handle(HttpExchange& exchange) override
+    {
+        co_await exchange.beginStreamWithoutLength(HttpResponseHeader { boost::beast::http::status::ok, 11 });
+        this->didWrite = co_await exchange.write("piece");
+        if (this->endsStream)
+            co_await exchange.endStream();
+    }
+
+    HttpResponse makeFaultResponse(HttpFault) override
+    {
+        return makeResponse(400, "text/plain", "fault");
+    }
+
+    bool endsStream { true };
+    bool didWrite { false };
+};
+
+class HttpServerStreamWithoutLengthTest : public testing::Test {
+protected:
+    HttpResult<HttpResponse> call()
+    {
+        std::optional<HttpResult<HttpResponse>> result;
+        asio::co_spawn(
+            this->context,
+            [&]() -> asio::awaitable<void> {
+                const auto address = "127.0.0.1:" + std::to_string(this->port);
+                result = co_await this->client.call(address, makeRequest(boost::beast::http::verb::get, "/", {}), 5s);
+                this->context.stop();
+            },
+            asio::detached);
+        this->context.restart();
+        this->context.run_for(10s);
+        return result.value_or(HttpError::Timeout);
+    }
+
+    asio::io_context context { 1 };
+    StreamWithoutLengthHandler handler;
+    HttpServer server { this->context, this->handler };
+    std::uint16_t port { this->server.listen("127.0.0.1:0") };
+    HttpClient client { this->context.get_executor() };
+};
+
+TEST_F(HttpServerStreamWithoutLengthTest, EndedStreamIsWholeAndClosesItsConnection)
+{
+    for (int call = 0; call < 2; ++call) {
+        const auto response = this->call();
+        ASSERT_TRUE(response) << name(response.error());
+        EXPECT_EQ(response.value().body(), "piece");
+        EXPECT_EQ(response.value()["Connection"], "close");
+        EXPECT_EQ(response.value().count("Content-Length") + response.value().count("Transfer-Encoding"), 0U);
+        EXPECT_TRUE(this->handler.didWrite);
+    }
+}
+
+// An orderly end of the connection would make the part pass for the whole.
+TEST_F(HttpServerStreamWithoutLengthTest, StreamThatIsNotEndedIsReset)
+{
+    this->handler.endsStream = false;
+    const auto response = this->call();
+    ASSERT_FALSE(response) << "taken for a whole answer: " << response.value().body();
+    EXPECT_TRUE(response.error() == HttpError::Truncated || response.error() == HttpError::NoAnswer);
+}
+
 }
 }
--- a/test/PlatformHarness.cpp
+++ b/test/PlatformHarness.cpp
@@ -291,6 +291,14 @@
     return this->engines.at(engineId).standin->runCount();
 }
 
+unsigned PlatformHarness::setEngineFaults(const std::string& engineId, const std::string& faults)
+{
+    auto request = makeRequest(http::verb::post, "/standin/faults", faults);
+    const auto response
+        = this->run(this->client.call(this->engines.at(engineId).address, std::move(request), TestTimeout));
+    return response ? response.value().result_int() : 0;
+}
+
 template <typename Value> Value PlatformHarness::run(asio::awaitable<Value> operation)
 {
     std::optional<Value> result;
--- a/test/PlatformHarness.h
+++ b/test/PlatformHarness.h
@@ -79,6 +79,9 @@
     std::int64_t memoryUsed() const;
     std::uint64_t runsOf(const std::string& engineId);
 
+    // Sends `faults` to the engine's `/standin/faults` and returns the status.
+    unsigned setEngineFaults(const std::string& engineId, const std::string& faults);
+
     boost::asio::io_context context { 1 };
     standins::StoreStandin store { this->context, 1000 };
 
--- a/test/ServingNode_test.cpp
+++ b/test/ServingNode_test.cpp
@@ -37,6 +37,13 @@
         this->harness.startNode();
     }
 
+    // Sets faults of all engines as an operator of the stand-ins does.
+    void setFaults(const std::string& faults)
+    {
+        for (std::size_t i = 1; i <= this->engines.size(); ++i)
+            EXPECT_EQ(this->harness.setEngineFaults("engine-" + std::to_string(i), faults), 200U);
+    }
+
     std::uint64_t partsPrefilled() const
     {
         return std::accumulate(this->engines.begin(), this->engines.end(), std::uint64_t { 0 },
@@ -129,6 +136,36 @@
     EXPECT_EQ(this->runs(), 2U);
 }
 
+// Engines whose answers end with their connection: nothing but the last blank line tells a whole stream from a part.
+TEST_F(ServingNodeTest, StreamsThatEndWithTheirConnectionAreAnsweredWhole)
+{
+    this->startWithEngines(2);
+    this->setFaults(R"({"ends_with_connection":true})");
+    for (int i = 0; i < 4; ++i) {
+        const auto answer = this->harness.sendPrompt(5000, 101);
+        EXPECT_EQ(answer.status, 200U);
+        EXPECT_TRUE(answer.isWhole);
+        EXPECT_THAT(answer.eventIds(), ElementsAreArray(idsUpTo(11)));
+    }
+    EXPECT_EQ(this->runs(), 4U);
+}
+
+TEST_F(ServingNodeTest, StreamThatEndsWithItsConnectionInsideAnEventContinuesAtAnotherEngine)
+{
+    this->startWithEngines(2);
+    this->setFaults(R"({"ends_with_connection":true,"cut_after_events":3})");
+    PlatformAnswer answer;
+    this->harness.beginPrompt(answer, 5000, 101);
+    this->harness.runUntil([&] { return answer.eventIds().size() >= 2; });
+    for (auto* engine : this->engines) {
+        if (engine->engine().active() == 0)
+            engine->faults.cutAfterEvents = 0;
+    }
+    EXPECT_TRUE(this->harness.runUntil([&] { return answer.isWhole; }));
+    EXPECT_THAT(answer.eventIds(), ElementsAreArray(idsUpTo(11)));
+    EXPECT_EQ(this->runs(), 2U);
+}
+
 TEST_F(ServingNodeTest, DecliningEngineWithAPassingHealthCheckCostsNoAnswer)
 {
     this->startWithEngines(2);
