--- a/test/PlatformHarness.cpp
+++ b/test/PlatformHarness.cpp
@@ -95,12 +95,6 @@
 // Suspended coroutines refer to the members; they end with the context, before these members are destroyed.
 PlatformHarness::~PlatformHarness()
 {
-    // A call that has its whole answer returns its connection to the client, which is destroyed before the suspended
-    // calls are. Calls to a silent store have none.
-    this->store.faults.isLogDown = true;
-    this->store.faults.areNewestReadsDown = true;
-    this->store.faults.isSilent = true;
-    this->pause(200ms);
     this->storeServer.closeConnections();
     for (auto& [id, engine] : this->engines)
         engine.server->closeConnections();
@@ -297,6 +291,14 @@
     return this->engines.at(engineId).standin->runCount();
 }
 
+unsigned PlatformHarness::setEngineFaults(const std::string& engineId, const std::string& faults)
+{
+    auto request = makeRequest(http::verb::post, "/standin/faults", faults);
+    const auto response
+        = this->run(this->client.call(this->engines.at(engineId).address, std::move(request), TestTimeout));
+    return response ? response.value().result_int() : 0;
+}
+
 template <typename Value> Value PlatformHarness::run(asio::awaitable<Value> operation)
 {
     std::optional<Value> result;
