Blame no sound part for the end of a target, and find parts at fault under more conditions

A review of the quarantine gave tests that failed; each shows a way in which sound prompts are refused or bad ones are sent: - A part that a sound answer had cleared was blamed again when that answer was forgotten: it is now removed from the crash. - Sound prompts that ended with a target under another prompt's bad part blamed what they share: only targets that the other part does not explain count. - Answers without events, and of answers that end with their connection also short ones, counted as sound; such an end before the first event is now a failure, as it may be the target's. - A stream that had events from an earlier attempt blamed its parts. - Few targets that come back under their ids, a full store, and plain routes hid the part at fault. - A retry was spent for a prompt under quarantine. - The newest crashes are sent first, and cleared parts are told to peers when they are cleared. NumberOfCrashesIsBounded expected that the 65th crash is dropped; it now expects that the newest 64 are kept.

--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -281,18 +281,18 @@
     {
         const auto& quarantine = this->parts.quarantine;
         const auto isForNewPeer = this->lastNewPeerAt && now - *this->lastNewPeerAt < CrashAnnouncementPeriod;
-        const auto crashes
-            = quarantine.crashesLearnedSince(isForNewPeer ? TimePoint::min() : now - CrashAnnouncementPeriod);
-        if (crashes.empty())
-            return;
-        for (const auto& crash : crashes | std::views::take(MaximumCrashesPerNotice)) {
+        const auto since = isForNewPeer ? TimePoint::min() : now - CrashAnnouncementPeriod;
+        // The newest first: the number in a notice is limited.
+        const auto crashes = quarantine.crashesLearnedSince(since);
+        for (const auto& crash : crashes | std::views::reverse | std::views::take(MaximumCrashesPerNotice)) {
             auto& record = notice.crashes.emplace_back();
             record.target = static_cast<std::int64_t>(crash.target);
             record.request = static_cast<std::int64_t>(crash.request);
             record.parts.assign(crash.parts.begin(), crash.parts.end());
             record.ageMs = milliseconds(now - crash.at);
         }
-        for (const auto& sound : quarantine.soundParts()) {
+        const auto cleared = quarantine.partsClearedSince(since);
+        for (const auto& sound : cleared | std::views::reverse | std::views::take(MaximumCrashesPerNotice)) {
             auto& record = notice.soundParts.emplace_back();
             record.part = static_cast<std::int64_t>(sound.part);
             record.ageMs = milliseconds(now - sound.at);
@@ -420,6 +420,8 @@
         // Receivers notice by the digest that they miss changes, and fetch the list.
         notice.loads.clear();
         notice.targetChanges.clear();
+        notice.crashes.clear();
+        notice.soundParts.clear();
         return encode(notice);
     }
 
--- a/src/serving/PromptQuarantine.h
+++ b/src/serving/PromptQuarantine.h
@@ -34,8 +34,13 @@
     // Number of targets that end before a part is suspected. One or two may end for reasons of their own.
     static constexpr std::size_t SuspectedTargets = 3;
     static constexpr std::size_t SuspectedRequests = 2;
-    // Crashes of a part without another one that are needed to suspect it alone.
-    static constexpr std::size_t DistinguishingCrashes = 2;
+    // Targets that end under a part without another one before it is suspected alone: two, as one may end for reasons
+    // of its own; one once many have ended.
+    static constexpr std::size_t DistinguishingTargets = 2;
+    static constexpr std::size_t ManyTargets = 5;
+    // A target that ends again after this time has been back in between.
+    static constexpr Duration ReturnTime = std::chrono::seconds { 2 };
+    static constexpr std::size_t MaximumParts = 32; // Of one crash; further ones are ignored.
     static constexpr std::size_t MaximumCrashes = 64;
     static constexpr std::size_t MaximumSoundParts = 4096;
     // A part in a sound answer is not at fault for crashes up to this much later.
@@ -59,8 +64,8 @@
     // Crashes that were recorded at `since` or later.
     std::vector<TargetCrash> crashesLearnedSince(TimePoint since) const;
 
-    // Parts of the recorded crashes that were in sound answers lately.
-    std::vector<SoundPart> soundParts() const;
+    // Parts that sound answers cleared of recorded crashes at `since` or later.
+    std::vector<SoundPart> partsClearedSince(TimePoint since) const;
 
     // Number of suspected parts.
     std::size_t size() const;
@@ -69,21 +74,31 @@
     void expire(TimePoint now);
 
 private:
+    // The parts that are cleared later are removed from the crash.
     struct KnownCrash {
         TargetCrash crash;
         TimePoint learnedAt {};
     };
 
+    struct ClearedPart {
+        SoundPart sound;
+        TimePoint clearedAt {};
+    };
+
     using CrashSet = std::set<std::size_t>; // Indexes into `crashes`.
     using PartSet = std::set<std::uint64_t>;
 
     void update();
     std::map<std::uint64_t, CrashSet> crashesByPart() const;
+    bool isSound(std::uint64_t part, TimePoint crashedAt) const;
+    void recordCleared(std::uint64_t part, TimePoint now);
     bool isSuspected(const CrashSet& crashSet) const;
-    std::size_t targetsWithout(const CrashSet& crashSet, const CrashSet& others) const;
+    std::set<std::uint64_t> targetsOf(const CrashSet& crashSet) const;
+    bool occursWith(const CrashSet& crashSet, const CrashSet& others) const;
 
     Duration duration;
-    std::vector<KnownCrash> crashes;
+    std::vector<KnownCrash> crashes; // In the order in which they were learned.
+    std::vector<ClearedPart> cleared; // Likewise.
     std::unordered_map<std::uint64_t, TimePoint> soundAt; // Last sound answer with each part.
     std::vector<PartSet> quarantined; // A prompt with all parts of one of these is quarantined.
 };
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -230,7 +230,7 @@
     if (!this->parts.quarantine.isQuarantined(call.sharedParts))
         return false;
     call.isQuarantined = true;
-    call.retryAfter = this->parts.quarantine.remaining(this->parts.clock.now());
+    call.retryAfter = std::max(DefaultRetryAfter, this->parts.quarantine.remaining(this->parts.clock.now()));
     return true;
 }
 
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -142,6 +142,8 @@
         co_return AttemptResult::MayHaveRun;
     }
     const auto ended = co_await this->relayWhole(call, *attempt->answer, target.id);
+    if (ended == AttemptResult::Done && isSuccess(answer.header().result_int()))
+        this->recordSound(call, *attempt);
     this->recordOutcome(
         call, target, ended == AttemptResult::Done ? SendOutcome::Answered : SendOutcome::Failed, "whole");
     co_return ended;
@@ -225,7 +227,7 @@
         const auto choice = this->chooser.choose({ *call.route, *call.service, call.metadata.prompt, call.tried,
                                                      now - call.receivedAt, this->remaining(call) },
             now);
-        if (choice && !choice->wouldMissDeadline)
+        if (choice && !choice->wouldMissDeadline && !this->isQuarantined(call))
             call.hasSpentRetry = this->parts.budget.trySpend(call.service->name, now);
     }
 }
@@ -302,6 +304,8 @@
     Call& call, HttpCall& answer, const std::string& target)
 {
     auto body = co_await answer.readAll(this->remaining(call));
+    if (!body && body.error() == HttpError::Truncated)
+        this->recordCutBeforeEvents(call, target);
     if (!body) {
         this->parts.log.write("answer_broken",
             { { "id", call.metadata.attemptId }, { "target", target }, { "detail", name(body.error()) } });
@@ -356,6 +360,8 @@
     const auto& target = attempt.choice.target;
     auto& answer = *attempt.answer;
     auto& stream = *call.stream;
+    // Otherwise the answer ends with its connection, which may also end because the target does.
+    const bool isFramed = answer.header().chunked() || answer.header().has_content_length();
     while (true) {
         auto piece = co_await answer.readSome(this->remaining(call));
         if (attempt.isSuperseded)
@@ -376,8 +382,9 @@
         // Only whole events count as progress: a target that sends a byte now and then is stalled.
         if (!events.empty())
             this->recordProgress(call, attempt, now);
+        const bool hasEndedAtOnce = isEnd && !isFramed && !stream.lastId();
         if (!call.hasResponseStarted
-            && (!events.empty() || (isEnd && !stream.isBroken() && !stream.hasPartialEvent()))) {
+            && (!events.empty() || (isEnd && !stream.isBroken() && !stream.hasPartialEvent() && !hasEndedAtOnce))) {
             call.hasResponseStarted = true;
             if (!co_await call.exchange.beginStream(this->parts.format.makeCallerHeader(answer.header())))
                 break;
@@ -387,7 +394,7 @@
             break;
         if (!events.empty())
             attempt.nextEventBy = this->parts.clock.now() + this->gapLimit(call, target.id);
-        if (stream.isBroken() || (isEnd && stream.hasPartialEvent())) {
+        if (stream.isBroken() || (isEnd && stream.hasPartialEvent()) || hasEndedAtOnce) {
             answer.discard();
             if (isEnd && !attempt.hasEvents)
                 this->recordCutBeforeEvents(call, target.id);
@@ -396,7 +403,8 @@
         }
         if (!isEnd)
             continue;
-        this->recordSound(call, attempt);
+        if (attempt.hasEvents && isFramed)
+            this->recordSound(call, attempt);
         const bool isDelivered = co_await call.exchange.endStream();
         this->recordOutcome(call, target, SendOutcome::Answered, "stream");
         this->finish(call, isDelivered ? "answered" : "caller_gone", answer.header().result_int());
@@ -545,7 +553,8 @@
 // Records an answer that ended between its header and its first event: the target may have ended because of the prompt.
 void ServingGateway::recordCutBeforeEvents(const Call& call, const std::string& target)
 {
-    if (call.isAbandoned || call.sharedParts.empty())
+    // A target that wrote events of the answer did not end under the prompt, so that no later one does.
+    if (call.isAbandoned || call.hasResponseStarted || call.sharedParts.empty())
         return;
     const auto now = this->parts.clock.now();
     const bool isNew = this->parts.quarantine.recordCrash(
--- a/test/PeerRunner_test.cpp
+++ b/test/PeerRunner_test.cpp
@@ -112,8 +112,9 @@
         this->metrics, { Bound, Bound, 20ms }, std::mt19937_64 { 1 } };
     LoadLedger ledger;
     WaitingPrompts waiting;
+    PromptQuarantine quarantine;
     PeerRunner runner { { this->context, this->clock, this->view, this->follower, this->ledger, this->waiting,
-                            this->log, this->metrics,
+                            this->quarantine, this->log, this->metrics,
                             [] {
                             } },
         "127.0.0.1:0", "a", {}, Bound };
--- a/test/PromptQuarantine_test.cpp
+++ b/test/PromptQuarantine_test.cpp
@@ -172,9 +172,103 @@
 
 TEST_F(PromptQuarantineTest, NumberOfCrashesIsBounded)
 {
-    for (std::size_t index = 0; index < PromptQuarantine::MaximumCrashes; ++index)
+    for (std::size_t index = 0; index < PromptQuarantine::MaximumCrashes + 10; ++index)
         EXPECT_TRUE(this->crash({ 100 + index }));
-    EXPECT_FALSE(this->crash({ Bad }));
+    const auto kept = this->quarantine.crashesLearnedSince(TimePoint::min());
+    EXPECT_EQ(kept.size(), PromptQuarantine::MaximumCrashes);
+    EXPECT_EQ(kept.back().target, this->last);
+}
+
+// The sound answer that cleared the common part is forgotten after 30 s, the crashes are kept for 10 minutes. The next
+// crash, of anything, blames the common part for all of them.
+TEST_F(PromptQuarantineTest, ClearedPartStaysClearedAfterItsSoundAnswerExpires)
+{
+    this->quarantine.recordSound(std::vector { Common }, this->now);
+    this->now += 1s;
+    this->crash({ Common, 11 });
+    this->crash({ Common, 12 });
+    this->crash({ Common, 13 });
+    EXPECT_FALSE(this->isQuarantined({ Common, Other }));
+    this->now += PromptQuarantine::SoundLifetime;
+    this->quarantine.expire(this->now);
+    this->crash({ 99 });
+    EXPECT_FALSE(this->isQuarantined({ Common, Other }));
+}
+
+// The same lapse turns a quarantine of the bad part into one of the pair: other callers' bad prompts are sent again.
+TEST_F(PromptQuarantineTest, QuarantineStaysAsWideAfterTheSoundAnswerOfTheCompanionExpires)
+{
+    this->quarantine.recordSound(std::vector { Common }, this->now);
+    this->now += 1s;
+    for (int index = 0; index < 3; ++index)
+        this->crash({ Common, Bad });
+    EXPECT_TRUE(this->isQuarantined({ Other, Bad }));
+    this->now += PromptQuarantine::SoundLifetime;
+    this->quarantine.expire(this->now);
+    this->crash({ 99 });
+    EXPECT_TRUE(this->isQuarantined({ Other, Bad }));
+}
+
+// Each target ends under the bad part and takes sound prompts of the same caller with it. Their crashes have the same
+// targets, so that they tell nothing about the caller's common part.
+TEST_F(PromptQuarantineTest, VictimsOnTheTargetsThatTheBadPartEndedDoNotBlameTheCommonPart)
+{
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        this->quarantine.recordCrash({ target, target, { Common, Bad }, this->now }, this->now);
+        this->quarantine.recordCrash({ target, 10 + target, { Common, 20 + target }, this->now }, this->now);
+    }
+    EXPECT_TRUE(this->isQuarantined({ Common, Bad }));
+    EXPECT_FALSE(this->isQuarantined({ Common, Other }));
+}
+
+// Unrelated crashes of ten minutes fill the store; a part that ends targets afterwards is never found.
+TEST_F(PromptQuarantineTest, FullStoreStillFindsANewBadPart)
+{
+    for (std::size_t index = 0; index < PromptQuarantine::MaximumCrashes; ++index)
+        this->crash({ 100 + index });
+    this->now += 1min;
+    for (int index = 0; index < 5; ++index)
+        this->crash({ Bad });
+    EXPECT_TRUE(this->isQuarantined({ Bad }));
+}
+
+// A service has two targets, which come back under their ids after some seconds.
+TEST_F(PromptQuarantineTest, TwoTargetsThatEndAgainAndAgainQuarantineThePart)
+{
+    for (std::uint64_t request = 1; request <= 8; ++request) {
+        this->quarantine.recordCrash({ request % 2, request, { Bad }, this->now }, this->now);
+        this->now += 5s;
+    }
+    EXPECT_TRUE(this->isQuarantined({ Bad }));
+}
+
+// No two requests with the part are alike, but they share further parts to a different depth. Each shared part has to
+// be told from the bad one by two more crashes. Five crashes and three more requests are allowed.
+TEST_F(PromptQuarantineTest, BadPartAmongSeveralSharedPartsEndsAtMostEightTargets)
+{
+    const std::vector<std::vector<std::uint64_t>> prompts { { 11, 12, 13, Bad }, { 11, 12, 13, Bad },
+        { 11, 12, 13, Bad }, { 11, 12, 23, Bad }, { 11, 12, 24, Bad }, { 11, 22, 25, Bad }, { 11, 27, 26, Bad },
+        { 21, 28, 29, Bad }, { 31, 32, 33, Bad }, { 41, 42, 43, Bad } };
+    int ended = 0;
+    for (const auto& parts : prompts) {
+        this->now += 2s;
+        if (!this->isQuarantined(parts)) {
+            ++ended;
+            this->crash(parts);
+        }
+    }
+    EXPECT_LE(ended, 8);
+}
+
+// The part was sound until a change of the targets. Many targets end under it and no answer with it is sound any more.
+TEST_F(PromptQuarantineTest, PartThatWasSoundJustBeforeIsQuarantinedOnceManyTargetsEnd)
+{
+    this->quarantine.recordSound(std::vector { Bad }, this->now);
+    for (int index = 0; index < 8; ++index) {
+        this->now += 2s;
+        this->crash({ Bad });
+    }
+    EXPECT_TRUE(this->isQuarantined({ Bad }));
 }
 
 }
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -317,8 +317,6 @@
     2: binary value
 }
 
-// Instance to instance on the serving path, as one UDP datagram: the load that the sender has placed on targets, and
-// the age of its view of the platform. `sequence` increases within an incarnation. A notice expires after `validMs`.
 // A target that ended while it began to answer a prompt. Ids are hashes.
 struct TargetCrashRecord {
     1: i64 target
@@ -333,6 +331,8 @@
     2: i64 ageMs
 }
 
+// Instance to instance on the serving path, as one UDP datagram: the load that the sender has placed on targets, and
+// the age of its view of the platform. `sequence` increases within an incarnation. A notice expires after `validMs`.
 struct LoadNotice {
     1: string sender
     2: i64 incarnation
@@ -353,7 +353,7 @@
     17: list<KeyValueRecord> targetChanges // Registrations that the sender's last read changed; no value: removed.
     18: bool partial // `loads` has only some of the targets; the loads of the others did not change.
     19: list<TargetCrashRecord> crashes // Those that the sender learned of lately; all of them for a new peer.
-    20: list<SoundPartRecord> soundParts // Those of the crashes' parts that were in sound answers lately.
+    20: list<SoundPartRecord> soundParts // Those that were cleared of crashes lately.
 }
 
 // Instance to instance: requests records that the receiver has read from the platform. Sent when the sender cannot read
