Let a successor take over with its first events, and keep it from outliving its attempt

A review of the replacement of silent streams gave eight tests that failed; they share the code between the silent attempt and its successor: - A successor that declined was destroyed while its attempt still pointed to it (use after free under AddressSanitizer). - The end of a stream did not stop a successor, whose events then followed the end on the caller's connection. - A successor took over with its header; if it then had no event, the sound stream was gone. Its first events are now read ahead, beside the silent stream. - A stream that went on while its successor waited for a place did not stop it. - A retry that was spent and not used ended all following attempts at once, with 503 beside a sound target; successors that were never sent spent one retry each; an empty budget at the send ruled out a replacement later. An abandoned call no longer logs retry_denied.

--- a/src/serving/ServingCall.h
+++ b/src/serving/ServingCall.h
@@ -51,14 +51,18 @@
     std::vector<LedgerEntry> work;
     std::optional<MemoryLease> lease;
     std::optional<HttpCall> answer; // Set once the target answers.
+    std::optional<std::string> unread; // Read ahead of its relay.
     TimePoint firstEventAt {};
     TimePoint progressAt {}; // Time of the last whole events.
     TimePoint nextEventBy {}; // The target counts as silent from then on.
+    std::uint64_t progress { 0 }; // Incremented with `progressAt`.
     bool hasEvents { false };
     bool isSound { false }; // The target has been writing for a while.
+    bool hasFailed { false }; // Its outcome is recorded.
     bool isSuperseded { false }; // Another attempt answers; this one has no effect any more.
-    Attempt* successor { nullptr }; // The attempt that is being opened because this one is silent.
-    boost::asio::steady_timer changed; // Cancelled when `progressAt` or `successor` changes.
+    bool isSeekingSuccessor { false }; // It is silent, and another target may continue the stream.
+    Attempt* successor { nullptr }; // The attempt that is being opened meanwhile.
+    boost::asio::steady_timer changed; // Cancelled when `progress` or `isSeekingSuccessor` changes.
 };
 
 }
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -267,6 +267,8 @@
 
 bool ServingGateway::mayRetry(Call& call, AttemptResult last)
 {
+    if (call.isAbandoned)
+        return false;
     const auto obstacle = this->retryObstacle(call, last);
     if (obstacle.empty())
         return true;
@@ -282,8 +284,6 @@
 // Why the request may not be sent again; empty if it may. Then the retry has been spent.
 std::string_view ServingGateway::retryObstacle(Call& call, AttemptResult last)
 {
-    if (call.isAbandoned)
-        return "abandoned";
     if (call.tries >= MaximumTries)
         return "tries";
     if (this->remaining(call) <= Duration::zero())
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -106,7 +106,9 @@
     boost::asio::awaitable<AttemptResult> relayEvents(Call& call, Attempt& attempt);
     boost::asio::awaitable<AttemptResult> leaveToSuccessor(Attempt& attempt);
     boost::asio::awaitable<void> replaceWhenSilent(Call& call, Attempt& attempt, std::unique_ptr<Attempt>& successor);
-    boost::asio::awaitable<void> waitForProgress(Attempt& attempt, TimePoint silentSince);
+    boost::asio::awaitable<void> waitForProgress(Attempt& attempt, std::uint64_t seen);
+    boost::asio::awaitable<bool> readFirstEvents(Call& call, Attempt& attempt);
+    void endSilence(Call& call, Attempt& attempt, TimePoint now);
     boost::asio::awaitable<void> openSuccessor(Call& call, Attempt& attempt, std::unique_ptr<Attempt>& successor);
     void beginEvents(Call& call, Attempt& attempt);
     void recordProgress(Call& call, Attempt& attempt, TimePoint now);
@@ -125,8 +127,8 @@
     Duration remaining(const Call& call) const;
     Duration firstByteLimit(const Call& call, const TargetChoice& choice) const;
     Duration gapLimit(const Call& call, const std::string& target) const;
-    // Whether another target may take over after `runs` attempts that may have been executed.
-    bool mayFailOver(const Call& call, unsigned runs) const;
+    // Whether another target may execute the request after `runs` attempts that may have been executed.
+    bool mayRunElsewhere(const Call& call, unsigned runs) const;
     std::vector<LedgerEntry> recordWork(const TargetChoice& choice);
     void recordOutcome(Call& call, const TargetEntry& target, SendOutcome outcome, std::string_view detail);
     AttemptResult recordDeclined(
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 #include <span>
 
 #include "serving/ServingCall.h"
@@ -56,6 +57,28 @@
 // A helper that needs this long to decline is not answering the engine that asked it.
 constexpr Duration SilentHelperTime = std::chrono::seconds { 1 };
 
+// Makes an attempt known as the successor of another one for as long as it is being opened.
+class SuccessorRegistration {
+public:
+    template <typename Attempt>
+    SuccessorRegistration(Attempt*& place, Attempt& successor)
+        : clear([&place] { place = nullptr; })
+    {
+        place = &successor;
+    }
+
+    ~SuccessorRegistration()
+    {
+        this->clear();
+    }
+
+    SuccessorRegistration(const SuccessorRegistration&) = delete;
+    SuccessorRegistration& operator=(const SuccessorRegistration&) = delete;
+
+private:
+    std::function<void()> clear;
+};
+
 // Allows the write unless the target began to leave, or the prompt was found to end targets, while the connection or
 // memory was awaited. Counts the attempts that may be executed: those that were written.
 class TargetWriteGate final : public WriteGate {
@@ -104,10 +127,9 @@
     return std::max(NormalGapLimit, 3 * call.route->gapObjective) + std::chrono::duration_cast<Duration>(reading);
 }
 
-bool ServingGateway::mayFailOver(const Call& call, unsigned runs) const
+bool ServingGateway::mayRunElsewhere(const Call& call, unsigned runs) const
 {
-    return call.route->mayRunAgain() && runs < call.route->maximumAttempts && call.tries < MaximumTries
-        && this->parts.budget.remaining(call.service->name, this->parts.clock.now()) >= 1;
+    return call.route->mayRunAgain() && runs < call.route->maximumAttempts && call.tries < MaximumTries;
 }
 
 std::vector<LedgerEntry> ServingGateway::recordWork(const TargetChoice& choice)
@@ -208,7 +230,7 @@
     Call& call, const TargetChoice& choice, asio::awaitable<HttpResult<HttpCall>> start)
 {
     using namespace asio::experimental::awaitable_operators;
-    if (!this->mayFailOver(call, call.runs + 1))
+    if (!this->mayRunElsewhere(call, call.runs + 1))
         co_return co_await std::move(start);
     auto first = co_await (std::move(start) || this->waitForRetry(call, this->firstByteLimit(call, choice)));
     if (first.index() == 0)
@@ -220,15 +242,18 @@
 asio::awaitable<void> ServingGateway::waitForRetry(Call& call, Duration delay)
 {
     asio::steady_timer timer { this->parts.context, delay };
-    while (!call.hasSpentRetry) {
+    while (true) {
         co_await timer.async_wait(asio::use_awaitable);
         timer.expires_after(SuccessorRetryPeriod);
         const auto now = this->parts.clock.now();
         const auto choice = this->chooser.choose({ *call.route, *call.service, call.metadata.prompt, call.tried,
                                                      now - call.receivedAt, this->remaining(call) },
             now);
-        if (choice && !choice->wouldMissDeadline && !this->isQuarantined(call))
-            call.hasSpentRetry = this->parts.budget.trySpend(call.service->name, now);
+        if (!choice || choice->wouldMissDeadline || this->isQuarantined(call))
+            continue;
+        call.hasSpentRetry = call.hasSpentRetry || this->parts.budget.trySpend(call.service->name, now);
+        if (call.hasSpentRetry)
+            co_return;
     }
 }
 
@@ -338,7 +363,8 @@
             = co_await (this->relayEvents(call, *attempt) || this->replaceWhenSilent(call, *attempt, successor));
         if (first.index() == 0)
             co_return std::get<0>(first);
-        this->recordOutcome(call, attempt->choice.target, SendOutcome::Failed, name(HttpError::Timeout));
+        if (!attempt->hasFailed)
+            this->recordOutcome(call, attempt->choice.target, SendOutcome::Failed, name(HttpError::Timeout));
         attempt = std::move(successor);
         call.currentTarget = attempt->choice.target.id;
     }
@@ -363,12 +389,17 @@
     // Otherwise the answer ends with its connection, which may also end because the target does.
     const bool isFramed = answer.header().chunked() || answer.header().has_content_length();
     while (true) {
-        auto piece = co_await answer.readSome(this->remaining(call));
+        HttpResult<std::string> piece { std::string {} };
+        if (attempt.unread)
+            piece = *std::exchange(attempt.unread, std::nullopt);
+        else
+            piece = co_await answer.readSome(this->remaining(call));
         if (attempt.isSuperseded)
             co_return AttemptResult::MayHaveRun;
         if (!piece) {
             if (piece.error() == HttpError::Truncated && !attempt.hasEvents)
                 this->recordCutBeforeEvents(call, target.id);
+            attempt.hasFailed = true;
             this->recordOutcome(call, target, SendOutcome::Failed, name(piece.error()));
             co_return co_await this->leaveToSuccessor(attempt);
         }
@@ -398,11 +429,13 @@
             answer.discard();
             if (isEnd && !attempt.hasEvents)
                 this->recordCutBeforeEvents(call, target.id);
+            attempt.hasFailed = true;
             this->recordOutcome(call, target, SendOutcome::Failed, "broken_events");
             co_return co_await this->leaveToSuccessor(attempt);
         }
         if (!isEnd)
             continue;
+        this->endSilence(call, attempt, now);
         if (attempt.hasEvents && isFramed)
             this->recordSound(call, attempt);
         const bool isDelivered = co_await call.exchange.endStream();
@@ -423,59 +456,66 @@
     }
     if (now - attempt.firstEventAt >= SoundAnswerTime)
         this->recordSound(call, attempt);
+    this->endSilence(call, attempt, now);
+}
+
+// The attempt goes on or has ended well. A successor that is being opened is no longer needed.
+void ServingGateway::endSilence(Call& call, Attempt& attempt, TimePoint now)
+{
     attempt.progressAt = now;
+    ++attempt.progress;
     // The time that a slow caller takes to read the events is not the target's.
     attempt.nextEventBy = TimePoint::max();
-    if (!attempt.successor)
-        return;
-    attempt.successor->isSuperseded = true;
+    if (attempt.successor)
+        attempt.successor->isSuperseded = true;
     call.currentTarget = attempt.choice.target.id;
     attempt.changed.cancel();
 }
 
-// The attempt has failed. If a successor is being opened, waits until it answers, which cancels the wait, or fails.
+// The attempt has failed. If a successor is sought, waits until it answers, which cancels the wait, or there is none.
 asio::awaitable<ServingGateway::AttemptResult> ServingGateway::leaveToSuccessor(Attempt& attempt)
 {
-    while (attempt.successor && !attempt.isSuperseded) {
+    while (attempt.isSeekingSuccessor && !attempt.isSuperseded) {
         boost::system::error_code cancelled;
         co_await attempt.changed.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
     }
     co_return AttemptResult::MayHaveRun;
 }
 
-// Returns once `successor` has begun to answer in place of the silent attempt.
+// Returns once `successor` has events in place of the silent attempt.
 asio::awaitable<void> ServingGateway::replaceWhenSilent(
     Call& call, Attempt& attempt, std::unique_ptr<Attempt>& successor)
 {
     using namespace asio::experimental::awaitable_operators;
     asio::steady_timer timer { this->parts.context };
-    std::optional<TimePoint> recordedSilence;
+    std::optional<std::uint64_t> recordedSilence;
     while (true) {
         const auto now = this->parts.clock.now();
         timer.expires_at(std::min(attempt.nextEventBy, now + NormalGapLimit));
         co_await timer.async_wait(asio::use_awaitable);
         if (this->parts.clock.now() < attempt.nextEventBy)
             continue;
-        const auto silentSince = attempt.progressAt;
-        if (std::exchange(recordedSilence, silentSince) != silentSince)
+        const auto seen = attempt.progress;
+        if (std::exchange(recordedSilence, seen) != seen)
             this->recordSilence(call, attempt);
-        const auto first
-            = co_await (this->openSuccessor(call, attempt, successor) || this->waitForProgress(attempt, silentSince));
-        attempt.successor = nullptr;
-        if (first.index() == 0 && successor && attempt.progressAt == silentSince) {
+        attempt.isSeekingSuccessor = true;
+        co_await (this->openSuccessor(call, attempt, successor) || this->waitForProgress(attempt, seen));
+        attempt.isSeekingSuccessor = false;
+        if (successor && attempt.progress == seen) {
             attempt.isSuperseded = true;
             co_return;
         }
         successor.reset();
+        call.currentTarget = attempt.choice.target.id;
         attempt.changed.cancel();
-        if (attempt.progressAt == silentSince)
+        if (attempt.progress == seen)
             attempt.nextEventBy = this->parts.clock.now() + SuccessorRetryPeriod;
     }
 }
 
-asio::awaitable<void> ServingGateway::waitForProgress(Attempt& attempt, TimePoint silentSince)
+asio::awaitable<void> ServingGateway::waitForProgress(Attempt& attempt, std::uint64_t seen)
 {
-    while (attempt.progressAt == silentSince) {
+    while (attempt.progress == seen) {
         boost::system::error_code cancelled;
         co_await attempt.changed.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
     }
@@ -485,22 +525,51 @@
 // the stream.
 asio::awaitable<void> ServingGateway::openSuccessor(Call& call, Attempt& attempt, std::unique_ptr<Attempt>& successor)
 {
-    if (!this->mayFailOver(call, call.runs))
+    if (!this->mayRunElsewhere(call, call.runs)
+        || (!call.hasSpentRetry && this->parts.budget.remaining(call.service->name, this->parts.clock.now()) < 1))
         co_return;
+    const auto seen = attempt.progress;
     auto choice = co_await this->waitForPlacement(call);
-    if (!choice || !this->mayRetry(call, AttemptResult::MayHaveRun))
+    if (!choice || attempt.progress != seen || !this->mayRetry(call, AttemptResult::MayHaveRun))
         co_return;
     ++call.tries;
     call.tried.insert(choice->target.id);
     auto next = std::make_unique<Attempt>(this->parts.context, std::move(*choice));
-    attempt.successor = next.get();
+    const SuccessorRegistration registration { attempt.successor, *next };
     const auto opened = co_await this->open(call, *next);
-    if (next->isSuperseded || opened != AttemptResult::Answering)
+    if (next->isSuperseded)
         co_return;
-    if (isSuccess(next->answer->header().result_int()))
+    // The retry was not used.
+    if (opened == AttemptResult::NotSent)
+        call.hasSpentRetry = true;
+    if (opened == AttemptResult::Answering && co_await this->readFirstEvents(call, *next))
         successor = std::move(next);
-    else
-        this->recordOutcome(call, next->choice.target, SendOutcome::Failed, "target_failure");
+}
+
+// Reads ahead until the answer has a whole event or is complete. False if it is no continuation of the stream.
+asio::awaitable<bool> ServingGateway::readFirstEvents(Call& call, Attempt& attempt)
+{
+    EventStream stream { call.stream->lastId() };
+    std::string bytes;
+    bool isContinued = isSuccess(attempt.answer->header().result_int());
+    while (isContinued) {
+        auto piece = co_await attempt.answer->readSome(this->remaining(call));
+        if (attempt.isSuperseded)
+            co_return false;
+        if (!piece || (piece.value().empty() && stream.hasPartialEvent())) {
+            isContinued = false;
+            break;
+        }
+        bytes += piece.value();
+        const auto events = stream.feed(piece.value());
+        isContinued = !stream.isBroken();
+        if (isContinued && (!events.empty() || piece.value().empty())) {
+            attempt.unread = std::move(bytes);
+            co_return true;
+        }
+    }
+    this->recordOutcome(call, attempt.choice.target, SendOutcome::Failed, "no_continuation");
+    co_return false;
 }
 
 // The prefill is finished: helpers are free again unless they hold a part of the prompt in memory.
