Decode what a target says of itself apart from its connection

ResponseMetadata::isLeaving was set by any answer that closes its connection, which targets do for other reasons too, and nothing read it. Server-Leaving was ignored, and so was Retry-After of a 503, so an instance knew of neither until the store said so or requests failed.

isLeaving now means Server-Leaving: 1, on any status. That an answer closes its connection is left to HttpClient, which drops such connections by itself; a second field would have no reader. retryAfter is the time after Retry-After of a 503. A value that cannot be read counts as 1 s and a huge one as 24 h, so that no value means 'never again' or overflows. HTTP dates are not evaluated: they compare the target's system clock with this instance's, and either may be stepped.

--- a/src/serving/CallFormat.h
+++ b/src/serving/CallFormat.h
@@ -47,6 +47,9 @@
     std::vector<HelperAssignment> helpers;
 };
 
+// Longer times in answers of targets are decoded as this one.
+inline constexpr Duration LongestRetryAfter = std::chrono::hours { 24 };
+
 // Metadata of a target's answer, besides its status and body.
 struct ResponseMetadata {
     std::string attemptId;
@@ -54,7 +57,9 @@
     bool wasNotExecuted { false }; // The target states that it has not executed the request.
     bool isMisdirected { false }; // Another target now uses this address.
     std::string faultyTarget; // Id or address of the helper that is at fault; empty if the answering target is.
-    bool isLeaving { false }; // The target is leaving, or closes this connection.
+    bool isLeaving { false }; // The target states that it leaves. A connection that it closes does not say so.
+    // For how long the target wants nothing from this instance. Only of a 503; at most LongestRetryAfter.
+    std::optional<Duration> retryAfter;
     bool hasContentEncoding { false }; // The body has a content encoding, so it is not as the target sent it.
 };
 
--- a/test/PlatformFormat_test.cpp
+++ b/test/PlatformFormat_test.cpp
@@ -1,3 +1,5 @@
+#include <map>
+
 #include <gtest/gtest.h>
 
 #include "platform/HeaderFormat.h"
@@ -133,6 +135,49 @@
     EXPECT_TRUE(this->format.responseMetadata(header).wasNotExecuted);
 }
 
+TEST_F(HeaderFormatTest, TargetThatClosesItsConnectionDoesNotLeave)
+{
+    HttpResponseHeader header { http::status::ok, 11 };
+    header.set(http::field::connection, "close");
+    EXPECT_FALSE(this->format.responseMetadata(header).isLeaving);
+}
+
+TEST_F(HeaderFormatTest, LeavingIsDecodedFromAnswersOfAnyStatus)
+{
+    for (const auto status :
+        { http::status::ok, http::status::misdirected_request, http::status::service_unavailable }) {
+        HttpResponseHeader header { status, 11 };
+        header.set("server-leaving", "1");
+        EXPECT_TRUE(this->format.responseMetadata(header).isLeaving) << status;
+        header.set("Server-Leaving", "0");
+        EXPECT_FALSE(this->format.responseMetadata(header).isLeaving) << status;
+    }
+}
+
+TEST_F(HeaderFormatTest, RetryAfterIsDecodedFromStatus503Only)
+{
+    HttpResponseHeader header { http::status::service_unavailable, 11 };
+    EXPECT_FALSE(this->format.responseMetadata(header).retryAfter);
+    header.set(http::field::retry_after, "3");
+    EXPECT_EQ(this->format.responseMetadata(header).retryAfter, Duration { 3s });
+    header.result(http::status::too_many_requests);
+    EXPECT_FALSE(this->format.responseMetadata(header).retryAfter);
+}
+
+// A value that cannot be read must neither be taken for no pause nor exclude the target for good.
+TEST_F(HeaderFormatTest, UnusualRetryAfterIsBounded)
+{
+    const std::map<std::string, Duration> expected { { "0", 0s }, { "1.5", 1500ms }, { "", 1s }, { "-5", 1s },
+        { "soon", 1s }, { "3 s", 1s }, { "inf", 1s }, { "nan", 1s }, { "1e9", 1s },
+        { "Fri, 31 Dec 1999 23:59:59 GMT", 1s }, { "99999999999", LongestRetryAfter },
+        { std::string(400, '9'), LongestRetryAfter } };
+    for (const auto& [value, pause] : expected) {
+        HttpResponseHeader header { http::status::service_unavailable, 11 };
+        header.set(http::field::retry_after, value);
+        EXPECT_EQ(this->format.responseMetadata(header).retryAfter, pause) << value;
+    }
+}
+
 TEST_F(HeaderFormatTest, RefusalHasRetryAfter)
 {
     const auto answer = this->format.makeOwnResponse(503, "no_target", 300ms);
