Remember per incarnation that a target leaves

A mark that a target leaves, set when it had answered 421, was lost when an older list named an earlier incarnation or another address, or when its registration was removed after a gap in reading and came back. It then got new work again. An answer of an earlier incarnation marked the restarted target, and a target without a registration was not marked.

The directory now records up to which incarnation a target leaves, apart from its registration: registrations of these incarnations never make it available again, and a later one does. The record expires two minutes after the registration is gone or a new incarnation is registered, as before. An earlier incarnation does not replace a later one of a target that has left once; otherwise it does as before, since a server whose clock was set back would be lost.

--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -265,7 +265,7 @@
     const bool isHelper = helper != choice.helpers.end();
     const auto& target = isHelper ? *helper : choice.target;
     if (response.isMisdirected)
-        this->parts.view.targets.markLeaving(target.id);
+        this->parts.view.targets.markLeaving(target, this->parts.clock.now());
     const bool isSilent = isHelper && this->parts.clock.now() - sentAt >= SilentHelperTime;
     this->recordOutcome(call, target, isSilent ? SendOutcome::Unreachable : SendOutcome::Declined,
         response.isMisdirected ? "other_target"
--- a/src/serving/TargetDirectory.cpp
+++ b/src/serving/TargetDirectory.cpp
@@ -23,28 +23,45 @@
 
 bool TargetDirectory::upsert(const TargetEntry& entry, TimePoint now)
 {
-    std::erase_if(this->departed, [&](const auto& item) { return now - item.second.at > DepartureMemory; });
-    if (this->hasDeparted(entry))
+    std::erase_if(this->departures,
+        [&](const auto& item) { return item.second.endedAt && now - *item.second.endedAt > DepartureMemory; });
+    const bool isDeparture = this->isDeparture(entry);
+    const auto known = this->tracked.find(entry.id);
+    const bool isNew = known == this->tracked.end();
+    if (isDeparture && (isNew || known->second.entry.incarnation > entry.incarnation))
         return false;
-    auto [position, isNew] = this->tracked.try_emplace(entry.id);
-    auto& tracked = position->second;
+    auto& tracked = isNew ? this->tracked[entry.id] : known->second;
     tracked.removedAt.reset();
     auto next = entry;
-    const bool isRestart = tracked.entry.incarnation != entry.incarnation || tracked.entry.address != entry.address;
-    if (!isNew && !isRestart)
-        next.isLeaving |= tracked.entry.isLeaving;
+    next.isLeaving |= isDeparture;
     if (!isNew && isSameRegistration(tracked.entry, next))
         return false;
-    if (isRestart)
-        tracked.isMarkedLeaving = false;
+    if (next.isLeaving)
+        this->recordDeparture(next);
+    else
+        this->endDeparture(next.id, now);
     tracked.entry = std::move(next);
     return true;
 }
 
-bool TargetDirectory::hasDeparted(const TargetEntry& entry) const
+bool TargetDirectory::isDeparture(const TargetEntry& entry) const
 {
-    const auto found = this->departed.find(entry.id);
-    return found != this->departed.end() && found->second.incarnation == entry.incarnation;
+    const auto found = this->departures.find(entry.id);
+    return found != this->departures.end() && entry.incarnation <= found->second.lastIncarnation;
+}
+
+void TargetDirectory::recordDeparture(const TargetEntry& entry)
+{
+    auto& departure = this->departures[entry.id];
+    departure.lastIncarnation = std::max(departure.lastIncarnation, entry.incarnation);
+    departure.endedAt.reset();
+}
+
+// From now on the departure is remembered for a limited time.
+void TargetDirectory::endDeparture(std::string_view id, TimePoint now)
+{
+    if (const auto found = this->departures.find(id); found != this->departures.end())
+        found->second.endedAt = found->second.endedAt.value_or(now);
 }
 
 bool TargetDirectory::remove(std::string_view id, TimePoint now)
@@ -63,9 +80,7 @@
 
 void TargetDirectory::erase(std::map<std::string, TrackedTarget, std::less<>>::iterator position, TimePoint now)
 {
-    const auto& entry = position->second.entry;
-    if (entry.isLeaving || position->second.isMarkedLeaving)
-        this->departed.insert_or_assign(entry.id, DepartedTarget { entry.incarnation, now });
+    this->endDeparture(position->first, now);
     this->tracked.erase(position);
 }
 
@@ -99,20 +114,32 @@
     this->lastRead = now;
     if (now < this->graceUntil)
         return;
-    std::erase_if(this->tracked, [](const auto& item) { return item.second.removedAt.has_value(); });
+    for (auto position = this->tracked.begin(); position != this->tracked.end();) {
+        const auto current = position++;
+        if (current->second.removedAt)
+            this->erase(current, now);
+    }
 }
 
-void TargetDirectory::markLeaving(std::string_view id)
+bool TargetDirectory::markLeaving(const TargetEntry& target, TimePoint now)
 {
-    if (const auto found = this->tracked.find(id); found != this->tracked.end())
-        found->second.isMarkedLeaving = true;
+    const auto known = this->tracked.find(target.id);
+    const bool isTracked = known != this->tracked.end() && known->second.entry.incarnation <= target.incarnation;
+    if (this->isDeparture(target))
+        return false;
+    this->recordDeparture(target);
+    if (isTracked)
+        known->second.entry.isLeaving = true;
+    else
+        this->endDeparture(target.id, now);
+    return true;
 }
 
 std::vector<const TargetEntry*> TargetDirectory::available(std::string_view service) const
 {
     std::vector<const TargetEntry*> targets;
     for (const auto& [id, tracked] : this->tracked) {
-        if (tracked.entry.service == service && !tracked.entry.isLeaving && !tracked.isMarkedLeaving)
+        if (tracked.entry.service == service && !tracked.entry.isLeaving)
             targets.push_back(&tracked.entry);
     }
     return targets;
@@ -130,7 +157,7 @@
     if (found == this->tracked.end())
         return false;
     const auto& tracked = found->second;
-    return tracked.entry.incarnation == entry.incarnation && !tracked.entry.isLeaving && !tracked.isMarkedLeaving;
+    return tracked.entry.incarnation == entry.incarnation && !tracked.entry.isLeaving;
 }
 
 std::size_t TargetDirectory::size() const
--- a/src/serving/TargetDirectory.h
+++ b/src/serving/TargetDirectory.h
@@ -38,7 +38,8 @@
     void setReadGapThreshold(Duration threshold);
 
     // Add or replace, and remove, one target. Both return whether anything but the age changed. A target that is known
-    // to be leaving, or has left, stays so until it restarts: an older registration of it changes nothing.
+    // to be leaving, or has left, stays so until it restarts: an older registration of it changes nothing, nor does one
+    // of an earlier incarnation.
     bool upsert(const TargetEntry& entry, TimePoint now);
     bool remove(std::string_view id, TimePoint now);
 
@@ -52,8 +53,10 @@
     // register again.
     void beginRecovery(TimePoint now);
 
-    // Marks a target as leaving ahead of its registration, after its answer showed it.
-    void markLeaving(std::string_view id);
+    // Records that a target leaves, ahead of its registration: its own answer has said so, or another target answered
+    // at its address. Holds for this incarnation and all earlier ones of the target, whether it is registered or not.
+    // Returns false if that was known.
+    bool markLeaving(const TargetEntry& target, TimePoint now);
 
     // Targets of a service that accept new work, ordered by id.
     std::vector<const TargetEntry*> available(std::string_view service) const;
@@ -69,20 +72,21 @@
     struct TrackedTarget {
         TargetEntry entry;
         std::optional<TimePoint> removedAt; // Set while a removal is deferred.
-        bool isMarkedLeaving { false };
     };
 
-    // A target that was leaving when its registration was removed.
-    struct DepartedTarget {
-        std::uint64_t incarnation { 0 };
-        TimePoint at {};
+    // The incarnations of a target that leave or have left.
+    struct Departure {
+        std::uint64_t lastIncarnation { 0 }; // This one and all earlier ones.
+        std::optional<TimePoint> endedAt; // When it was no longer registered. Unset before.
     };
 
-    bool hasDeparted(const TargetEntry& entry) const;
+    bool isDeparture(const TargetEntry& entry) const;
+    void recordDeparture(const TargetEntry& entry);
+    void endDeparture(std::string_view id, TimePoint now);
     void erase(std::map<std::string, TrackedTarget, std::less<>>::iterator position, TimePoint now);
 
     std::map<std::string, TrackedTarget, std::less<>> tracked;
-    std::map<std::string, DepartedTarget, std::less<>> departed;
+    std::map<std::string, Departure, std::less<>> departures;
     Duration readGapThreshold { std::chrono::milliseconds { 2500 } };
     std::optional<TimePoint> lastRead;
     TimePoint graceUntil {};
--- a/test/TargetChooser_test.cpp
+++ b/test/TargetChooser_test.cpp
@@ -149,7 +149,7 @@
 TEST_F(TargetChooserPartialViewTest, InstanceInAZoneWithoutEnginesUsesAllOtherZones)
 {
     for (int number = 0; number < 7; ++number)
-        this->targets.markLeaving("e" + std::to_string(100 + number));
+        this->targets.markLeaving(*this->targets.find("e" + std::to_string(100 + number)), this->now);
     EXPECT_NE(this->zoneOf(5000), "none");
 }
 
