Learn from every answer that a target leaves

Targets that leave say so in all their answers, but instances learnt of it from the store only. While the store was out of reach, or for targets that never report draining, requests went on to them until they exited.

The gateway and the memory orders now pass the metadata of each answer to TargetAdvice when its header is read, so for streams long before the end. A 421 comes from another target: the header then applies to the targets registered at that address. target_says_leaving and marigold_targets_leaving_by_answer_total show each change.

Telling peers was ruled out: every notice would grow for what most targets also tell the store, which all instances read in the drain bound.

Without the call in ServingGateway::send 5 of 5 ServingGatewayLeavingTest fail; with it none does.

--- a/src/serving/EngineMemory.h
+++ b/src/serving/EngineMemory.h
@@ -7,6 +7,7 @@
 
 #include <marigoldpaddle/Clock.h>
 
+#include "serving/TargetAdvice.h"
 #include "serving/TargetDirectory.h"
 
 namespace marigoldpaddle {
@@ -36,6 +37,15 @@
         = 0;
 
     virtual boost::asio::awaitable<MemoryOutcome> release(TargetEntry engine, MemoryReservation reservation) = 0;
+
+    // Sets who is told of the answers to orders; null for nobody.
+    void setObserver(TargetAnswerObserver* observer)
+    {
+        this->observer = observer;
+    }
+
+protected:
+    TargetAnswerObserver* observer { nullptr };
 };
 
 }
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -56,10 +56,17 @@
 
 ServingGateway::ServingGateway(const Parts& parts, TargetChooser chooser)
     : parts(parts)
+    , advice(parts.clock, parts.view.targets, parts.log, parts.metrics)
     , chooser(std::move(chooser))
     , random(std::random_device {}())
     , reservationPrefix(parts.instance + '-' + std::to_string(std::random_device {}()) + '-')
 {
+    this->parts.memory.setObserver(&this->advice);
+}
+
+ServingGateway::~ServingGateway()
+{
+    this->parts.memory.setObserver(nullptr);
 }
 
 void ServingGateway::onPromptPlaced(std::function<void()> notify)
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -26,6 +26,7 @@
 #include "serving/PromptQuarantine.h"
 #include "serving/RetryBudget.h"
 #include "serving/ServingView.h"
+#include "serving/TargetAdvice.h"
 #include "serving/TargetChooser.h"
 #include "serving/TargetHealth.h"
 #include "serving/WaitingPrompts.h"
@@ -56,6 +57,9 @@
 
     // Everything that the parts refer to must outlive the gateway.
     ServingGateway(const Parts& parts, TargetChooser chooser);
+    ~ServingGateway() override;
+    ServingGateway(const ServingGateway&) = delete;
+    ServingGateway& operator=(const ServingGateway&) = delete;
 
     // `notify` is called when a prompt was placed or starts to wait, so that peers learn of it before they place their
     // own.
@@ -138,6 +142,7 @@
     void finish(Call& call, std::string_view outcome, unsigned status);
 
     Parts parts;
+    TargetAdvice advice;
     TargetChooser chooser;
     std::function<void()> notifyPlaced;
     std::function<void()> notifyCrash;
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -188,6 +188,10 @@
     auto start
         = this->parts.client.start(choice.target.address, std::move(request), this->remaining(call), reuse, &gate);
     auto answer = co_await this->startUnlessRetried(call, choice, std::move(start));
+    if (answer) {
+        const auto response = this->parts.format.responseMetadata(answer.value().header());
+        this->advice.targetAnswered(choice.target, response, call.metadata.attemptId);
+    }
     if (attempt.isSuperseded)
         co_return AttemptResult::MayHaveRun;
     if (!answer && !gate.isWritten && this->isQuarantined(call))
--- a/src/serving/TargetDirectory.cpp
+++ b/src/serving/TargetDirectory.cpp
@@ -151,6 +151,16 @@
     return found == this->tracked.end() ? nullptr : &found->second.entry;
 }
 
+std::vector<TargetEntry> TargetDirectory::atAddress(std::string_view address) const
+{
+    std::vector<TargetEntry> targets;
+    for (const auto& [id, tracked] : this->tracked) {
+        if (tracked.entry.address == address)
+            targets.push_back(tracked.entry);
+    }
+    return targets;
+}
+
 bool TargetDirectory::acceptsWork(const TargetEntry& entry) const
 {
     const auto found = this->tracked.find(entry.id);
--- a/src/serving/TargetDirectory.h
+++ b/src/serving/TargetDirectory.h
@@ -62,6 +62,9 @@
     std::vector<const TargetEntry*> available(std::string_view service) const;
     const TargetEntry* find(std::string_view id) const;
 
+    // All registered targets with this address, of any service.
+    std::vector<TargetEntry> atAddress(std::string_view address) const;
+
     // Whether a target accepts new work: it is registered, not leaving, and has not restarted.
     bool acceptsWork(const TargetEntry& entry) const;
     std::size_t size() const;
--- /dev/null
+++ b/test/OrderClient_test.cpp
@@ -0,0 +1,109 @@
+#include "platform/OrderClient.h"
+
+#include <optional>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <gtest/gtest.h>
+
+#include "base/HttpServer.h"
+
+namespace marigoldpaddle {
+namespace {
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+class AnsweringEngine final : public HttpHandler {
+public:
+    asio::awaitable<void> handle(HttpExchange& exchange) override
+    {
+        auto response = this->response;
+        co_await exchange.respond(std::move(response));
+    }
+
+    HttpResponse makeFaultResponse(HttpFault) override
+    {
+        return makeResponse(400, "text/plain", "fault");
+    }
+
+    HttpResponse response { makeResponse(200, "application/json", "{}") };
+};
+
+class RecordingObserver final : public TargetAnswerObserver {
+public:
+    void targetAnswered(
+        const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId) override
+    {
+        this->target = target.id;
+        this->last = response;
+        this->requestId = requestId;
+    }
+
+    std::string target;
+    std::string requestId;
+    std::optional<ResponseMetadata> last;
+};
+
+// Orders to an engine over loopback.
+class OrderClientTest : public testing::Test {
+protected:
+    OrderClientTest()
+    {
+        this->engine.id = "engine-1";
+        this->engine.address = "127.0.0.1:" + std::to_string(this->server.listen("127.0.0.1:0"));
+    }
+
+    MemoryOutcome reserve()
+    {
+        auto outcome = MemoryOutcome::Unknown;
+        const MemoryReservation reservation { "ticket", 1000 };
+        asio::co_spawn(
+            this->context,
+            [&]() -> asio::awaitable<void> {
+                outcome = co_await this->orders.reserve(this->engine, reservation, 3s);
+                this->context.stop();
+            },
+            asio::detached);
+        this->context.restart();
+        this->context.run();
+        return outcome;
+    }
+
+    asio::io_context context { 1 };
+    AnsweringEngine answering;
+    HttpServer server { this->context, this->answering };
+    HttpClient client { this->context.get_executor() };
+    platform::OrderClient orders { this->client, 1s };
+    RecordingObserver observer;
+    TargetEntry engine;
+};
+
+TEST_F(OrderClientTest, ObserverLearnsThatTheEngineLeaves)
+{
+    this->orders.setObserver(&this->observer);
+    this->answering.response.set("Server-Leaving", "1");
+    EXPECT_EQ(this->reserve(), MemoryOutcome::Done);
+    ASSERT_TRUE(this->observer.last);
+    EXPECT_TRUE(this->observer.last->isLeaving);
+    EXPECT_EQ(this->observer.target, "engine-1");
+    EXPECT_EQ(this->observer.requestId, "ticket");
+}
+
+TEST_F(OrderClientTest, ObserverLearnsForHowLongARefusingEngineWantsNothing)
+{
+    this->orders.setObserver(&this->observer);
+    this->answering.response.result(boost::beast::http::status::service_unavailable);
+    this->answering.response.set("Retry-After", "2");
+    EXPECT_EQ(this->reserve(), MemoryOutcome::Refused);
+    ASSERT_TRUE(this->observer.last);
+    EXPECT_EQ(this->observer.last->retryAfter, Duration { 2s });
+}
+
+TEST_F(OrderClientTest, OrderWithoutAnObserverIsCarriedOut)
+{
+    EXPECT_EQ(this->reserve(), MemoryOutcome::Done);
+}
+
+}
+}
--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -383,6 +383,89 @@
     EXPECT_TRUE(this->first.received.empty());
 }
 
+// A target leaves and says so in its answers, while the store still has it as ready. It got new requests until it was
+// gone.
+class ServingGatewayLeavingTest : public ServingGatewayTest {
+protected:
+    static ScriptedTarget::Reaction leaving(unsigned status, bool wasExecuted)
+    {
+        return [=](HttpExchange& exchange) -> asio::awaitable<void> {
+            auto response = answer(exchange, status, "first", wasExecuted);
+            response.set("Server-Leaving", "1");
+            if (!wasExecuted)
+                response.set("Marigoldpaddle-Not-Executed", "1");
+            co_await exchange.respond(std::move(response));
+        };
+    }
+
+    void expectNoFurtherRequest()
+    {
+        EXPECT_EQ(this->first.received.size(), 1U);
+        EXPECT_TRUE(this->view.targets.available("s").empty());
+        this->registerTarget("t2", this->second.address);
+        for (int call = 0; call < 8; ++call)
+            EXPECT_EQ(this->status("/safe/x"), 200U);
+        EXPECT_EQ(this->first.received.size(), 1U);
+        EXPECT_EQ(this->metrics.counter("marigold_targets_leaving_by_answer_total").value(), 1U);
+    }
+};
+
+TEST_F(ServingGatewayLeavingTest, TargetThatSaysSoInASuccessGetsNoFurtherRequest)
+{
+    this->first.script = { leaving(200, true) };
+    EXPECT_EQ(this->bodyOf("/unsafe/x"), "first");
+    this->expectNoFurtherRequest();
+}
+
+TEST_F(ServingGatewayLeavingTest, TargetThatSaysSoInAFailureGetsNoFurtherRequest)
+{
+    this->first.script = { leaving(500, true) };
+    EXPECT_EQ(this->status("/unsafe/x"), 500U);
+    this->expectNoFurtherRequest();
+}
+
+TEST_F(ServingGatewayLeavingTest, TargetThatSaysSoInARefusalGetsNoFurtherRequest)
+{
+    this->first.script = { leaving(503, false) };
+    EXPECT_EQ(this->status("/unsafe/x"), 503U);
+    this->expectNoFurtherRequest();
+}
+
+// The address belongs to another target by now, which answers that it is not the one and that it leaves.
+TEST_F(ServingGatewayLeavingTest, TargetThatSaysSoInAMisdirectedAnswerIsMarkedItself)
+{
+    TargetEntry successor;
+    successor.id = "t3";
+    successor.service = "other";
+    successor.address = this->first.address;
+    this->view.targets.upsert(successor, this->clock.now());
+    this->first.script = { leaving(421, false) };
+    EXPECT_EQ(this->status("/unsafe/x"), 503U);
+    EXPECT_TRUE(this->view.targets.available("s").empty()) << "the target that was expected";
+    EXPECT_FALSE(this->view.targets.acceptsWork(successor)) << "the target that answered";
+}
+
+// The header comes long before the end of the stream.
+TEST_F(ServingGatewayLeavingTest, TargetThatSaysSoInAStreamIsKnownToLeaveBeforeItsEnd)
+{
+    std::optional<std::size_t> availableMeanwhile;
+    this->first.script = { [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        HttpResponseHeader header { answer(exchange, 200, "").base() };
+        header.erase(http::field::content_length);
+        header.set("Server-Leaving", "1");
+        co_await exchange.beginStream(header);
+        co_await exchange.write("id: 1\n\n");
+        asio::steady_timer timer { this->context, 50ms };
+        co_await timer.async_wait(asio::use_awaitable);
+        availableMeanwhile = this->view.targets.available("s").size();
+        co_await exchange.write("id: 2\n\n");
+        co_await exchange.endStream();
+    } };
+    EXPECT_EQ(this->bodyOf("/stream/x"), "id: 1\n\nid: 2\n\n");
+    EXPECT_EQ(availableMeanwhile, 0U);
+    this->expectNoFurtherRequest();
+}
+
 // A helper of a long prompt is gone. The engine that asked it declines the prompt and names the helper; the next
 // attempt excluded that sound engine and asked the same helper again.
 TEST_F(ServingGatewayTest, HelperThatADecliningEngineNamesIsAvoidedInsteadOfTheEngine)
