Send nothing to a target until the time it asked for is over

A target that answers 503 with Retry-After wants nothing from this instance for that time. The time was ignored: the target was ejected for 100 ms like any that declines, and with all targets ejected it got requests at once.

The chooser leaves paused targets out, also if none remains, and ServingGateway::acceptsRequests asks again before each reservation and in the gate before the first byte. A request that the gate holds back no longer counts against the target's health: nothing was sent, yet it was recorded as unreachable. Renewals and releases of held memory go on. A pause is cut to [bounds] target_pause_ms, 60 s by default, so that no value loses a target for good.

A pause per incarnation was ruled out: a restarted target may answer before its registration is read, and that registration would then have ended the pause.

--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -56,7 +56,7 @@
 
 ServingGateway::ServingGateway(const Parts& parts, TargetChooser chooser)
     : parts(parts)
-    , advice(parts.clock, parts.view.targets, parts.log, parts.metrics)
+    , advice(parts.clock, parts.view.targets, parts.health.pauses, parts.log, parts.metrics)
     , chooser(std::move(chooser))
     , random(std::random_device {}())
     , reservationPrefix(parts.instance + '-' + std::to_string(std::random_device {}()) + '-')
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -133,6 +133,8 @@
     bool mayFailOver(const Call& call, unsigned runs) const;
     std::vector<LedgerEntry> recordWork(const TargetChoice& choice);
     void recordOutcome(Call& call, const TargetEntry& target, SendOutcome outcome, std::string_view detail);
+    bool acceptsRequests(const TargetEntry& target) const;
+    AttemptResult recordHeldBack(Call& call, const TargetEntry& target);
     AttemptResult recordDeclined(
         Call& call, const TargetChoice& choice, const ResponseMetadata& response, TimePoint sentAt);
     void recordSilence(const Call& call, const Attempt& attempt);
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 #include <span>
 
 #include "serving/ServingCall.h"
@@ -56,35 +57,30 @@
 // A helper that needs this long to decline is not answering the engine that asked it.
 constexpr Duration SilentHelperTime = std::chrono::seconds { 1 };
 
-// Allows the write unless the target began to leave, or the prompt was found to end targets, while the connection or
-// memory was awaited. Counts the attempts that may be executed: those that were written.
+// Allows the write unless the target began to leave, or asked for a pause, or the prompt was found to end targets, while
+// the connection or memory was awaited. Counts the attempts that may be executed: those that were written.
 class TargetWriteGate final : public WriteGate {
 public:
-    TargetWriteGate(const TargetDirectory& targets, const TargetEntry& target, const PromptQuarantine& quarantine,
-        std::span<const std::uint64_t> sharedParts, unsigned& runs)
-        : targets(targets)
-        , target(target)
-        , quarantine(quarantine)
-        , sharedParts(sharedParts)
+    TargetWriteGate(std::function<bool()> isOpen, unsigned& runs)
+        : isOpen(std::move(isOpen))
         , runs(runs)
     {
     }
 
     bool mayWrite() override
     {
-        this->isWritten = this->targets.acceptsWork(this->target) && !this->quarantine.isQuarantined(this->sharedParts);
+        this->isWritten = this->isOpen();
+        this->isHeldBack = !this->isWritten;
         if (this->isWritten)
             ++this->runs;
         return this->isWritten;
     }
 
     bool isWritten { false };
+    bool isHeldBack { false };
 
 private:
-    const TargetDirectory& targets;
-    const TargetEntry& target;
-    const PromptQuarantine& quarantine;
-    std::span<const std::uint64_t> sharedParts;
+    std::function<bool()> isOpen;
     unsigned& runs;
 };
 
@@ -180,8 +176,10 @@
     if (call.tries == 1)
         this->parts.budget.recordFirstSend(call.service->name, now);
 
-    TargetWriteGate gate { this->parts.view.targets, choice.target, this->parts.quarantine, call.sharedParts,
-        call.runs };
+    const auto isOpen = [&] {
+        return this->acceptsRequests(choice.target) && !this->parts.quarantine.isQuarantined(call.sharedParts);
+    };
+    TargetWriteGate gate { isOpen, call.runs };
     const auto sentAt = this->parts.clock.now();
     const auto reuse = call.route->mayRunAgain() ? ConnectionReuse::Allowed : ConnectionReuse::Forbidden;
     auto request = this->parts.format.makeTargetRequest(call.exchange.request(), forwarding);
@@ -196,6 +194,8 @@
         co_return AttemptResult::MayHaveRun;
     if (!answer && !gate.isWritten && this->isQuarantined(call))
         co_return AttemptResult::NotSent;
+    if (gate.isHeldBack)
+        co_return this->recordHeldBack(call, choice.target);
     if (!answer) {
         this->recordOutcome(call, choice.target, SendOutcome::Unreachable, name(answer.error()));
         co_return gate.isWritten ? AttemptResult::MayHaveRun : AttemptResult::NotSent;
@@ -257,6 +257,26 @@
     return AttemptResult::Answering;
 }
 
+// Whether the target takes new requests and reservations of this instance at this moment.
+bool ServingGateway::acceptsRequests(const TargetEntry& target) const
+{
+    return this->parts.view.targets.acceptsWork(target)
+        && !this->parts.health.pauses.isPaused(target.id, this->parts.clock.now());
+}
+
+// Records that nothing was sent because the target no longer takes requests. It says nothing about its health.
+ServingGateway::AttemptResult ServingGateway::recordHeldBack(Call& call, const TargetEntry& target)
+{
+    call.currentTarget.clear();
+    const auto now = this->parts.clock.now();
+    const auto pauseEnd = this->parts.health.pauses.end(target.id, now);
+    this->parts.log.write("held_back",
+        { { "id", call.metadata.attemptId }, { "target", target.id }, { "born", target.incarnation },
+            { "reason", pauseEnd ? "paused" : "left" }, { "pause_left_ms", pauseEnd.value_or(now) - now } });
+    this->parts.metrics.counter("marigold_held_back_requests_total").increment();
+    return AttemptResult::NotSent;
+}
+
 // Records that the target, or a helper that it names, has not executed the request. The next attempt avoids whoever is
 // at fault.
 ServingGateway::AttemptResult ServingGateway::recordDeclined(
@@ -292,7 +312,9 @@
         MemoryReservation reservation { this->reservationPrefix + std::to_string(++this->lastReservation),
             choice.tokensPerReservation };
         forwarding.helpers[part].reservationId = reservation.id;
-        if (co_await lease.add(engine, reservation) == MemoryOutcome::Done)
+        if (!this->acceptsRequests(engine))
+            this->recordHeldBack(call, engine);
+        else if (co_await lease.add(engine, reservation) == MemoryOutcome::Done)
             continue;
         // The next attempt excludes this engine instead of the one chosen to answer.
         call.tried.erase(choice.target.id);
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -65,6 +65,8 @@
         "grace period from the stop signal to the kill, in seconds" },
     { "bounds", "memory_free_ms", SettingKind::Milliseconds, 200, 600'000, "4000",
         "time within which memory that no request uses must be freed" },
+    { "bounds", "target_pause_ms", SettingKind::Milliseconds, 1000, 600'000, "60000",
+        "longest time for which a target's Retry-After is followed" },
     { "retries", "ratio", SettingKind::Real, 0, 10, "0.2", "retries for each first send" },
     { "retries", "window_s", SettingKind::Real, 0.1, 600, "10", "window of the retry budget, in seconds" },
     { "retries", "slack", SettingKind::Real, 0, 1'000'000, "0",
@@ -167,6 +169,7 @@
     settings.seeds = seedsFrom(values.text("peers", "seeds"), settings.peersAddress);
     settings.storeTimeout = values.milliseconds("platform", "timeout_ms");
     settings.memoryLeaseDuration = values.milliseconds("bounds", "memory_free_ms") * 3 / 4;
+    settings.longestTargetPause = values.milliseconds("bounds", "target_pause_ms");
     settings.grace = seconds(values.real("bounds", "grace_s"));
     settings.follower.configurationBound = values.milliseconds("bounds", "configuration_ms");
     settings.follower.targetsBound = values.milliseconds("bounds", "drain_ms");
@@ -209,6 +212,7 @@
         , ready(context, this->readinessHandler)
         , exposition(context, this->metricsHandler)
     {
+        this->health.pauses.setLongestPause(settings.longestTargetPause);
     }
 
     asio::awaitable<void> pause(Duration duration)
@@ -319,6 +323,7 @@
         || settings.readyAddress != state.settings.readyAddress || settings.peersAddress != state.settings.peersAddress
         || settings.metricsAddress != state.settings.metricsAddress;
     state.settings.grace = settings.grace;
+    state.health.pauses.setLongestPause(settings.longestTargetPause);
     state.settings.retries = settings.retries;
     state.budget.setSettings(settings.retries);
     state.follower.setSettings(settings.follower);
--- a/src/serving/ServingNode.h
+++ b/src/serving/ServingNode.h
@@ -17,6 +17,7 @@
 #include "serving/EngineMemory.h"
 #include "serving/PlatformStore.h"
 #include "serving/RetryBudget.h"
+#include "serving/TargetPauses.h"
 #include "serving/ViewFollower.h"
 
 namespace marigoldpaddle {
@@ -31,6 +32,7 @@
     std::vector<std::string> seeds; // Addresses of other instances, on the same port; may be outdated.
     Duration storeTimeout {}; // Timeout of a call to the platform's store.
     Duration memoryLeaseDuration {}; // How long an engine keeps a reservation that is not renewed.
+    Duration longestTargetPause { TargetPauses::DefaultLongestPause }; // Limit of a target's Retry-After.
     Duration grace {}; // Time from the stop signal until the process is killed.
     ViewFollowerSettings follower;
     RetryBudgetSettings retries;
--- a/src/serving/TargetAdvice.cpp
+++ b/src/serving/TargetAdvice.cpp
@@ -2,9 +2,11 @@
 
 namespace marigoldpaddle {
 
-TargetAdvice::TargetAdvice(const Clock& clock, TargetDirectory& targets, EventLog& log, MetricsRegistry& metrics)
+TargetAdvice::TargetAdvice(
+    const Clock& clock, TargetDirectory& targets, TargetPauses& pauses, EventLog& log, MetricsRegistry& metrics)
     : clock(clock)
     , targets(targets)
+    , pauses(pauses)
     , log(log)
     , metrics(metrics)
 {
@@ -13,6 +15,8 @@
 void TargetAdvice::targetAnswered(
     const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId)
 {
+    if (response.retryAfter)
+        this->recordPause(target, *response.retryAfter, requestId);
     if (!response.isLeaving)
         return;
     if (!response.isMisdirected)
@@ -22,6 +26,17 @@
         this->recordLeaving(other, requestId);
 }
 
+void TargetAdvice::recordPause(const TargetEntry& target, Duration requested, std::string_view requestId)
+{
+    const auto length = this->pauses.pause(target.id, requested, this->clock.now());
+    if (!length)
+        return;
+    this->log.write("target_paused",
+        { { "id", requestId }, { "target", target.id }, { "born", target.incarnation }, { "requested_ms", requested },
+            { "pause_ms", *length } });
+    this->metrics.counter("marigold_target_pauses_total").increment();
+}
+
 void TargetAdvice::recordLeaving(const TargetEntry& target, std::string_view requestId)
 {
     if (!this->targets.markLeaving(target, this->clock.now()))
--- a/src/serving/TargetAdvice.h
+++ b/src/serving/TargetAdvice.h
@@ -8,6 +8,7 @@
 #include "base/Metrics.h"
 #include "serving/CallFormat.h"
 #include "serving/TargetDirectory.h"
+#include "serving/TargetPauses.h"
 
 namespace marigoldpaddle {
 
@@ -21,20 +22,24 @@
         = 0;
 };
 
-// Applies what targets say of themselves in their answers: that they leave. Logs and counts every change.
+// Applies what targets say of themselves in their answers: that they leave, or want nothing from this instance for some
+// time. Logs and counts every change.
 class TargetAdvice final : public TargetAnswerObserver {
 public:
     // Everything that is passed by reference must outlive the object.
-    TargetAdvice(const Clock& clock, TargetDirectory& targets, EventLog& log, MetricsRegistry& metrics);
+    TargetAdvice(
+        const Clock& clock, TargetDirectory& targets, TargetPauses& pauses, EventLog& log, MetricsRegistry& metrics);
 
     void targetAnswered(
         const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId) override;
 
 private:
+    void recordPause(const TargetEntry& target, Duration requested, std::string_view requestId);
     void recordLeaving(const TargetEntry& target, std::string_view requestId);
 
     const Clock& clock;
     TargetDirectory& targets;
+    TargetPauses& pauses;
     EventLog& log;
     MetricsRegistry& metrics;
 };
--- a/src/serving/TargetChooser.cpp
+++ b/src/serving/TargetChooser.cpp
@@ -68,7 +68,9 @@
 std::vector<const TargetEntry*> TargetChooser::eligibleTargets(const ChoiceRequest& request, TimePoint now) const
 {
     auto targets = this->targets.available(request.service.name);
-    std::erase_if(targets, [&](const TargetEntry* target) { return request.excluded.contains(target->id); });
+    std::erase_if(targets, [&](const TargetEntry* target) {
+        return request.excluded.contains(target->id) || this->health.pauses.isPaused(target->id, now);
+    });
     const auto isEjected = [&](const TargetEntry* target) {
         return this->health.isEjected(target->id, now);
     };
--- a/src/serving/TargetHealth.h
+++ b/src/serving/TargetHealth.h
@@ -6,6 +6,8 @@
 
 #include <marigoldpaddle/Clock.h>
 
+#include "serving/TargetPauses.h"
+
 namespace marigoldpaddle {
 
 // Outcome of a send to a target.
@@ -33,9 +35,11 @@
     // Recent failure rate, 0 to 1.
     double failureRate(std::string_view target, TimePoint now) const;
 
-    // Drops records without an update for a minute.
+    // Drops records without an update for a minute, and pauses that have ended.
     void expire(TimePoint now);
 
+    TargetPauses pauses; // What targets ask for themselves, independent of outcomes.
+
 private:
     struct Record {
         double failureRate { 0 };
--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -110,17 +110,20 @@
     };
 }
 
-class RefusingMemory final : public EngineMemory {
+// Refuses reservations unless a test sets another reaction.
+class ScriptedMemory final : public EngineMemory {
 public:
-    asio::awaitable<MemoryOutcome> reserve(TargetEntry, MemoryReservation, Duration) override
+    asio::awaitable<MemoryOutcome> reserve(TargetEntry engine, MemoryReservation, Duration) override
     {
-        co_return MemoryOutcome::Refused;
+        co_return this->reaction ? this->reaction(engine) : MemoryOutcome::Refused;
     }
 
     asio::awaitable<MemoryOutcome> release(TargetEntry, MemoryReservation) override
     {
         co_return MemoryOutcome::Done;
     }
+
+    std::function<MemoryOutcome(const TargetEntry&)> reaction;
 };
 
 // The gateway between a caller and two scripted targets, over loopback.
@@ -248,7 +251,7 @@
     RetryBudget budget { { 0.2, 10s, 1000 } };
     HttpClient client { this->context.get_executor() };
     HttpClient caller { this->context.get_executor() };
-    RefusingMemory memory;
+    ScriptedMemory memory;
     PromptQuarantine quarantine;
     EventLog log { this->clock, { "test", 0, 16 } };
     MetricsRegistry metrics;
@@ -466,6 +469,132 @@
     this->expectNoFurtherRequest();
 }
 
+// A target answers 503 with Retry-After: it wants nothing from this instance for so long. It got requests again after
+// the 100 ms of an ejection, and at once if all targets were ejected.
+class ServingGatewayPauseTest : public ServingGatewayTest {
+protected:
+    static constexpr Duration Pause = 1s;
+
+    static ScriptedTarget::Reaction pausing(unsigned status = 503)
+    {
+        return [=](HttpExchange& exchange) -> asio::awaitable<void> {
+            auto response = answer(exchange, status, "", false);
+            response.set("Marigoldpaddle-Not-Executed", "1");
+            response.set("Retry-After", "1");
+            co_await exchange.respond(std::move(response));
+        };
+    }
+
+    // Engines whose memory is too small for the prompt of requestWithReservations().
+    void configureEngines()
+    {
+        ServingConfiguration values = this->view.configuration()->values;
+        values.version = 2;
+        values.services["s"].engine = EngineProfile { 16, 100'000, 46, 0.925, 0.00483, 0.00254, 256, 0.0917 };
+        this->view.install(std::move(values));
+    }
+
+    HttpRequest requestWithReservations()
+    {
+        auto prompt = this->request("/stream/x");
+        prompt.set("Marigoldpaddle-Token-Usage", "110000,100");
+        return prompt;
+    }
+
+    std::size_t received() const
+    {
+        return this->first.received.size() + this->second.received.size();
+    }
+};
+
+TEST_F(ServingGatewayPauseTest, PausedTargetGetsNoRequestUntilThePauseEnds)
+{
+    this->registerTarget("t2", this->second.address);
+    this->first.script = { pausing(), respondWith(200, "first") };
+    while (this->first.received.empty())
+        EXPECT_EQ(this->status("/unsafe/x"), 200U);
+    const auto pausedAt = this->clock.now();
+    while (this->clock.now() < pausedAt + Pause - 50ms) {
+        EXPECT_EQ(this->status("/unsafe/x"), 200U);
+        this->context.restart();
+        this->context.run_for(20ms);
+    }
+    EXPECT_EQ(this->first.received.size(), 1U);
+    this->context.restart();
+    this->context.run_for(100ms);
+    for (int call = 0; call < 20; ++call)
+        EXPECT_EQ(this->status("/unsafe/x"), 200U);
+    EXPECT_GT(this->first.received.size(), 1U) << "the target was lost";
+}
+
+TEST_F(ServingGatewayPauseTest, OnlyTargetThatIsPausedGetsNoRequest)
+{
+    this->first.script = { pausing() };
+    for (int call = 0; call < 8; ++call) {
+        EXPECT_EQ(this->status("/safe/x"), 503U);
+        this->context.restart();
+        this->context.run_for(40ms);
+    }
+    EXPECT_EQ(this->first.received.size(), 1U);
+}
+
+TEST_F(ServingGatewayPauseTest, RetryAfterOfAnotherStatusDoesNotPauseTheTarget)
+{
+    this->first.script = { pausing(429) };
+    this->status("/unsafe/x");
+    EXPECT_FALSE(this->health.pauses.isPaused("t1", this->clock.now()));
+}
+
+// The pause begins while the request waits for memory on the other engine. It was sent all the same.
+TEST_F(ServingGatewayPauseTest, RequestThatAwaitsMemoryIsNotWrittenToATargetThatIsPausedMeanwhile)
+{
+    this->configureEngines();
+    this->registerTarget("t2", this->second.address);
+    this->memory.reaction = [&](const TargetEntry& helper) {
+        this->health.pauses.pause(helper.id == "t1" ? "t2" : "t1", Pause, this->clock.now());
+        return MemoryOutcome::Done;
+    };
+    EXPECT_EQ(this->call(this->requestWithReservations()).value().result_int(), 503U);
+    EXPECT_EQ(this->received(), 0U);
+    EXPECT_EQ(this->metrics.counter("marigold_held_back_requests_total").value(), 1U);
+}
+
+TEST_F(ServingGatewayPauseTest, RequestThatAwaitsMemoryIsNotWrittenToATargetThatBeginsToLeave)
+{
+    this->configureEngines();
+    this->registerTarget("t2", this->second.address);
+    this->memory.reaction = [&](const TargetEntry& helper) {
+        const auto* other = this->view.targets.find(helper.id == "t1" ? "t2" : "t1");
+        this->view.targets.markLeaving(*other, this->clock.now());
+        return MemoryOutcome::Done;
+    };
+    EXPECT_EQ(this->call(this->requestWithReservations()).value().result_int(), 503U);
+    EXPECT_EQ(this->received(), 0U);
+}
+
+// Three engines: the first helper's answer to its reservation pauses the second helper.
+TEST_F(ServingGatewayPauseTest, EngineThatIsPausedMeanwhileGetsNoReservation)
+{
+    this->configureEngines();
+    this->registerTarget("t2", this->second.address);
+    ScriptedTarget third { this->context };
+    this->registerTarget("t3", third.address);
+    std::vector<std::string> reserved;
+    this->memory.reaction = [&](const TargetEntry& helper) {
+        reserved.push_back(helper.id);
+        for (const auto* target : this->view.targets.available("s")) {
+            if (target->id != helper.id)
+                this->health.pauses.pause(target->id, Pause, this->clock.now());
+        }
+        return MemoryOutcome::Done;
+    };
+    auto prompt = this->requestWithReservations();
+    prompt.set("Marigoldpaddle-Token-Usage", "160000,100");
+    EXPECT_EQ(this->call(std::move(prompt)).value().result_int(), 503U);
+    EXPECT_EQ(reserved.size(), 1U);
+    EXPECT_EQ(this->received() + third.received.size(), 0U);
+}
+
 // A helper of a long prompt is gone. The engine that asked it declines the prompt and names the helper; the next
 // attempt excluded that sound engine and asked the same helper again.
 TEST_F(ServingGatewayTest, HelperThatADecliningEngineNamesIsAvoidedInsteadOfTheEngine)
--- a/test/TargetChooser_test.cpp
+++ b/test/TargetChooser_test.cpp
@@ -60,6 +60,29 @@
     std::set<std::string> tried;
 };
 
+TEST_F(TargetChooserTest, PausedTargetIsNotChosen)
+{
+    this->health.pauses.pause("p1", 1s, this->now);
+    auto chooser = this->chooser(this->ledger, 1);
+    for (int call = 0; call < 50; ++call)
+        EXPECT_NE(this->choosePlain(chooser).value().target.id, "p1");
+}
+
+// Ejected targets stay eligible if there are no others. Paused ones must not.
+TEST_F(TargetChooserTest, NoTargetIsChosenWhenAllArePaused)
+{
+    for (int number = 0; number < 3; ++number)
+        this->health.pauses.pause("p" + std::to_string(number), 1s, this->now);
+    for (int number = 0; number < 21; ++number)
+        this->health.pauses.pause("e" + std::to_string(100 + number), 1s, this->now);
+    auto chooser = this->chooser(this->ledger, 1);
+    EXPECT_FALSE(this->choosePlain(chooser));
+    EXPECT_FALSE(
+        chooser.choose({ this->route, this->engines, PromptSize { 5000, 1000 }, this->tried, {}, 10s }, this->now));
+    this->now += 1s;
+    EXPECT_TRUE(this->choosePlain(chooser));
+}
+
 // There are more live peers than a load notice is sent to, so the loads in other zones are only partly known.
 class TargetChooserPartialViewTest : public TargetChooserTest {
 protected:
