Tell callers when to return while all targets are paused

When all targets of a service had asked for a pause, callers were refused with no_target or targets_declined and told to retry after 0.3 s, when every target was still paused; a stream that had begun was cut off.

Such a request is now refused at once as targets_paused. Its Retry-After lies between the first end of a pause and the last one, drawn at random: with the first end alone all callers would meet at the first target that is free again. The spread stays within the third of its remaining time that a caller waits. A stream that has begun waits for a target whose pause ends before its deadline.

Holding requests until a pause ends was ruled out: callers would spend their time at this instance although another may have a free target.

--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -30,6 +30,9 @@
 // Retry-After range for callers without a slot: about the length of an answer, or more.
 constexpr Duration MinimumRetryAfter = std::chrono::milliseconds { 800 };
 constexpr Duration MaximumRetryAfter = std::chrono::seconds { 3 };
+// Retry-After is stated in hundredths of a second.
+constexpr Duration RetryAfterPrecision = std::chrono::milliseconds { 10 };
+
 // Keeps a prompt registered as waiting for as long as the entry exists.
 class WaitingEntry {
 public:
@@ -186,8 +189,13 @@
         auto choice = this->chooser.choose({ *call.route, *call.service, call.metadata.prompt, call.tried,
                                                now - call.receivedAt, this->remaining(call) },
             now);
-        if (!choice)
+        if (!choice && !this->mayAwaitEndOfPause(call, now))
             co_return choice;
+        if (!choice) {
+            asio::steady_timer timer { this->parts.context, PlacementRetryPeriod };
+            co_await timer.async_wait(asio::use_awaitable);
+            continue;
+        }
         if (call.tries == 0 && this->isIntakeClosedFor(call)) {
             call.isRefusedByShutdown = true;
             co_return std::nullopt;
@@ -241,6 +249,53 @@
     return true;
 }
 
+// Ends of the pauses of the service's targets. Empty unless all of them are paused.
+std::vector<TimePoint> ServingGateway::endsOfAllPauses(const Call& call, TimePoint now) const
+{
+    std::vector<TimePoint> ends;
+    for (const auto* target : this->parts.view.targets.available(call.service->name)) {
+        const auto end = this->parts.health.pauses.end(target->id, now);
+        if (!end)
+            return {};
+        ends.push_back(*end);
+    }
+    return ends;
+}
+
+// A stream that has begun cannot be refused. It waits for a target that can continue it in time.
+bool ServingGateway::mayAwaitEndOfPause(const Call& call, TimePoint now) const
+{
+    if (!call.hasResponseStarted)
+        return false;
+    const auto mayContinue = [&](const TargetEntry* target) {
+        const auto end = this->parts.health.pauses.end(target->id, now);
+        return end && *end < call.deadline && !call.tried.contains(target->id);
+    };
+    return std::ranges::any_of(this->parts.view.targets.available(call.service->name), mayContinue);
+}
+
+// Sets Retry-After to a time from the first end of a pause on. The callers are spread up to the last end, and over some
+// time after a single one: the first target that is free again could not serve all of them. A caller waits for a third
+// of its remaining time at most, so a spread beyond that would bring the callers back together.
+bool ServingGateway::recordPausedTargets(Call& call)
+{
+    const auto now = this->parts.clock.now();
+    const auto ends = this->endsOfAllPauses(call, now);
+    if (ends.empty())
+        return false;
+    const auto [earliest, latest] = std::ranges::minmax(ends);
+    const auto first = earliest - now + RetryAfterPrecision;
+    const auto last = std::min(std::max(first + MinimumRetryAfter, latest - now), this->remaining(call) / 3);
+    std::uniform_real_distribution<double> share { 0, 1 };
+    const auto spread = std::max(Duration::zero(), last - first) * share(this->random);
+    call.retryAfter = first + std::chrono::duration_cast<Duration>(spread);
+    this->parts.log.write("targets_paused",
+        { { "id", call.metadata.attemptId }, { "service", call.service->name },
+            { "targets", static_cast<std::uint64_t>(ends.size()) }, { "first_end_ms", earliest - now },
+            { "last_end_ms", latest - now }, { "retry_after_ms", *call.retryAfter } });
+    return true;
+}
+
 // Logs why a prompt was refused although there are targets.
 void ServingGateway::recordNotPlaced(Call& call, const TargetChoice& best)
 {
@@ -330,9 +385,12 @@
     const bool isPastDeadline = this->remaining(call) <= Duration::zero();
     if (call.runs > 0 || (call.tries > 0 && isPastDeadline))
         co_return co_await this->refuse(call, isPastDeadline ? 504 : 502, "may_have_run");
+    const bool mayBePaused = !call.isQuarantined && !call.isRefusedByShutdown;
+    const bool arePaused = mayBePaused && this->recordPausedTargets(call);
     co_await this->refuse(call, 503,
         call.isQuarantined             ? "quarantined"
             : call.isRefusedByShutdown ? "stopping"
+            : arePaused                ? "targets_paused"
             : call.hasNoCapacity       ? "no_place"
             : call.tries > 0           ? "targets_declined"
                                        : "no_target");
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -119,6 +119,9 @@
     boost::asio::awaitable<void> refuse(Call& call, unsigned status, std::string_view reason);
     boost::asio::awaitable<void> waitUntilDeadline(Call& call);
     boost::asio::awaitable<void> waitForCallerDisconnect(Call& call);
+    std::vector<TimePoint> endsOfAllPauses(const Call& call, TimePoint now) const;
+    bool mayAwaitEndOfPause(const Call& call, TimePoint now) const;
+    bool recordPausedTargets(Call& call); // Whether all targets of the service are paused.
     void recordNotPlaced(Call& call, const TargetChoice& best);
     bool isQuarantined(Call& call) const;
     bool isIntakeClosedFor(const Call& call) const;
--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -572,6 +572,71 @@
     EXPECT_EQ(this->received(), 0U);
 }
 
+// The caller was told to retry after 0.3 s, when all targets were still paused.
+TEST_F(ServingGatewayPauseTest, RequestIsRefusedAtOnceUntilTheFirstPauseEnds)
+{
+    this->registerTarget("t2", this->second.address);
+    this->health.pauses.pause("t1", 4s, this->clock.now());
+    this->health.pauses.pause("t2", Pause, this->clock.now());
+    const auto startedAt = this->clock.now();
+    const auto refused = this->call(this->request("/safe/x"));
+    EXPECT_LT(this->clock.now() - startedAt, 500ms);
+    EXPECT_EQ(refused.value().result_int(), 503U);
+    EXPECT_EQ(refused.value().body(), R"({"error":"targets_paused"})");
+    const std::chrono::duration<double> stated { std::stod(std::string { refused.value()["Retry-After"] }) };
+    EXPECT_GE(stated, Pause - 100ms) << "while all targets are paused";
+    EXPECT_LE(stated, 4s);
+}
+
+TEST_F(ServingGatewayPauseTest, RefusalByTheOnlyTargetStatesItsTime)
+{
+    this->budget.setSettings({ 0, 10s, 0 });
+    this->first.script = { pausing() };
+    const auto refused = this->call(this->request("/unsafe/x"));
+    EXPECT_EQ(refused.value().result_int(), 503U);
+    EXPECT_GE(std::stod(std::string { refused.value()["Retry-After"] }), 1.0);
+    EXPECT_EQ(this->received(), 1U);
+}
+
+// All callers would return at the end of the first pause, and their first target would refuse most of them again.
+TEST_F(ServingGatewayPauseTest, CallersRefusedTogetherAreToldDifferentTimes)
+{
+    this->health.pauses.pause("t1", Pause, this->clock.now());
+    std::vector<double> stated;
+    for (int call = 0; call < 40; ++call)
+        stated.push_back(std::stod(std::string { this->call(this->request("/safe/x")).value()["Retry-After"] }));
+    const auto [least, most] = std::ranges::minmax(stated);
+    EXPECT_GT(most - least, 0.3);
+}
+
+TEST_F(ServingGatewayPauseTest, RequestIsServedWhileOneTargetIsNotPaused)
+{
+    this->registerTarget("t2", this->second.address);
+    this->health.pauses.pause("t1", Pause, this->clock.now());
+    for (int call = 0; call < 8; ++call)
+        EXPECT_EQ(this->bodyOf("/safe/x"), "second");
+}
+
+// The stream has begun, so it cannot be refused. It was cut off although a target could continue it soon.
+TEST_F(ServingGatewayPauseTest, BrokenStreamContinuesWhenThePauseOfTheOtherTargetEnds)
+{
+    this->registerTarget("t2", this->second.address);
+    const auto breaksOrContinues = [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        const bool isResumed = exchange.request()["Last-Event-Id"] == "1";
+        if (!isResumed) {
+            this->health.pauses.pause("t1", Pause, this->clock.now());
+            this->health.pauses.pause("t2", Pause, this->clock.now());
+        }
+        const auto reaction = isResumed ? events("id: 2\n\n", true) : events("id: 1\n\nid: 2\nda", false);
+        co_await reaction(exchange);
+    };
+    this->first.script = { breaksOrContinues };
+    this->second.script = { breaksOrContinues };
+    const auto startedAt = this->clock.now();
+    EXPECT_EQ(this->bodyOf("/stream/x"), "id: 1\n\nid: 2\n\n");
+    EXPECT_GE(this->clock.now() - startedAt, Pause);
+}
+
 // Three engines: the first helper's answer to its reservation pauses the second helper.
 TEST_F(ServingGatewayPauseTest, EngineThatIsPausedMeanwhileGetsNoReservation)
 {
