Cover what targets say of themselves in the fault matrix

The stand-ins could neither say that they leave nor name a time after which they want requests again, so the handling of both was only tested with scripted targets. The engine stand-in also left out the id of the request in its refusals, which the platform's servers echo; the gateway took them for answers to other requests.

Stand-in engines and the order service now send Server-Leaving in every answer to a prompt or order, and Retry-After on refusals, on demand (faults leaving, declining, refusing_orders, retry_after), and echo the id.

--- a/standins/PlatformEngineStandin.cpp
+++ b/standins/PlatformEngineStandin.cpp
@@ -77,6 +77,11 @@
     return this->prefilledParts;
 }
 
+std::uint64_t PlatformEngineStandin::receivedCount() const
+{
+    return this->received;
+}
+
 asio::awaitable<void> PlatformEngineStandin::handle(HttpExchange& exchange)
 {
     const auto& request = exchange.request();
@@ -95,7 +100,7 @@
     }
     const auto expected = request[ExpectInstanceHeader];
     if (!expected.empty() && expected != this->settings.id) {
-        auto response = this->notExecutedResponse(421);
+        auto response = this->notExecutedResponse(421, std::string { request[AttemptIdHeader] });
         co_await exchange.respond(std::move(response));
         co_return;
     }
@@ -119,6 +124,7 @@
 asio::awaitable<void> PlatformEngineStandin::handleCompletion(HttpExchange& exchange)
 {
     using namespace asio::experimental::awaitable_operators;
+    ++this->received;
     const auto metadata = HeaderFormat {}.callerMetadata(exchange.request());
     const auto requestedHelpers = helpersOf(exchange.request());
     if (!metadata.prompt || metadata.attemptId.empty()) {
@@ -142,7 +148,7 @@
     if (this->faults.isDeclining
         || this->model.admit(job->id, prompt, this->now()) != EngineModel::Admission::Accepted) {
         this->endJob(*job);
-        auto response = this->notExecutedResponse(503);
+        auto response = this->notExecutedResponse(503, metadata.attemptId);
         co_await exchange.respond(std::move(response));
         co_return;
     }
@@ -162,7 +168,7 @@
 {
     co_await this->waitForEvent(job);
     if (job.events.empty()) {
-        auto response = this->notExecutedResponse(503);
+        auto response = this->notExecutedResponse(503, answer.attemptId);
         co_await exchange.respond(std::move(response));
         co_return;
     }
@@ -171,6 +177,7 @@
         auto response = jsonResponse(500, json::object { { "error", "internal" } });
         response.set(AttemptIdHeader, answer.attemptId);
         response.set(SealHeader, this->settings.id);
+        this->addAdvice(response);
         co_await exchange.respond(std::move(response));
         co_return;
     }
@@ -178,6 +185,7 @@
     header.set(http::field::content_type, "text/event-stream");
     header.set(AttemptIdHeader, answer.attemptId);
     header.set(SealHeader, this->settings.id);
+    this->addAdvice(header);
     if (!co_await exchange.beginStream(std::move(header)))
         co_return;
     while (!job.events.empty()) {
@@ -274,16 +282,31 @@
     auto status = 200U;
     if (operation == "release") {
         this->model.release(ticket);
+    } else if (this->faults.isRefusingOrders) {
+        ++this->received;
+        status = 503;
     } else if (operation != "reserve" || ticket.empty() || tokens <= 0 || holdMs <= 0) {
         status = 400;
     } else {
+        ++this->received;
         const auto outcome = this->model.reserve(ticket, tokens, std::chrono::milliseconds { holdMs }, this->now());
         status = outcome == EngineModel::ReservationResult::Held ? 200
             : outcome == EngineModel::ReservationResult::Refused ? 409
                                                                  : 400;
     }
     this->schedule();
-    return jsonResponse(status, json::object { { "free", this->model.memoryTotal() - this->model.memoryUsed() } });
+    auto response
+        = jsonResponse(status, json::object { { "free", this->model.memoryTotal() - this->model.memoryUsed() } });
+    this->addAdvice(response);
+    return response;
+}
+
+template <typename Header> void PlatformEngineStandin::addAdvice(Header& header) const
+{
+    if (this->faults.isLeaving)
+        header.set(LeavingHeader, "1");
+    if (header.result() == http::status::service_unavailable && !this->faults.retryAfter.empty())
+        header.set(http::field::retry_after, this->faults.retryAfter);
 }
 
 HttpResponse PlatformEngineStandin::health() const
@@ -330,6 +353,9 @@
     const auto object = parseObject(body);
     readField(object, "silent", this->faults.isSilent);
     readField(object, "declining", this->faults.isDeclining);
+    readField(object, "refusing_orders", this->faults.isRefusingOrders);
+    readField(object, "leaving", this->faults.isLeaving);
+    readField(object, "retry_after", this->faults.retryAfter);
     readField(object, "failures", this->faults.failures);
     readField(object, "cut_after_events", this->faults.cutAfterEvents);
     readField(object, "late_orders", this->faults.lateOrders);
@@ -339,9 +365,12 @@
     return jsonResponse(200, json::object {});
 }
 
-HttpResponse PlatformEngineStandin::notExecutedResponse(unsigned status) const
+HttpResponse PlatformEngineStandin::notExecutedResponse(unsigned status, std::string_view attemptId) const
 {
     auto response = jsonResponse(status, json::object {});
+    if (!attemptId.empty())
+        response.set(AttemptIdHeader, attemptId);
+    this->addAdvice(response);
     response.set(NotExecutedHeader, "1");
     response.set(InstanceIdHeader, this->settings.id);
     return response;
--- a/standins/PlatformEngineStandin.h
+++ b/standins/PlatformEngineStandin.h
@@ -27,6 +27,9 @@
 struct PlatformEngineFaults {
     bool isSilent { false }; // Accepts connections and responds only to /standin/faults and /standin/counts.
     bool isDeclining { false }; // Rejects prompts with 503 and the not-executed header; health checks pass.
+    bool isRefusingOrders { false }; // Rejects reservations with 503.
+    bool isLeaving { false }; // States so in every answer to a prompt or an order; health checks pass.
+    std::string retryAfter; // Retry-After of every 503; empty for none.
     std::uint64_t failures { 0 }; // Counter of prompts that fail with 500 after their execution has started.
     std::uint64_t cutAfterEvents { 0 }; // Breaks the next stream in the event after this event id, once; 0 is off.
     std::uint64_t lateOrders { 0 }; // Counter of orders that get no response and are executed after orderDelayMs.
@@ -50,6 +53,9 @@
     std::uint64_t runCount() const;
     std::uint64_t partCount() const;
 
+    // Number of prompts and reservations that arrived for this engine, whether or not it accepted them.
+    std::uint64_t receivedCount() const;
+
     PlatformEngineFaults faults;
 
 private:
@@ -83,12 +89,13 @@
     boost::asio::awaitable<void> servePart(HttpExchange& exchange, Job& job);
     boost::asio::awaitable<void> handleOrder(HttpExchange& exchange);
     HttpResponse executeOrder(const boost::json::object& order);
+    template <typename Header> void addAdvice(Header& header) const;
     HttpResponse health() const;
     HttpResponse report();
     void recordReport();
     HttpResponse counts() const;
     HttpResponse setFaults(std::string_view body);
-    HttpResponse notExecutedResponse(unsigned status) const;
+    HttpResponse notExecutedResponse(unsigned status, std::string_view attemptId = {}) const;
     std::shared_ptr<Job> startJob();
     void endJob(Job& job);
     boost::asio::awaitable<void> waitForEvent(Job& job);
@@ -103,6 +110,7 @@
     std::map<std::uint64_t, std::shared_ptr<Job>> jobs;
     std::map<std::string, std::uint64_t> runsByAttempt; // Executions started for each attempt id.
     std::uint64_t prefilledParts { 0 };
+    std::uint64_t received { 0 };
     std::uint64_t lastJobId { 0 };
     std::deque<Report> reports; // Oldest first.
     boost::asio::steady_timer wakeTimer;
--- a/standins/ServiceStandin.cpp
+++ b/standins/ServiceStandin.cpp
@@ -15,6 +15,7 @@
 
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusCreated = 201;
+constexpr unsigned StatusUnavailable = 503;
 constexpr std::chrono::milliseconds FrozenPollPeriod { 5 };
 
 std::string fieldOf(const HttpRequest& request, std::string_view name)
@@ -66,10 +67,7 @@
     co_await this->waitWhileFrozen();
     if (this->faults.isDown || consumeFault(this->faults.dropRequests))
         co_return;
-    const auto isOrder = exchange.request().method() == http::verb::post;
-    auto response = isOrder ? this->createOrder(exchange.request())
-                            : jsonResponse(StatusOk, json::object { { "orders", this->orders.size() } });
-    this->addPlatformHeaders(response, exchange.request());
+    auto response = this->answerOrder(exchange.request());
     if (consumeFault(this->faults.dropAnswers))
         co_return;
     if (consumeFault(this->faults.truncateAnswers)) {
@@ -104,6 +102,23 @@
     return found == this->runsByRequest.end() ? 0 : found->second;
 }
 
+HttpResponse ServiceStandin::answerOrder(const HttpRequest& request)
+{
+    if (this->faults.isDeclining) {
+        auto response = jsonResponse(StatusUnavailable, json::object {});
+        response.set(platform::NotExecutedHeader, "1");
+        if (!this->faults.retryAfter.empty())
+            response.set(http::field::retry_after, this->faults.retryAfter);
+        this->addPlatformHeaders(response, request);
+        return response;
+    }
+    const auto isOrder = request.method() == http::verb::post;
+    auto response = isOrder ? this->createOrder(request)
+                            : jsonResponse(StatusOk, json::object { { "orders", this->orders.size() } });
+    this->addPlatformHeaders(response, request);
+    return response;
+}
+
 HttpResponse ServiceStandin::createOrder(const HttpRequest& request)
 {
     ++this->runsByKey[fieldOf(request, "Idempotency-Key")];
@@ -121,6 +136,8 @@
 
 void ServiceStandin::addPlatformHeaders(HttpResponse& response, const HttpRequest& request) const
 {
+    if (this->faults.isLeaving)
+        response.set(platform::LeavingHeader, "1");
     const auto attempt = fieldOf(request, platform::AttemptIdHeader);
     if (attempt.empty())
         return;
@@ -143,6 +160,9 @@
     readField(object, "drop_requests", this->faults.dropRequests);
     readField(object, "truncate_answers", this->faults.truncateAnswers);
     readField(object, "frozen", this->faults.isFrozen);
+    readField(object, "leaving", this->faults.isLeaving);
+    readField(object, "declining", this->faults.isDeclining);
+    readField(object, "retry_after", this->faults.retryAfter);
     readField(object, "down", this->faults.isDown);
     return jsonResponse(StatusOk, json::object {});
 }
--- a/standins/ServiceStandin.h
+++ b/standins/ServiceStandin.h
@@ -17,6 +17,9 @@
     std::uint64_t dropRequests { 0 }; // Counter of orders that take no effect and get no response.
     std::uint64_t truncateAnswers { 0 }; // Counter of orders that take effect but get only half of the response.
     bool isFrozen { false }; // Orders wait until this is cleared, then take effect.
+    bool isLeaving { false }; // States so in every answer to an order.
+    bool isDeclining { false }; // Orders take no effect and get 503 with the not-executed header.
+    std::string retryAfter; // Retry-After of every 503; empty for none.
     bool isDown { false }; // Connections are closed without a response; orders take no effect.
 };
 
@@ -43,6 +46,7 @@
 private:
     boost::asio::awaitable<void> handleOrder(HttpExchange& exchange);
     boost::asio::awaitable<void> waitWhileFrozen();
+    HttpResponse answerOrder(const HttpRequest& request);
     HttpResponse createOrder(const HttpRequest& request);
     bool expectsOtherInstance(const HttpRequest& request) const;
     void addPlatformHeaders(HttpResponse& response, const HttpRequest& request) const;
