--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -26,6 +26,7 @@
 #include "serving/PromptQuarantine.h"
 #include "serving/RetryBudget.h"
 #include "serving/ServingView.h"
+#include "serving/TargetAdvice.h"
 #include "serving/TargetChooser.h"
 #include "serving/TargetHealth.h"
 #include "serving/WaitingPrompts.h"
@@ -56,6 +57,9 @@
 
     // Everything that the parts refer to must outlive the gateway.
     ServingGateway(const Parts& parts, TargetChooser chooser);
+    ~ServingGateway() override;
+    ServingGateway(const ServingGateway&) = delete;
+    ServingGateway& operator=(const ServingGateway&) = delete;
 
     // `notify` is called when a prompt was placed or starts to wait, so that peers learn of it before they place their
     // own.
@@ -117,6 +121,9 @@
     boost::asio::awaitable<void> refuse(Call& call, unsigned status, std::string_view reason);
     boost::asio::awaitable<void> waitUntilDeadline(Call& call);
     boost::asio::awaitable<void> waitForCallerDisconnect(Call& call);
+    std::vector<TimePoint> endsOfAllPauses(const Call& call, TimePoint now) const;
+    bool mayAwaitEndOfPause(const Call& call, TimePoint now) const;
+    bool recordPausedTargets(Call& call); // Whether all targets of the service are paused.
     void recordNotPlaced(Call& call, const TargetChoice& best);
     bool isQuarantined(Call& call) const;
     bool isIntakeClosedFor(const Call& call) const;
@@ -131,6 +138,8 @@
     bool mayRunElsewhere(const Call& call, unsigned runs) const;
     std::vector<LedgerEntry> recordWork(const TargetChoice& choice);
     void recordOutcome(Call& call, const TargetEntry& target, SendOutcome outcome, std::string_view detail);
+    bool acceptsRequests(const TargetEntry& target) const;
+    AttemptResult recordHeldBack(Call& call, const TargetEntry& target);
     AttemptResult recordDeclined(
         Call& call, const TargetChoice& choice, const ResponseMetadata& response, TimePoint sentAt);
     void recordSilence(const Call& call, const Attempt& attempt);
@@ -140,6 +149,7 @@
     void finish(Call& call, std::string_view outcome, unsigned status);
 
     Parts parts;
+    TargetAdvice advice;
     TargetChooser chooser;
     std::function<void()> notifyPlaced;
     std::function<void()> notifyCrash;
