Start programs that log to their standard output from the process harness

The harness read the bound ports from a pipe that nobody reads afterwards. marigold-node logs to its standard output, so that it would fill the pipe. Such a program now writes its ports to a file and its output to the log; its start and end can be polled without blocking. A program that does not start is now ended and reaped.

Ruled out: draining the pipe on a thread, since the log of a node is needed in a file anyway.

--- a/test/ProcessHarness.cpp
+++ b/test/ProcessHarness.cpp
@@ -127,14 +127,42 @@
 Process::Process(const std::string& folder, const std::string& name, const std::string& program, std::string settings,
     std::size_t ports)
 {
-    const auto path = folder + "/" + name + ".ini";
-    std::ofstream { path } << settings;
     int ends[2];
     if (::pipe2(ends, O_CLOEXEC) != 0)
         throw std::runtime_error("cannot create a pipe");
+    this->output = ends[0];
+    this->start(folder, name, program, settings, ends[1]);
+    while (this->boundPorts.size() < ports) {
+        const auto line = readLine(this->output);
+        const auto equals = line.find('=');
+        if (equals == std::string::npos) {
+            this->signal(SIGKILL);
+            this->wait();
+            ::close(this->output);
+            throw std::runtime_error(name + " did not start; see " + folder + "/" + name + ".log");
+        }
+        this->boundPorts[line.substr(0, equals)] = static_cast<std::uint16_t>(std::stoi(line.substr(equals + 1)));
+    }
+}
+
+Process::Process(
+    const std::string& folder, const std::string& name, const std::string& program, const std::string& settings)
+    : portsPath(portsFile(folder, name))
+{
+    std::filesystem::remove(this->portsPath);
+    const auto log = folder + "/" + name + ".log";
+    this->start(folder, name, program, settings, ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600));
+}
+
+// Takes ownership of `output`, which becomes the standard output of the program.
+void Process::start(const std::string& folder, const std::string& name, const std::string& program,
+    const std::string& settings, int output)
+{
+    const auto path = folder + "/" + name + ".ini";
+    std::ofstream { path } << settings;
     posix_spawn_file_actions_t actions;
     ::posix_spawn_file_actions_init(&actions);
-    ::posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    ::posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
     const auto log = folder + "/" + name + ".log";
     ::posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     auto executable = (buildFolder() / program).string();
@@ -143,16 +171,10 @@
     char* arguments[] { executable.data(), option.data(), file.data(), nullptr };
     const auto failure = ::posix_spawn(&this->pid, executable.c_str(), &actions, nullptr, arguments, environ);
     ::posix_spawn_file_actions_destroy(&actions);
-    ::close(ends[1]);
-    this->output = ends[0];
-    if (failure != 0)
+    ::close(output);
+    if (failure != 0) {
+        this->pid = -1;
         throw std::runtime_error("cannot start " + executable);
-    while (this->boundPorts.size() < ports) {
-        const auto line = readLine(this->output);
-        const auto equals = line.find('=');
-        if (equals == std::string::npos)
-            throw std::runtime_error(name + " did not start; see " + log);
-        this->boundPorts[line.substr(0, equals)] = static_cast<std::uint16_t>(std::stoi(line.substr(equals + 1)));
     }
 }
 
@@ -162,26 +184,58 @@
         this->signal(SIGKILL);
         this->wait();
     }
-    ::close(this->output);
+    if (this->output >= 0)
+        ::close(this->output);
+}
+
+std::string Process::portsFile(const std::string& folder, const std::string& name)
+{
+    return folder + "/" + name + ".ports";
 }
 
-std::string Process::address(std::string_view port) const
+// The program renames its complete ports file into place.
+bool Process::hasStarted()
+{
+    std::ifstream file { this->portsPath };
+    for (std::string line; std::getline(file, line);) {
+        const auto equals = line.find('=');
+        if (equals != std::string::npos)
+            this->boundPorts[line.substr(0, equals)] = static_cast<std::uint16_t>(std::stoi(line.substr(equals + 1)));
+    }
+    return !this->boundPorts.empty();
+}
+
+std::string Process::address(std::string_view port, const std::string& host) const
 {
     const auto found = this->boundPorts.find(port);
-    return "127.0.0.1:" + std::to_string(found == this->boundPorts.end() ? 0 : found->second);
+    return host + ":" + std::to_string(found == this->boundPorts.end() ? 0 : found->second);
 }
 
 void Process::signal(int number) const
 {
-    ::kill(this->pid, number);
+    if (this->pid > 0)
+        ::kill(this->pid, number);
 }
 
-int Process::wait()
+bool Process::hasEnded()
 {
     int status = 0;
-    ::waitpid(this->pid, &status, 0);
-    this->pid = -1;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    if (this->pid > 0 && ::waitpid(this->pid, &status, WNOHANG) == this->pid) {
+        this->pid = -1;
+        this->status = status;
+    }
+    return this->pid <= 0;
+}
+
+int Process::wait()
+{
+    if (this->pid > 0) {
+        int status = 0;
+        ::waitpid(this->pid, &status, 0);
+        this->pid = -1;
+        this->status = status;
+    }
+    return this->status && WIFEXITED(*this->status) ? WEXITSTATUS(*this->status) : -1;
 }
 
 ProcessHarness::ProcessHarness()
--- a/test/ProcessHarness.h
+++ b/test/ProcessHarness.h
@@ -23,21 +23,39 @@
     // std::runtime_error if it does not start.
     Process(const std::string& folder, const std::string& name, const std::string& program, std::string settings,
         std::size_t ports);
+
+    // Writes the settings file and starts `program`, whose standard output is a log too long for a pipe that nobody
+    // reads: it is appended to the log file. Returns at once. The settings must name portsFile(folder, name).
+    Process(
+        const std::string& folder, const std::string& name, const std::string& program, const std::string& settings);
     ~Process();
 
     Process(const Process&) = delete;
     Process& operator=(const Process&) = delete;
 
-    std::string address(std::string_view port) const;
+    static std::string portsFile(const std::string& folder, const std::string& name);
+
+    // Whether the program has written its ports file. Reads the ports.
+    bool hasStarted();
+
+    std::string address(std::string_view port, const std::string& host = "127.0.0.1") const;
     void signal(int number) const;
 
+    // Whether the process has ended; then wait() returns its exit code at once.
+    bool hasEnded();
+
     // Waits for the process to end. Returns its exit code, or -1 if a signal ended it.
     int wait();
 
 private:
+    void start(const std::string& folder, const std::string& name, const std::string& program,
+        const std::string& settings, int output);
+
     std::map<std::string, std::uint16_t, std::less<>> boundPorts;
+    std::string portsPath;
     int pid { -1 };
     int output { -1 };
+    std::optional<int> status; // Of the process that has ended, as waitpid() gives it.
 };
 
 // The response to a request, as its caller received it.
