--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 BUILD ?= build
 SEED ?= 1
 ROWS ?= *
+MINUTES ?= 1
 
-.PHONY: all packages build test check faults demo demo-presets bench slopes format lint sanitize generate clean
+.PHONY: all packages build test check faults soak demo demo-presets bench slopes format lint sanitize generate clean
 
 all: build
 
@@ -30,6 +31,10 @@
 faults: build
 	@tools/run-faults $(BUILD) "$(SEED)" "$(ROWS)"
 
+# One seed, or a range: make soak SEED=1-50 MINUTES=2.
+soak: build
+	@tools/run-soak $(BUILD) "$(SEED)" "$(MINUTES)"
+
 demo: build
 	@BUILD=$(BUILD) tools/demo
 
--- a/test/SoakChecks.cpp
+++ b/test/SoakChecks.cpp
@@ -94,11 +94,13 @@
 
 std::string SoakAttempt::description(TimePoint begin) const
 {
-    return this->id + " on node-" + std::to_string(this->node) + " route "
+    const auto start = this->id + " on node-" + std::to_string(this->node) + " route "
         + RouteNames.at(static_cast<std::size_t>(this->route)) + " sent at "
-        + std::to_string(milliseconds(this->sentAt - begin)) + " ms, "
-        + OutcomeNames.at(static_cast<std::size_t>(this->outcome)) + " with status " + std::to_string(this->status)
-        + " after " + std::to_string(milliseconds(this->endedAt - this->sentAt)) + " of "
+        + std::to_string(milliseconds(this->sentAt - begin)) + " ms, ";
+    if (this->endedAt == TimePoint {})
+        return start + "under way";
+    return start + OutcomeNames.at(static_cast<std::size_t>(this->outcome)) + " with status "
+        + std::to_string(this->status) + " after " + std::to_string(milliseconds(this->endedAt - this->sentAt)) + " of "
         + std::to_string(milliseconds(this->allowed)) + " ms, " + std::to_string(this->body.size()) + " bytes";
 }
 
@@ -272,9 +274,8 @@
     const auto& attempt = known.attempt;
     const auto isStoreFailing = this->cluster.ledger.overlaps(target.drainedAt - StableWindow, attempt.sentAt,
         [](const Disturbance& each) { return actsOnStore(each.fault.fault); });
-    const auto boundFrom = std::max(target.drainedAt, this->inTouchSince(attempt.node));
-    if (target.drainedAt != TimePoint::max() && !isStoreFailing && boundFrom != TimePoint::max()
-        && attempt.sentAt > boundFrom + SoakCluster::DrainBound + Margin)
+    if (target.drainedAt != TimePoint::max() && !isStoreFailing && attempt.sentAt > this->inTouchSince(attempt.node)
+        && attempt.sentAt > target.drainedAt + SoakCluster::DrainBound + Margin)
         this->violate("drain", attempt, "sent to " + target.name + ", which is draining");
 }
 
@@ -363,10 +364,8 @@
         seen = std::max(seen, version);
     else if (isNewest && seen >= version)
         this->report.violate("revert", detail + ", which it had in force");
-    const auto inTouch = this->inTouchSince(node);
-    const auto boundFrom = std::max(this->cluster.versions.back().at, inTouch);
-    if (isServed != isNewest && inTouch != TimePoint::max()
-        && sentAt > boundFrom + SoakCluster::ConfigurationBound + Margin)
+    const auto boundEnd = this->cluster.versions.back().at + SoakCluster::ConfigurationBound + Margin;
+    if (isServed != isNewest && sentAt > std::max(boundEnd, this->inTouchSince(node)))
         this->report.violate("configuration", detail);
 }
 
