Echo the attempt id when the stand-in of the engine declines

Cause: under the sanitizers ServingNodeTest.DecliningEngineWithAPassingHealthCheckCostsNoAnswer failed in 1 of 40 runs with 502 in place of 200. The users' servers echo the attempt id in every answer; the stand-in left it out when it declined, so the gateway took each of these answers for one to another request: possibly executed, at the cost of a retry of the budget. When the declining engine was chosen first six times out of six, the budget was spent. Change: answers that say "not executed" echo the id of the request. Before: ServingNodeTest.PromptDeclinedByTheOnlyEngineIsRefusedAsNotExecuted gets 502. After: it gets 503; the 28 tests of ServingNode* pass.

--- a/standins/PlatformEngineStandin.cpp
+++ b/standins/PlatformEngineStandin.cpp
@@ -95,7 +95,7 @@
     }
     const auto expected = request[ExpectInstanceHeader];
     if (!expected.empty() && expected != this->settings.id) {
-        auto response = this->notExecutedResponse(421);
+        auto response = this->notExecutedResponse(exchange.request(), 421);
         co_await exchange.respond(std::move(response));
         co_return;
     }
@@ -122,7 +122,7 @@
     const auto metadata = HeaderFormat {}.callerMetadata(exchange.request());
     const auto requestedHelpers = helpersOf(exchange.request());
     if (!metadata.prompt || metadata.attemptId.empty()) {
-        auto response = this->notExecutedResponse(400);
+        auto response = this->notExecutedResponse(exchange.request(), 400);
         co_await exchange.respond(std::move(response));
         co_return;
     }
@@ -142,7 +142,7 @@
     if (this->faults.isDeclining
         || this->model.admit(job->id, prompt, this->now()) != EngineModel::Admission::Accepted) {
         this->endJob(*job);
-        auto response = this->notExecutedResponse(503);
+        auto response = this->notExecutedResponse(exchange.request(), 503);
         co_await exchange.respond(std::move(response));
         co_return;
     }
@@ -169,7 +169,7 @@
 {
     co_await this->waitForEvent(job);
     if (job.events.empty()) {
-        auto response = this->notExecutedResponse(503);
+        auto response = this->notExecutedResponse(exchange.request(), 503);
         co_await exchange.respond(std::move(response));
         co_return;
     }
@@ -244,7 +244,7 @@
         this->schedule();
         co_await (this->servePart(exchange, *job) || exchange.waitForCallerDisconnect());
     } else {
-        auto response = this->notExecutedResponse(503);
+        auto response = this->notExecutedResponse(exchange.request(), 503);
         co_await exchange.respond(std::move(response));
     }
     this->endJob(*job);
@@ -350,10 +350,12 @@
     return jsonResponse(200, json::object {});
 }
 
-HttpResponse PlatformEngineStandin::notExecutedResponse(unsigned status) const
+HttpResponse PlatformEngineStandin::notExecutedResponse(const HttpRequest& request, unsigned status) const
 {
     auto response = jsonResponse(status, json::object {});
     response.set(NotExecutedHeader, "1");
+    if (const auto id = request[AttemptIdHeader]; !id.empty())
+        response.set(AttemptIdHeader, id);
     response.set(InstanceIdHeader, this->settings.id);
     return response;
 }
--- a/standins/PlatformEngineStandin.h
+++ b/standins/PlatformEngineStandin.h
@@ -90,7 +90,7 @@
     void recordReport();
     HttpResponse counts() const;
     HttpResponse setFaults(std::string_view body);
-    HttpResponse notExecutedResponse(unsigned status) const;
+    HttpResponse notExecutedResponse(const HttpRequest& request, unsigned status) const;
     std::shared_ptr<Job> startJob();
     void endJob(Job& job);
     boost::asio::awaitable<void> waitForEvent(Job& job);
--- a/test/ServingNode_test.cpp
+++ b/test/ServingNode_test.cpp
@@ -175,6 +175,16 @@
     EXPECT_EQ(this->engines[0]->runCount(), 0U);
 }
 
+// The stand-in declined without the attempt id, so that its answer passed for one to another request: it was reported
+// as possibly executed and cost a retry of the budget.
+TEST_F(ServingNodeTest, PromptDeclinedByTheOnlyEngineIsRefusedAsNotExecuted)
+{
+    this->startWithEngines(1);
+    this->engines[0]->faults.isDeclining = true;
+    EXPECT_EQ(this->harness.sendPrompt(3000, 11).status, 503U);
+    EXPECT_EQ(this->engines[0]->runCount(), 0U);
+}
+
 TEST_F(ServingNodeTest, OrderWithALostAnswerIsNotRetriedAndReportedAsPossiblyExecuted)
 {
     this->startWithEngines(1);
