--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -79,8 +79,8 @@
     std::function<void()> clear;
 };
 
-// Allows the write unless the target began to leave, or asked for a pause, or the prompt was found to end targets, while
-// the connection or memory was awaited. Counts the attempts that may be executed: those that were written.
+// Allows the write unless the target began to leave, or asked for a pause, or the prompt was found to end targets,
+// while the connection or memory was awaited. Counts the attempts that may be executed: those that were written.
 class TargetWriteGate final : public WriteGate {
 public:
     TargetWriteGate(std::function<bool()> isOpen, unsigned& runs)
