--- a/src/serving/ServingCall.h
+++ b/src/serving/ServingCall.h
@@ -4,6 +4,14 @@
 
 namespace marigoldpaddle {
 
+// Interval between attempts to find another target for a request whose target is late or silent.
+inline constexpr Duration RetryCheckPeriod = std::chrono::milliseconds { 250 };
+
+inline bool isSuccess(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
 // State of one caller's request in the gateway.
 struct ServingGateway::Call {
     Call(HttpExchange& exchange, TimePoint now)
--- /dev/null
+++ b/src/serving/ServingGatewayStream.cpp
@@ -0,0 +1,330 @@
+#include <algorithm>
+#include <functional>
+
+#include "serving/ServingCall.h"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+// Part of ServingGateway: relays streams, and lets another target continue one whose target is silent.
+namespace marigoldpaddle {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// An engine that loses a helper stalls this long before it gives up; a shorter gap is no sign of a failure.
+constexpr Duration NormalGapLimit = std::chrono::milliseconds { 1500 };
+// A target that has been writing for this long does not end because of the prompt: that happens within a pass or two.
+constexpr Duration SoundAnswerTime = std::chrono::milliseconds { 500 };
+
+// Makes an attempt known as the successor of another one for as long as it is being opened.
+class SuccessorRegistration {
+public:
+    template <typename Attempt>
+    SuccessorRegistration(Attempt*& place, Attempt& successor)
+        : clear([&place] { place = nullptr; })
+    {
+        place = &successor;
+    }
+
+    ~SuccessorRegistration()
+    {
+        this->clear();
+    }
+
+    SuccessorRegistration(const SuccessorRegistration&) = delete;
+    SuccessorRegistration& operator=(const SuccessorRegistration&) = delete;
+
+private:
+    std::function<void()> clear;
+};
+
+}
+
+// After a longer gap between events, another target may continue the answer. A target that prefills a long prompt sends
+// nothing meanwhile, so its backlog is added.
+Duration ServingGateway::gapLimit(const Call& call, const std::string& target) const
+{
+    const auto load = this->parts.ledger.total(target, this->parts.clock.now());
+    const auto reading = std::chrono::duration<double, std::milli> { 2 * load.backlogMs };
+    return std::max(NormalGapLimit, 3 * call.route->gapObjective) + std::chrono::duration_cast<Duration>(reading);
+}
+
+// Relays a stream. A target that is silent for too long is replaced once another one has begun to continue the stream,
+// and not before: it may be sound and go on.
+asio::awaitable<ServingGateway::AttemptResult> ServingGateway::relayStream(
+    Call& call, std::unique_ptr<Attempt>& attempt)
+{
+    using namespace asio::experimental::awaitable_operators;
+    while (true) {
+        this->beginEvents(call, *attempt);
+        std::unique_ptr<Attempt> successor;
+        const auto first
+            = co_await (this->relayEvents(call, *attempt) || this->replaceWhenSilent(call, *attempt, successor));
+        if (first.index() == 0)
+            co_return std::get<0>(first);
+        if (!attempt->hasFailed)
+            this->recordOutcome(call, attempt->choice.target, SendOutcome::Failed, name(HttpError::Timeout));
+        attempt = std::move(successor);
+        call.currentTarget = attempt->choice.target.id;
+    }
+}
+
+// Expects the events after the last delivered one.
+void ServingGateway::beginEvents(Call& call, Attempt& attempt)
+{
+    if (call.stream)
+        call.stream.emplace(call.stream->lastId());
+    else
+        call.stream.emplace(call.metadata.lastEventId);
+    attempt.progressAt = this->parts.clock.now();
+    attempt.nextEventBy = attempt.progressAt + this->firstByteLimit(call, attempt.choice);
+}
+
+asio::awaitable<ServingGateway::AttemptResult> ServingGateway::relayEvents(Call& call, Attempt& attempt)
+{
+    const auto& target = attempt.choice.target;
+    auto& answer = *attempt.answer;
+    auto& stream = *call.stream;
+    // Otherwise the answer ends with its connection, which may also end because the target does.
+    const bool isFramed = answer.header().chunked() || answer.header().has_content_length();
+    while (true) {
+        HttpResult<std::string> piece { std::string {} };
+        if (attempt.unread)
+            piece = *std::exchange(attempt.unread, std::nullopt);
+        else
+            piece = co_await answer.readSome(this->remaining(call));
+        if (attempt.isSuperseded)
+            co_return AttemptResult::MayHaveRun;
+        if (!piece) {
+            if (piece.error() == HttpError::Truncated && !attempt.hasEvents)
+                this->recordCutBeforeEvents(call, target.id);
+            attempt.hasFailed = true;
+            this->recordOutcome(call, target, SendOutcome::Failed, name(piece.error()));
+            co_return co_await this->leaveToSuccessor(attempt);
+        }
+        const bool isEnd = piece.value().empty();
+        const auto now = this->parts.clock.now();
+        if (call.hasResponseStarted && !isEnd)
+            call.longestGap = std::max(call.longestGap, now - call.lastEventAt);
+        call.lastEventAt = now;
+        this->parts.health.recordActivity(target.id, now);
+        const auto events = stream.feed(piece.value());
+        // Only whole events count as progress: a target that sends a byte now and then is stalled.
+        if (!events.empty())
+            this->recordProgress(call, attempt, now);
+        const bool hasEndedAtOnce = isEnd && !isFramed && !stream.lastId();
+        if (!call.hasResponseStarted
+            && (!events.empty() || (isEnd && !stream.isBroken() && !stream.hasPartialEvent() && !hasEndedAtOnce))) {
+            call.hasResponseStarted = true;
+            if (!co_await call.exchange.beginStream(this->parts.format.makeCallerHeader(answer.header())))
+                break;
+        }
+        // Whole events before the failure are delivered: the next attempt continues after them.
+        if (!events.empty() && !co_await call.exchange.write(events))
+            break;
+        if (!events.empty())
+            attempt.nextEventBy = this->parts.clock.now() + this->gapLimit(call, target.id);
+        if (stream.isBroken() || (isEnd && stream.hasPartialEvent()) || hasEndedAtOnce) {
+            answer.discard();
+            if (isEnd && !attempt.hasEvents)
+                this->recordCutBeforeEvents(call, target.id);
+            attempt.hasFailed = true;
+            this->recordOutcome(call, target, SendOutcome::Failed, "broken_events");
+            co_return co_await this->leaveToSuccessor(attempt);
+        }
+        if (!isEnd)
+            continue;
+        this->endSilence(call, attempt, now);
+        if (attempt.hasEvents && isFramed)
+            this->recordSound(call, attempt);
+        const bool isDelivered = co_await call.exchange.endStream();
+        this->recordOutcome(call, target, SendOutcome::Answered, "stream");
+        this->finish(call, isDelivered ? "answered" : "caller_gone", answer.header().result_int());
+        co_return AttemptResult::Done;
+    }
+    this->finish(call, "caller_gone", 0);
+    co_return AttemptResult::Done;
+}
+
+// Records whole events. A successor that is being opened is no longer needed.
+void ServingGateway::recordProgress(Call& call, Attempt& attempt, TimePoint now)
+{
+    if (!std::exchange(attempt.hasEvents, true)) {
+        attempt.firstEventAt = now;
+        this->recordFirstEvents(call, attempt);
+    }
+    if (now - attempt.firstEventAt >= SoundAnswerTime)
+        this->recordSound(call, attempt);
+    this->endSilence(call, attempt, now);
+}
+
+// The attempt goes on or has ended well. A successor that is being opened is no longer needed.
+void ServingGateway::endSilence(Call& call, Attempt& attempt, TimePoint now)
+{
+    attempt.progressAt = now;
+    ++attempt.progress;
+    // The time that a slow caller takes to read the events is not the target's.
+    attempt.nextEventBy = TimePoint::max();
+    if (attempt.successor)
+        attempt.successor->isSuperseded = true;
+    call.currentTarget = attempt.choice.target.id;
+    attempt.changed.cancel();
+}
+
+// The attempt has failed. If a successor is sought, waits until it answers, which cancels the wait, or there is none.
+asio::awaitable<ServingGateway::AttemptResult> ServingGateway::leaveToSuccessor(Attempt& attempt)
+{
+    while (attempt.isSeekingSuccessor && !attempt.isSuperseded) {
+        boost::system::error_code cancelled;
+        co_await attempt.changed.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+    }
+    co_return AttemptResult::MayHaveRun;
+}
+
+// Returns once `successor` has events in place of the silent attempt.
+asio::awaitable<void> ServingGateway::replaceWhenSilent(
+    Call& call, Attempt& attempt, std::unique_ptr<Attempt>& successor)
+{
+    using namespace asio::experimental::awaitable_operators;
+    asio::steady_timer timer { this->parts.context };
+    std::optional<std::uint64_t> recordedSilence;
+    while (true) {
+        const auto now = this->parts.clock.now();
+        timer.expires_at(std::min(attempt.nextEventBy, now + NormalGapLimit));
+        co_await timer.async_wait(asio::use_awaitable);
+        if (this->parts.clock.now() < attempt.nextEventBy)
+            continue;
+        const auto seen = attempt.progress;
+        if (std::exchange(recordedSilence, seen) != seen)
+            this->recordSilence(call, attempt);
+        attempt.isSeekingSuccessor = true;
+        co_await (this->openSuccessor(call, attempt, successor) || this->waitForProgress(attempt, seen));
+        attempt.isSeekingSuccessor = false;
+        if (successor && attempt.progress == seen) {
+            attempt.isSuperseded = true;
+            co_return;
+        }
+        successor.reset();
+        call.currentTarget = attempt.choice.target.id;
+        attempt.changed.cancel();
+        if (attempt.progress == seen)
+            attempt.nextEventBy = this->parts.clock.now() + RetryCheckPeriod;
+    }
+}
+
+asio::awaitable<void> ServingGateway::waitForProgress(Attempt& attempt, std::uint64_t seen)
+{
+    while (attempt.progress == seen) {
+        boost::system::error_code cancelled;
+        co_await attempt.changed.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+    }
+}
+
+// Sends the request to another target while the current one is silent. `successor` stays empty if no target continues
+// the stream.
+asio::awaitable<void> ServingGateway::openSuccessor(Call& call, Attempt& attempt, std::unique_ptr<Attempt>& successor)
+{
+    if (!this->mayRunElsewhere(call, call.runs)
+        || (!call.hasSpentRetry && this->parts.budget.remaining(call.service->name, this->parts.clock.now()) < 1))
+        co_return;
+    const auto seen = attempt.progress;
+    auto choice = co_await this->waitForPlacement(call);
+    if (!choice || attempt.progress != seen || !this->mayRetry(call, AttemptResult::MayHaveRun))
+        co_return;
+    ++call.tries;
+    call.tried.insert(choice->target.id);
+    auto next = std::make_unique<Attempt>(this->parts.context, std::move(*choice));
+    const SuccessorRegistration registration { attempt.successor, *next };
+    const auto opened = co_await this->open(call, *next);
+    if (next->isSuperseded)
+        co_return;
+    // The retry was not used.
+    if (opened == AttemptResult::NotSent)
+        call.hasSpentRetry = true;
+    if (opened == AttemptResult::Answering && co_await this->readFirstEvents(call, *next))
+        successor = std::move(next);
+}
+
+// Reads ahead until the answer has a whole event or is complete. False if it is no continuation of the stream.
+asio::awaitable<bool> ServingGateway::readFirstEvents(Call& call, Attempt& attempt)
+{
+    EventStream stream { call.stream->lastId() };
+    std::string bytes;
+    bool isContinued = isSuccess(attempt.answer->header().result_int());
+    while (isContinued) {
+        auto piece = co_await attempt.answer->readSome(this->remaining(call));
+        if (attempt.isSuperseded)
+            co_return false;
+        if (!piece || (piece.value().empty() && stream.hasPartialEvent())) {
+            isContinued = false;
+            break;
+        }
+        bytes += piece.value();
+        const auto events = stream.feed(piece.value());
+        isContinued = !stream.isBroken();
+        if (isContinued && (!events.empty() || piece.value().empty())) {
+            attempt.unread = std::move(bytes);
+            co_return true;
+        }
+    }
+    this->recordOutcome(call, attempt.choice.target, SendOutcome::Failed, "no_continuation");
+    co_return false;
+}
+
+// The prefill is finished: helpers are free again unless they hold a part of the prompt in memory.
+void ServingGateway::recordFirstEvents(Call& call, Attempt& attempt)
+{
+    auto& work = attempt.work;
+    std::ranges::for_each(work, &LedgerEntry::markPrefilled);
+    while (work.size() > 1 + attempt.choice.reservations)
+        work.pop_back();
+    const auto now = this->parts.clock.now();
+    if (!call.hasResponseStarted)
+        this->parts.metrics.histogram("marigold_first_event_seconds").record(now - call.receivedAt);
+    this->parts.log.write("first_event",
+        { { "id", call.metadata.attemptId }, { "target", attempt.choice.target.id },
+            { "after_ms", now - call.receivedAt },
+            { "prompt_tokens", call.metadata.prompt.value_or(PromptSize {}).promptTokens } });
+}
+
+void ServingGateway::recordSilence(const Call& call, const Attempt& attempt)
+{
+    const auto now = this->parts.clock.now();
+    const auto& target = attempt.choice.target.id;
+    this->parts.log.write("stream_silent",
+        { { "id", call.metadata.attemptId }, { "target", target }, { "silent_ms", now - attempt.progressAt },
+            { "limit_ms", attempt.nextEventBy - attempt.progressAt },
+            { "backlog_ms", this->parts.ledger.total(target, now).backlogMs },
+            { "budget_left", this->parts.budget.remaining(call.service->name, now) } });
+}
+
+void ServingGateway::recordSound(const Call& call, Attempt& attempt)
+{
+    if (!std::exchange(attempt.isSound, true))
+        this->parts.quarantine.recordSound(call.sharedParts, this->parts.clock.now());
+}
+
+// Records an answer that ended between its header and its first event: the target may have ended because of the prompt.
+void ServingGateway::recordCutBeforeEvents(const Call& call, const std::string& target)
+{
+    // A target that wrote events of the answer did not end under the prompt, so that no later one does.
+    if (call.isAbandoned || call.hasResponseStarted || call.sharedParts.empty())
+        return;
+    const auto now = this->parts.clock.now();
+    const bool isNew = this->parts.quarantine.recordCrash(
+        { LoadLedger::hashOf(target), LoadLedger::hashOf(call.metadata.attemptId), call.sharedParts, now }, now);
+    std::string parts;
+    for (const auto& part : call.metadata.sharedParts)
+        parts += (parts.empty() ? "" : ",") + part;
+    this->parts.log.write("cut_before_events",
+        { { "id", call.metadata.attemptId }, { "target", target },
+            { "workspace", call.workspace.empty() ? "-" : std::string_view { call.workspace } }, { "parts", parts },
+            { "suspected_parts", std::uint64_t { this->parts.quarantine.size() } } });
+    if (isNew && this->notifyCrash)
+        this->notifyCrash();
+}
+
+}
