Let requests end before the platform's test harness destroys its node

The relay of a stream ends a turn later than its answer, since it waits for the watch over its silence; the harness destroyed the node in between. Ruled out: the program, which exits without destroying calls. Change: the harness runs the event loop for 200 ms after it has closed the connections. No check changes.

--- a/test/PlatformHarness.cpp
+++ b/test/PlatformHarness.cpp
@@ -92,7 +92,8 @@
     this->configure(1);
 }
 
-// Suspended coroutines refer to the members; they end with the context, before these members are destroyed.
+// Suspended coroutines refer to the members; they end with the context, before these members are destroyed. Requests in
+// progress refer to the node, and have to end before it does; one whose answer was just received ends a turn later.
 PlatformHarness::~PlatformHarness()
 {
     this->storeServer.closeConnections();
@@ -100,6 +101,8 @@
         engine.server->closeConnections();
     for (auto& [id, service] : this->services)
         service.server->closeConnections();
+    this->context.restart();
+    this->pause(200ms);
 }
 
 standins::PlatformEngineStandin& PlatformHarness::addEngine(
