Decode and log the limit that a target states in its answers

Change: Server-Limit is decoded into the answer's metadata, and each answer that has it is logged as target_states_limit. A value that is no decimal number counts as 1 a second, so that it neither passes for no limit nor excludes the target. No decision changes.

--- a/src/serving/CallFormat.h
+++ b/src/serving/CallFormat.h
@@ -60,6 +60,8 @@
     bool isLeaving { false }; // The target states that it leaves. A connection that it closes does not say so.
     // For how long the target wants nothing from this instance. Only of a 503; at most LongestRetryAfter.
     std::optional<Duration> retryAfter;
+    // Requests a second that the target takes from all instances together, for as long as it says so.
+    std::optional<double> requestLimit;
     bool hasContentEncoding { false }; // The body has a content encoding, so it is not as the target sent it.
 };
 
--- a/src/serving/TargetAdvice.cpp
+++ b/src/serving/TargetAdvice.cpp
@@ -17,6 +17,10 @@
 {
     if (response.retryAfter)
         this->recordPause(target, *response.retryAfter, requestId);
+    if (response.requestLimit)
+        this->log.write("target_states_limit",
+            { { "id", requestId }, { "target", target.id }, { "born", target.incarnation },
+                { "per_second", *response.requestLimit } });
     if (!response.isLeaving)
         return;
     if (!response.isMisdirected)
--- a/test/PlatformFormat_test.cpp
+++ b/test/PlatformFormat_test.cpp
@@ -178,6 +178,29 @@
     }
 }
 
+TEST_F(HeaderFormatTest, RequestLimitIsDecodedFromAnswersOfAnyStatus)
+{
+    for (const auto status :
+        { http::status::ok, http::status::internal_server_error, http::status::service_unavailable }) {
+        HttpResponseHeader header { status, 11 };
+        EXPECT_FALSE(this->format.responseMetadata(header).requestLimit);
+        header.set("Server-Limit", "1.4");
+        EXPECT_EQ(this->format.responseMetadata(header).requestLimit, 1.4) << status;
+    }
+}
+
+// A value that cannot be read must neither be taken for no limit nor exclude the target for good.
+TEST_F(HeaderFormatTest, UnreadableRequestLimitIsLow)
+{
+    const std::map<std::string, double> expected { { "0", 0 }, { "250", 250 }, { "", 1 }, { "-5", 1 }, { "many", 1 },
+        { "3 s", 1 }, { "inf", 1 }, { "nan", 1 }, { "1e9", 1 }, { std::string(400, '9'), 1 } };
+    for (const auto& [value, limit] : expected) {
+        HttpResponseHeader header { http::status::ok, 11 };
+        header.set("Server-Limit", value);
+        EXPECT_EQ(this->format.responseMetadata(header).requestLimit, limit) << value;
+    }
+}
+
 TEST_F(HeaderFormatTest, RefusalHasRetryAfter)
 {
     const auto answer = this->format.makeOwnResponse(503, "no_target", 300ms);
