Keep all instances together within the limit that a target states

Cause: nothing read the header, so that placement treated the target like any other. The class: a statement of a target that no decision depends on. Server-Leaving and Retry-After were of that class before.

Change: TargetLimits shares a limit among as many instances as it allows requests in a second, drawn by a hash of target and instance, so that one request of each of 195 instances does not exceed a low limit. A sharer's token bucket starts empty. All others leave the target alone. A request is taken from the share when the attempt is placed, checked again before the first byte, and returned if it was not sent. Reservations count as requests; long prompts avoid limited targets while others suffice. Instances tell each other of a limit and of its end at once, for three seconds, and again every ten seconds while it is stated. A limit ends with an answer of the target itself that states none, with the incarnation, and after a minute without a statement. If all targets of a service are paused or at their limits, a request is refused at once with the time of the first return.

--- a/src/serving/PeerExchange.cpp
+++ b/src/serving/PeerExchange.cpp
@@ -140,6 +140,13 @@
     return commands;
 }
 
+std::vector<std::string_view> PeerExchange::liveAddresses(TimePoint now) const
+{
+    auto live = this->livePeersByZone(now);
+    std::ranges::copy(live.remote, std::back_inserter(live.local));
+    return std::move(live.local);
+}
+
 std::size_t PeerExchange::livePeers(TimePoint now) const
 {
     return static_cast<std::size_t>(
--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -30,9 +30,10 @@
 constexpr Duration FetchTimeout = std::chrono::milliseconds { 400 };
 // Limit of one notice: a datagram that UDP carries over loopback and, fragmented, over other networks.
 constexpr std::size_t MaximumNoticeBytes = 16 * 1024;
-// Notices repeat a crash for some rounds, also in the longest interval between two of them.
-constexpr Duration CrashAnnouncementPeriod = std::chrono::seconds { 3 };
+// Notices repeat a crash or a limit for some rounds, also in the longest interval between two of them.
+constexpr Duration NewsAnnouncementPeriod = std::chrono::seconds { 3 };
 constexpr std::size_t MaximumCrashesPerNotice = 16;
+constexpr std::size_t MaximumLimitsPerNotice = 64;
 
 std::int64_t milliseconds(Duration duration)
 {
@@ -241,6 +242,7 @@
             this->lastNewPeerAt = now;
         this->perform(replies);
         this->learnCrashes(*notice, now);
+        this->learnLimits(*notice, now);
         this->parts.follower.applyPeerView(toSummary(*notice), fromWire(notice->targetChanges));
         if (const auto own = this->localState(now); own.targetsAge == Duration::max())
             this->perform(this->exchange.fetchNewerRecords(own, now));
@@ -276,12 +278,44 @@
         }
     }
 
-    // Crashes of targets are repeated for a while, as datagrams get lost. A new peer gets all of them.
+    void learnLimits(const wire::LoadNotice& notice, TimePoint now)
+    {
+        for (const auto& record : notice.limits) {
+            TargetLimitStatement statement { static_cast<std::uint64_t>(record.target),
+                static_cast<std::uint64_t>(record.incarnation), {}, now - toAge(record.ageMs) };
+            if (record.perSecond >= 0)
+                statement.perSecond = record.perSecond;
+            if (this->parts.limits.learn(statement, now) == TargetLimits::Change::None)
+                continue;
+            this->parts.log.write("target_limit_learned",
+                { { "source", notice.sender }, { "born", statement.incarnation }, { "per_second", record.perSecond },
+                    { "limited_targets", std::uint64_t { this->parts.limits.size() } } });
+        }
+    }
+
+    // News are repeated for a while, as datagrams get lost. A new peer gets all that is known.
+    TimePoint newsSince(TimePoint now) const
+    {
+        const auto isForNewPeer = this->lastNewPeerAt && now - *this->lastNewPeerAt < NewsAnnouncementPeriod;
+        return isForNewPeer ? TimePoint::min() : now - NewsAnnouncementPeriod;
+    }
+
+    void addLimits(wire::LoadNotice& notice, TimePoint now) const
+    {
+        const auto news = this->parts.limits.newsSince(this->newsSince(now));
+        for (const auto& statement : news | std::views::take(MaximumLimitsPerNotice)) {
+            auto& record = notice.limits.emplace_back();
+            record.target = static_cast<std::int64_t>(statement.target);
+            record.incarnation = static_cast<std::int64_t>(statement.incarnation);
+            record.perSecond = statement.perSecond.value_or(-1);
+            record.ageMs = milliseconds(now - statement.at);
+        }
+    }
+
     void addCrashes(wire::LoadNotice& notice, TimePoint now) const
     {
         const auto& quarantine = this->parts.quarantine;
-        const auto isForNewPeer = this->lastNewPeerAt && now - *this->lastNewPeerAt < CrashAnnouncementPeriod;
-        const auto since = isForNewPeer ? TimePoint::min() : now - CrashAnnouncementPeriod;
+        const auto since = this->newsSince(now);
         // The newest first: the number in a notice is limited.
         const auto crashes = quarantine.crashesLearnedSince(since);
         for (const auto& crash : crashes | std::views::reverse | std::views::take(MaximumCrashesPerNotice)) {
@@ -305,6 +339,7 @@
         while (true) {
             const auto now = this->parts.clock.now();
             const auto loads = this->parts.ledger.localLoads(now);
+            this->parts.limits.setInstances(this->address, this->exchange.liveAddresses(now), now);
             this->perform(this->exchange.tick(this->localState(now), !loads.empty() || this->lastNoticeHadLoads, now));
             timer.expires_after(TickPeriod);
             co_await timer.async_wait(asio::use_awaitable);
@@ -371,6 +406,7 @@
         notice.storeEra = static_cast<std::int64_t>(summary.era);
         notice.leaving = this->isLeaving;
         this->addCrashes(notice, now);
+        this->addLimits(notice, now);
         const auto startBy = this->parts.waiting.earliestStartBy();
         notice.waitingStartByMs
             = startBy == TimePoint::max() ? -1 : std::max<std::int64_t>(0, milliseconds(startBy - now));
@@ -422,6 +458,7 @@
         notice.targetChanges.clear();
         notice.crashes.clear();
         notice.soundParts.clear();
+        notice.limits.clear();
         return encode(notice);
     }
 
@@ -502,6 +539,7 @@
     bool lastNoticeHadLoads { false }; // The last notice had loads, so their absence is a change too.
     bool isLeaving { false };
     std::optional<TimePoint> lastNewPeerAt;
+    TimePoint lastLimitsAt {}; // Of the last call that announced limits.
 };
 
 PeerRunner::PeerRunner(const Parts& parts, std::string address, std::string availabilityZone,
@@ -536,6 +574,17 @@
     this->state->perform(this->state->exchange.notifyAll(this->state->parts.clock.now()));
 }
 
+void PeerRunner::announceLimits()
+{
+    auto& state = *this->state;
+    const auto now = state.parts.clock.now();
+    // Otherwise the periodic notices carry them.
+    if (now - state.lastLimitsAt < TickPeriod)
+        return;
+    state.lastLimitsAt = now;
+    state.perform(state.exchange.notifyAll(now));
+}
+
 void PeerRunner::announceLeaving()
 {
     this->state->isLeaving = true;
--- a/src/serving/PeerRunner.h
+++ b/src/serving/PeerRunner.h
@@ -17,6 +17,7 @@
 #include "serving/LoadLedger.h"
 #include "serving/PeerExchange.h"
 #include "serving/PromptQuarantine.h"
+#include "serving/TargetLimits.h"
 #include "serving/ViewFollower.h"
 #include "serving/WaitingPrompts.h"
 
@@ -33,6 +34,7 @@
         LoadLedger& ledger;
         WaitingPrompts& waiting;
         PromptQuarantine& quarantine;
+        TargetLimits& limits;
         EventLog& log;
         MetricsRegistry& metrics;
         std::function<void()> onConfigurationInstalled; // Called after each, from the platform or a peer.
@@ -56,6 +58,9 @@
     // Notifies all peers of a target that ended under a prompt.
     void announceCrashes();
 
+    // Notifies all peers of a target's new limit, or its end.
+    void announceLimits();
+
     // Notifies peers that this instance is leaving.
     void announceLeaving();
 
--- a/src/serving/ServingCall.h
+++ b/src/serving/ServingCall.h
@@ -58,6 +58,7 @@
     TargetChoice choice;
     std::vector<LedgerEntry> work;
     std::optional<MemoryLease> lease;
+    std::optional<RequestPermit> permit; // Set once the attempt is being opened.
     std::optional<HttpCall> answer; // Set once the target answers.
     std::optional<std::string> unread; // Read ahead of its relay.
     TimePoint firstEventAt {};
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -59,7 +59,7 @@
 
 ServingGateway::ServingGateway(const Parts& parts, TargetChooser chooser)
     : parts(parts)
-    , advice(parts.clock, parts.view.targets, parts.health.pauses, parts.log, parts.metrics)
+    , advice(parts.clock, parts.view.targets, parts.health, parts.log, parts.metrics)
     , chooser(std::move(chooser))
     , random(std::random_device {}())
     , reservationPrefix(parts.instance + '-' + std::to_string(std::random_device {}()) + '-')
@@ -82,6 +82,11 @@
     this->notifyCrash = std::move(notify);
 }
 
+void ServingGateway::onTargetLimitChanged(std::function<void()> notify)
+{
+    this->advice.onLimitChanged(std::move(notify));
+}
+
 void ServingGateway::beginShutdown(TimePoint intakeUntil, TimePoint endsAt)
 {
     this->intakeUntil = intakeUntil;
@@ -189,7 +194,7 @@
         auto choice = this->chooser.choose({ *call.route, *call.service, call.metadata.prompt, call.tried,
                                                now - call.receivedAt, this->remaining(call) },
             now);
-        if (!choice && !this->mayAwaitEndOfPause(call, now))
+        if (!choice && !this->mayAwaitReturn(call, now))
             co_return choice;
         if (!choice) {
             asio::steady_timer timer { this->parts.context, PlacementRetryPeriod };
@@ -249,51 +254,65 @@
     return true;
 }
 
-// Ends of the pauses of the service's targets. Empty unless all of them are paused.
-std::vector<TimePoint> ServingGateway::endsOfAllPauses(const Call& call, TimePoint now) const
+// When a target that is paused or at its limit takes a request of this instance again. Empty if it does so now.
+std::optional<TimePoint> ServingGateway::returnOf(const TargetEntry& target, TimePoint now) const
+{
+    const auto pauseEnd = this->parts.health.pauses.end(target.id, now).value_or(now);
+    const auto at = std::max(pauseEnd, this->parts.health.limits.nextAt(target, now));
+    return at > now ? std::optional { at } : std::nullopt;
+}
+
+// Empty unless all targets of the service are paused or at their limits.
+std::vector<TimePoint> ServingGateway::returnsOfAllTargets(const Call& call, TimePoint now) const
 {
-    std::vector<TimePoint> ends;
+    std::vector<TimePoint> returns;
     for (const auto* target : this->parts.view.targets.available(call.service->name)) {
-        const auto end = this->parts.health.pauses.end(target->id, now);
-        if (!end)
+        const auto at = this->returnOf(*target, now);
+        if (!at)
             return {};
-        ends.push_back(*end);
+        returns.push_back(*at);
     }
-    return ends;
+    return returns;
 }
 
 // A stream that has begun cannot be refused. It waits for a target that can continue it in time.
-bool ServingGateway::mayAwaitEndOfPause(const Call& call, TimePoint now) const
+bool ServingGateway::mayAwaitReturn(const Call& call, TimePoint now) const
 {
     if (!call.hasResponseStarted)
         return false;
     const auto mayContinue = [&](const TargetEntry* target) {
-        const auto end = this->parts.health.pauses.end(target->id, now);
-        return end && *end < call.deadline && !call.tried.contains(target->id);
+        const auto at = this->returnOf(*target, now);
+        return at && *at < call.deadline && !call.tried.contains(target->id);
     };
     return std::ranges::any_of(this->parts.view.targets.available(call.service->name), mayContinue);
 }
 
-// Sets Retry-After to a time from the first end of a pause on. The callers are spread up to the last end, and over some
-// time after a single one: the first target that is free again could not serve all of them. A caller waits for a third
-// of its remaining time at most, so a spread beyond that would bring the callers back together.
-bool ServingGateway::recordPausedTargets(Call& call)
+// Returns the reason for a refusal if all targets of the service are paused or at their limits, and sets Retry-After to
+// a time from the first return of a target on. The callers are spread up to the last return, and over some time after a
+// single one: the first target that is free again could not serve all of them. A caller waits for a third of its
+// remaining time at most, so a spread beyond that would bring the callers back together.
+std::string_view ServingGateway::recordRestingTargets(Call& call)
 {
     const auto now = this->parts.clock.now();
-    const auto ends = this->endsOfAllPauses(call, now);
-    if (ends.empty())
-        return false;
-    const auto [earliest, latest] = std::ranges::minmax(ends);
+    const auto returns = this->returnsOfAllTargets(call, now);
+    if (returns.empty())
+        return {};
+    const auto [earliest, latest] = std::ranges::minmax(returns);
     const auto first = earliest - now + RetryAfterPrecision;
     const auto last = std::min(std::max(first + MinimumRetryAfter, latest - now), this->remaining(call) / 3);
     std::uniform_real_distribution<double> share { 0, 1 };
     const auto spread = std::max(Duration::zero(), last - first) * share(this->random);
     call.retryAfter = first + std::chrono::duration_cast<Duration>(spread);
+    const auto isPaused = [&](const TargetEntry* target) {
+        return this->parts.health.pauses.isPaused(target->id, now);
+    };
+    const auto paused = std::ranges::count_if(this->parts.view.targets.available(call.service->name), isPaused);
     this->parts.log.write("targets_paused",
         { { "id", call.metadata.attemptId }, { "service", call.service->name },
-            { "targets", static_cast<std::uint64_t>(ends.size()) }, { "first_end_ms", earliest - now },
-            { "last_end_ms", latest - now }, { "retry_after_ms", *call.retryAfter } });
-    return true;
+            { "targets", static_cast<std::uint64_t>(returns.size()) }, { "paused", static_cast<std::uint64_t>(paused) },
+            { "first_end_ms", earliest - now }, { "last_end_ms", latest - now },
+            { "retry_after_ms", *call.retryAfter } });
+    return static_cast<std::size_t>(paused) == returns.size() ? "targets_paused" : "targets_limited";
 }
 
 // Logs why a prompt was refused although there are targets.
@@ -385,12 +404,12 @@
     const bool isPastDeadline = this->remaining(call) <= Duration::zero();
     if (call.runs > 0 || (call.tries > 0 && isPastDeadline))
         co_return co_await this->refuse(call, isPastDeadline ? 504 : 502, "may_have_run");
-    const bool mayBePaused = !call.isQuarantined && !call.isRefusedByShutdown;
-    const bool arePaused = mayBePaused && this->recordPausedTargets(call);
+    const bool mayRest = !call.isQuarantined && !call.isRefusedByShutdown;
+    const auto resting = mayRest ? this->recordRestingTargets(call) : std::string_view {};
     co_await this->refuse(call, 503,
         call.isQuarantined             ? "quarantined"
             : call.isRefusedByShutdown ? "stopping"
-            : arePaused                ? "targets_paused"
+            : !resting.empty()         ? resting
             : call.hasNoCapacity       ? "no_place"
             : call.tries > 0           ? "targets_declined"
                                        : "no_target");
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -69,6 +69,10 @@
     // send a similar one.
     void onTargetCrash(std::function<void()> notify);
 
+    // `notify` is called when a target has a limit that is new or lower, or no longer has one, so that peers learn of
+    // it before they send to the target.
+    void onTargetLimitChanged(std::function<void()> notify);
+
     // Graceful shutdown: from `intakeUntil` on, requests whose deadline is after `endsAt` are refused.
     void beginShutdown(TimePoint intakeUntil, TimePoint endsAt);
 
@@ -121,9 +125,10 @@
     boost::asio::awaitable<void> refuse(Call& call, unsigned status, std::string_view reason);
     boost::asio::awaitable<void> waitUntilDeadline(Call& call);
     boost::asio::awaitable<void> waitForCallerDisconnect(Call& call);
-    std::vector<TimePoint> endsOfAllPauses(const Call& call, TimePoint now) const;
-    bool mayAwaitEndOfPause(const Call& call, TimePoint now) const;
-    bool recordPausedTargets(Call& call); // Whether all targets of the service are paused.
+    std::optional<TimePoint> returnOf(const TargetEntry& target, TimePoint now) const;
+    std::vector<TimePoint> returnsOfAllTargets(const Call& call, TimePoint now) const;
+    bool mayAwaitReturn(const Call& call, TimePoint now) const;
+    std::string_view recordRestingTargets(Call& call);
     void recordNotPlaced(Call& call, const TargetChoice& best);
     bool isQuarantined(Call& call) const;
     bool isIntakeClosedFor(const Call& call) const;
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -46,8 +46,9 @@
 // A helper that needs this long to decline is not answering the engine that asked it.
 constexpr Duration SilentHelperTime = std::chrono::seconds { 1 };
 
-// Allows the write unless the target began to leave, or asked for a pause, or the prompt was found to end targets,
-// while the connection or memory was awaited. Counts the attempts that may be executed: those that were written.
+// Allows the write unless the target began to leave, asked for a pause or stated a limit, or the prompt was found to
+// end targets, while the connection or memory was awaited. Counts the attempts that may be executed: those that were
+// written.
 class TargetWriteGate final : public WriteGate {
 public:
     TargetWriteGate(std::function<bool()> isOpen, unsigned& runs)
@@ -129,6 +130,7 @@
 {
     const auto& choice = attempt.choice;
     attempt.work = this->recordWork(choice);
+    attempt.permit.emplace(this->parts.health.limits, this->parts.clock, choice.target);
     call.currentTarget = choice.target.id;
     const auto now = this->parts.clock.now();
     this->parts.log.write("sent",
@@ -158,7 +160,8 @@
         this->parts.budget.recordFirstSend(call.service->name, now);
 
     const auto isOpen = [&] {
-        return this->acceptsRequests(choice.target) && !this->parts.quarantine.isQuarantined(call.sharedParts);
+        return this->acceptsRequests(choice.target) && !this->parts.quarantine.isQuarantined(call.sharedParts)
+            && attempt.permit->use();
     };
     TargetWriteGate gate { isOpen, call.runs };
     const auto sentAt = this->parts.clock.now();
@@ -254,9 +257,15 @@
     call.currentTarget.clear();
     const auto now = this->parts.clock.now();
     const auto pauseEnd = this->parts.health.pauses.end(target.id, now);
+    const bool hasLeft = !this->parts.view.targets.acceptsWork(target);
     this->parts.log.write("held_back",
         { { "id", call.metadata.attemptId }, { "target", target.id }, { "born", target.incarnation },
-            { "reason", pauseEnd ? "paused" : "left" }, { "pause_left_ms", pauseEnd.value_or(now) - now } });
+            { "reason",
+                hasLeft        ? "left"
+                    : pauseEnd ? "paused"
+                               : "limited" },
+            { "pause_left_ms", pauseEnd.value_or(now) - now },
+            { "limit_per_second", this->parts.health.limits.limit(target).value_or(0) } });
     this->parts.metrics.counter("marigold_held_back_requests_total").increment();
     return AttemptResult::NotSent;
 }
@@ -296,7 +305,10 @@
         MemoryReservation reservation { this->reservationPrefix + std::to_string(++this->lastReservation),
             choice.tokensPerReservation };
         forwarding.helpers[part].reservationId = reservation.id;
-        if (!this->acceptsRequests(engine))
+        // A reservation counts as a request.
+        const bool isAccepted
+            = this->acceptsRequests(engine) && this->parts.health.limits.tryTake(engine, this->parts.clock.now());
+        if (!isAccepted)
             this->recordHeldBack(call, engine);
         else if (co_await lease.add(engine, reservation) == MemoryOutcome::Done)
             continue;
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -200,8 +200,8 @@
                       settings.instance, settings.memoryLeaseDuration },
               TargetChooser { this->view.targets, this->ledger, this->health, settings.availabilityZone,
                   std::mt19937_64 { std::random_device {}() } })
-        , peers({ context, clock, this->view, this->follower, this->ledger, this->waiting, this->quarantine, this->log,
-                    this->metrics,
+        , peers({ context, clock, this->view, this->follower, this->ledger, this->waiting, this->quarantine,
+                    this->health.limits, this->log, this->metrics,
                     [this] {
                         this->callers.setLimits(limitsFrom(this->view.configuration()->values.limits));
                     } },
@@ -256,6 +256,7 @@
             this->metrics.gauge("marigold_targets_age_seconds").set(seconds(*age));
         this->metrics.gauge("marigold_configuration_version").set(static_cast<double>(this->view.version()));
         this->metrics.gauge("marigold_suspected_prompt_parts").set(static_cast<double>(this->quarantine.size()));
+        this->metrics.gauge("marigold_limited_targets").set(static_cast<double>(this->health.limits.size()));
         this->metrics.gauge("marigold_live_peers").set(static_cast<double>(this->peers.livePeers()));
         this->metrics.gauge("marigold_requests_active").set(static_cast<double>(this->callers.activeExchanges()));
         this->metrics.gauge("marigold_log_lines_dropped").set(static_cast<double>(this->log.dropped()));
@@ -312,6 +313,7 @@
     state.peers.start();
     state.gateway.onPromptPlaced([&state] { state.peers.notifyPeersNow(); });
     state.gateway.onTargetCrash([&state] { state.peers.announceCrashes(); });
+    state.gateway.onTargetLimitChanged([&state] { state.peers.announceLimits(); });
     asio::co_spawn(state.context, state.runHousekeeping(), asio::detached);
     return ports;
 }
--- a/src/serving/TargetAdvice.cpp
+++ b/src/serving/TargetAdvice.cpp
@@ -1,26 +1,30 @@
 #include "serving/TargetAdvice.h"
 
+#include <utility>
+
 namespace marigoldpaddle {
 
 TargetAdvice::TargetAdvice(
-    const Clock& clock, TargetDirectory& targets, TargetPauses& pauses, EventLog& log, MetricsRegistry& metrics)
+    const Clock& clock, TargetDirectory& targets, TargetHealth& health, EventLog& log, MetricsRegistry& metrics)
     : clock(clock)
     , targets(targets)
-    , pauses(pauses)
+    , health(health)
     , log(log)
     , metrics(metrics)
 {
 }
 
+void TargetAdvice::onLimitChanged(std::function<void()> notify)
+{
+    this->notifyLimit = std::move(notify);
+}
+
 void TargetAdvice::targetAnswered(
     const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId)
 {
     if (response.retryAfter)
         this->recordPause(target, *response.retryAfter, requestId);
-    if (response.requestLimit)
-        this->log.write("target_states_limit",
-            { { "id", requestId }, { "target", target.id }, { "born", target.incarnation },
-                { "per_second", *response.requestLimit } });
+    this->recordLimit(target, response, requestId);
     if (!response.isLeaving)
         return;
     if (!response.isMisdirected)
@@ -32,7 +36,7 @@
 
 void TargetAdvice::recordPause(const TargetEntry& target, Duration requested, std::string_view requestId)
 {
-    const auto length = this->pauses.pause(target.id, requested, this->clock.now());
+    const auto length = this->health.pauses.pause(target.id, requested, this->clock.now());
     if (!length)
         return;
     this->log.write("target_paused",
@@ -41,6 +45,26 @@
     this->metrics.counter("marigold_target_pauses_total").increment();
 }
 
+// An answer without a limit ends the limit only if the target itself gave it to this request: an order's answer need
+// not state limits, and another process may have answered in place of the target.
+void TargetAdvice::recordLimit(const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId)
+{
+    const bool isOwnAnswer = response.isSealed && response.attemptId == requestId;
+    if (response.isMisdirected || (!response.requestLimit && !isOwnAnswer))
+        return;
+    auto& limits = this->health.limits;
+    const auto previous = limits.limit(target);
+    const auto change = limits.recordAnswer(target, response.requestLimit, this->clock.now());
+    if (change == TargetLimits::Change::None)
+        return;
+    this->log.write("target_states_limit",
+        { { "id", requestId }, { "target", target.id }, { "born", target.incarnation },
+            { "previous_per_second", previous.value_or(0) }, { "per_second", limits.limit(target).value_or(0) } });
+    this->metrics.counter("marigold_target_limit_changes_total").increment();
+    if (change != TargetLimits::Change::Raised && this->notifyLimit)
+        this->notifyLimit();
+}
+
 void TargetAdvice::recordLeaving(const TargetEntry& target, std::string_view requestId)
 {
     if (!this->targets.markLeaving(target, this->clock.now()))
--- a/src/serving/TargetAdvice.h
+++ b/src/serving/TargetAdvice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string_view>
 
 #include <marigoldpaddle/Clock.h>
@@ -8,7 +9,7 @@
 #include "base/Metrics.h"
 #include "serving/CallFormat.h"
 #include "serving/TargetDirectory.h"
-#include "serving/TargetPauses.h"
+#include "serving/TargetHealth.h"
 
 namespace marigoldpaddle {
 
@@ -22,26 +23,32 @@
         = 0;
 };
 
-// Applies what targets say of themselves in their answers: that they leave, or want nothing from this instance for some
-// time. Logs and counts every change.
+// Applies what targets say of themselves in their answers: that they leave, want nothing from this instance for some
+// time, or take only so many requests a second from all instances. Logs and counts every change.
 class TargetAdvice final : public TargetAnswerObserver {
 public:
     // Everything that is passed by reference must outlive the object.
     TargetAdvice(
-        const Clock& clock, TargetDirectory& targets, TargetPauses& pauses, EventLog& log, MetricsRegistry& metrics);
+        const Clock& clock, TargetDirectory& targets, TargetHealth& health, EventLog& log, MetricsRegistry& metrics);
+
+    // `notify` is called when a target has a limit that is new or lower, or no longer has one, so that peers learn of
+    // it before they send to the target.
+    void onLimitChanged(std::function<void()> notify);
 
     void targetAnswered(
         const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId) override;
 
 private:
     void recordPause(const TargetEntry& target, Duration requested, std::string_view requestId);
+    void recordLimit(const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId);
     void recordLeaving(const TargetEntry& target, std::string_view requestId);
 
     const Clock& clock;
     TargetDirectory& targets;
-    TargetPauses& pauses;
+    TargetHealth& health;
     EventLog& log;
     MetricsRegistry& metrics;
+    std::function<void()> notifyLimit;
 };
 
 }
--- a/src/serving/TargetChooser.cpp
+++ b/src/serving/TargetChooser.cpp
@@ -69,7 +69,8 @@
 {
     auto targets = this->targets.available(request.service.name);
     std::erase_if(targets, [&](const TargetEntry* target) {
-        return request.excluded.contains(target->id) || this->health.pauses.isPaused(target->id, now);
+        return request.excluded.contains(target->id) || this->health.pauses.isPaused(target->id, now)
+            || !this->health.limits.mayTake(*target, now);
     });
     const auto isEjected = [&](const TargetEntry* target) {
         return this->health.isEjected(target->id, now);
@@ -207,9 +208,22 @@
     prompt.routeObjective = request.route.objective;
     prompt.remaining = request.remaining;
     prompt.tightestGap = request.service.tightestGap;
-    auto plan = peers > PeerExchange::Fanout
-        ? this->planByZone(placement, *request.service.engine, prompt, candidates, now)
-        : placement.plan(prompt, candidates);
+    const auto planAmong = [&](std::span<const EngineCandidate> engines) {
+        return peers > PeerExchange::Fanout ? this->planByZone(placement, *request.service.engine, prompt, engines, now)
+                                            : placement.plan(prompt, engines);
+    };
+    std::optional<PromptPlan> plan;
+    // Prefilling a part of a long prompt is no request, and yet work that a target with a limit is not fit for.
+    if (this->health.limits.size() > 0 && placement.isLong(prompt)) {
+        auto unlimited = candidates;
+        std::erase_if(unlimited,
+            [&](const EngineCandidate& candidate) { return this->health.limits.limit(*candidate.target).has_value(); });
+        plan = planAmong(unlimited);
+        if (plan)
+            candidates = std::move(unlimited);
+    }
+    if (!plan)
+        plan = planAmong(candidates);
     if (!plan)
         return std::nullopt;
     TargetChoice choice;
--- a/src/serving/TargetHealth.cpp
+++ b/src/serving/TargetHealth.cpp
@@ -69,6 +69,7 @@
 void TargetHealth::expire(TimePoint now)
 {
     this->pauses.expire(now);
+    this->limits.expire(now);
     std::erase_if(this->records, [&](const auto& item) {
         return now - std::max(item.second.updatedAt, item.second.lastActivityAt) > RecordLifetime;
     });
--- a/src/serving/TargetHealth.h
+++ b/src/serving/TargetHealth.h
@@ -6,6 +6,7 @@
 
 #include <marigoldpaddle/Clock.h>
 
+#include "serving/TargetLimits.h"
 #include "serving/TargetPauses.h"
 
 namespace marigoldpaddle {
@@ -35,10 +36,12 @@
     // Recent failure rate, 0 to 1.
     double failureRate(std::string_view target, TimePoint now) const;
 
-    // Drops records without an update for a minute, and pauses that have ended.
+    // Drops records without an update for a minute, pauses that have ended, and limits that are too old.
     void expire(TimePoint now);
 
-    TargetPauses pauses; // What targets ask for themselves, independent of outcomes.
+    // What targets ask for themselves, independent of outcomes.
+    TargetPauses pauses;
+    TargetLimits limits;
 
 private:
     struct Record {
--- a/standins/PlatformEngineStandin.cpp
+++ b/standins/PlatformEngineStandin.cpp
@@ -317,6 +317,8 @@
         header.set(LeavingHeader, "1");
     if (header.result() == http::status::service_unavailable && !this->faults.retryAfter.empty())
         header.set(http::field::retry_after, this->faults.retryAfter);
+    if (!this->faults.requestLimit.empty())
+        header.set(LimitHeader, this->faults.requestLimit);
 }
 
 HttpResponse PlatformEngineStandin::health() const
@@ -366,6 +368,7 @@
     readField(object, "refusing_orders", this->faults.isRefusingOrders);
     readField(object, "leaving", this->faults.isLeaving);
     readField(object, "retry_after", this->faults.retryAfter);
+    readField(object, "limit", this->faults.requestLimit);
     readField(object, "failures", this->faults.failures);
     readField(object, "cut_after_events", this->faults.cutAfterEvents);
     readField(object, "late_orders", this->faults.lateOrders);
--- a/standins/PlatformEngineStandin.h
+++ b/standins/PlatformEngineStandin.h
@@ -30,6 +30,7 @@
     bool isRefusingOrders { false }; // Rejects reservations with 503.
     bool isLeaving { false }; // States so in every answer to a prompt or an order; health checks pass.
     std::string retryAfter; // Retry-After of every 503; empty for none.
+    std::string requestLimit; // Requests a second, stated in every answer to a prompt or an order; empty for none.
     std::uint64_t failures { 0 }; // Counter of prompts that fail with 500 after their execution has started.
     std::uint64_t cutAfterEvents { 0 }; // Breaks the next stream in the event after this event id, once; 0 is off.
     std::uint64_t lateOrders { 0 }; // Counter of orders that get no response and are executed after orderDelayMs.
--- a/standins/ServiceStandin.cpp
+++ b/standins/ServiceStandin.cpp
@@ -138,6 +138,8 @@
 {
     if (this->faults.isLeaving)
         response.set(platform::LeavingHeader, "1");
+    if (!this->faults.requestLimit.empty())
+        response.set(platform::LimitHeader, this->faults.requestLimit);
     const auto attempt = fieldOf(request, platform::AttemptIdHeader);
     if (attempt.empty())
         return;
@@ -163,6 +165,7 @@
     readField(object, "leaving", this->faults.isLeaving);
     readField(object, "declining", this->faults.isDeclining);
     readField(object, "retry_after", this->faults.retryAfter);
+    readField(object, "limit", this->faults.requestLimit);
     readField(object, "down", this->faults.isDown);
     return jsonResponse(StatusOk, json::object {});
 }
--- a/standins/ServiceStandin.h
+++ b/standins/ServiceStandin.h
@@ -20,6 +20,7 @@
     bool isLeaving { false }; // States so in every answer to an order.
     bool isDeclining { false }; // Orders take no effect and get 503 with the not-executed header.
     std::string retryAfter; // Retry-After of every 503; empty for none.
+    std::string requestLimit; // Requests a second, stated in every answer to an order; empty for none.
     bool isDown { false }; // Connections are closed without a response; orders take no effect.
 };
 
--- a/test/PeerRunner_test.cpp
+++ b/test/PeerRunner_test.cpp
@@ -113,8 +113,9 @@
     LoadLedger ledger;
     WaitingPrompts waiting;
     PromptQuarantine quarantine;
+    TargetLimits limits;
     PeerRunner runner { { this->context, this->clock, this->view, this->follower, this->ledger, this->waiting,
-                            this->quarantine, this->log, this->metrics,
+                            this->quarantine, this->limits, this->log, this->metrics,
                             [] {
                             } },
         "127.0.0.1:0", "a", {}, Bound };
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -333,6 +333,14 @@
 
 // Instance to instance on the serving path, as one UDP datagram: the load that the sender has placed on targets, and
 // the age of its view of the platform. `sequence` increases within an incarnation. A notice expires after `validMs`.
+// What a target last stated of the requests that it takes from all instances together.
+struct TargetLimitRecord {
+    1: i64 target // Hash of its id.
+    2: i64 incarnation
+    3: double perSecond // Negative: it no longer has a limit.
+    4: i64 ageMs // Since the statement.
+}
+
 struct LoadNotice {
     1: string sender
     2: i64 incarnation
@@ -354,6 +362,7 @@
     18: bool partial // `loads` has only some of the targets; the loads of the others did not change.
     19: list<TargetCrashRecord> crashes // Those that the sender learned of lately; all of them for a new peer.
     20: list<SoundPartRecord> soundParts // Those that were cleared of crashes lately.
+    21: list<TargetLimitRecord> limits // Those that the sender learned of lately; all of them for a new peer.
 }
 
 // Instance to instance: requests records that the receiver has read from the platform. Sent when the sender cannot read
