Let targets at their limits help with long prompts

Cause: a target with a limit was left out of the placement of long prompts altogether. Prefilling a part of a prompt for another target is no request, and the engines without a limit had to prefill all of them.

Change: targets at their limits are candidates that take no request. They help with long prompts at a cost, so that others come first, and reserve memory only where others lack it. Ejected targets are tried again also if the others are at their limits.

--- a/src/serving/PromptPlacement.cpp
+++ b/src/serving/PromptPlacement.cpp
@@ -51,6 +51,8 @@
 constexpr double UsableMemoryShare = 0.65;
 // Each helper adds about one round trip and the remainder of a pass.
 constexpr double HelperCostMs = 10;
+// A target that limits its requests is spared as a helper while others are free.
+constexpr double LimitedHelperCostMs = 100;
 // A prompt larger than the memory of one engine is not placed if its first token is expected after more than this share
 // of the caller's remaining time: the first share applies if it would delay other answers, the second otherwise. The
 // rest of the time is for generating the answer.
@@ -152,7 +154,8 @@
     const PromptPlacementRequest& request, std::span<const EngineCandidate> candidates) const
 {
     const auto tokens = request.size.promptTokens + request.size.maximumOutputTokens;
-    if (candidates.empty() || this->memoryEnginesFor(tokens) > std::min(candidates.size(), MaximumHelpers + 1))
+    if (std::ranges::none_of(candidates, &EngineCandidate::takesRequest)
+        || this->memoryEnginesFor(tokens) > std::min(candidates.size(), MaximumHelpers + 1))
         return std::nullopt;
     return this->isLong(request) ? this->planLong(request, candidates) : this->planShort(request, candidates);
 }
@@ -181,6 +184,8 @@
     auto bestCost = std::numeric_limits<double>::infinity();
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const auto& candidate = candidates[index];
+        if (!candidate.takesRequest)
+            continue;
         const auto occupancy = static_cast<double>(candidate.load.running) / std::max(1U, this->profile.batchSlots);
         auto cost = candidate.load.backlogMs + FullBatchCostMs * std::pow(occupancy, 4)
             + ShortPromptPositionCostMs * positions[index] + candidate.extraCostMs
@@ -230,6 +235,7 @@
     const auto partMs = this->prefillMs(request.size.promptTokens) / static_cast<double>(parts);
     std::vector<double> costs(candidates.size());
     std::vector<double> decodeCosts(candidates.size());
+    std::vector<double> helperCosts(candidates.size());
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const auto& candidate = candidates[index];
         const bool exceedsGap = this->wouldExceedGap(candidate, partMs + candidate.load.backlogMs);
@@ -240,17 +246,22 @@
         // The answer is generated in passes that the decode engine shares with its other prefills and answers.
         decodeCosts[index] = costs[index] + this->passMs(candidate.load)
             + (this->hasMemory(candidate, tokens) ? 0 : NoCapacityCostMs + ConcurrentPrefillCostMs);
+        if (!candidate.takesRequest)
+            decodeCosts[index] = std::numeric_limits<double>::infinity();
+        helperCosts[index] = costs[index] + HelperCostMs + (candidate.isLimited ? LimitedHelperCostMs : 0);
     }
     SplitPlan split;
     split.decodeEngine = static_cast<std::size_t>(std::ranges::min_element(decodeCosts) - decodeCosts.begin());
-    costs[split.decodeEngine] = std::numeric_limits<double>::infinity();
+    helperCosts[split.decodeEngine] = std::numeric_limits<double>::infinity();
     std::vector<std::size_t> order(candidates.size());
     std::iota(order.begin(), order.end(), std::size_t { 0 });
     // Engines with free memory for a part of the prompt come first; the decode engine is no helper and comes last.
     const auto holdsNoMemory = [&](std::size_t index) {
-        return index == split.decodeEngine || (memoryEngines > 1 && !this->hasMemory(candidates[index], tokens));
+        const bool canReserve = this->hasMemory(candidates[index], tokens) && !candidates[index].isLimited;
+        return index == split.decodeEngine || (memoryEngines > 1 && !canReserve);
     };
-    std::ranges::sort(order, {}, [&](std::size_t index) { return std::pair { holdsNoMemory(index), costs[index] }; });
+    std::ranges::sort(
+        order, {}, [&](std::size_t index) { return std::pair { holdsNoMemory(index), helperCosts[index] }; });
     split.helpers.assign(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(parts - 1));
 
     split.costMs = decodeCosts[split.decodeEngine];
@@ -264,7 +275,7 @@
     split.delayedWeight = delayedWeightOn(split.decodeEngine);
     for (const auto helper : split.helpers) {
         split.delayedWeight += delayedWeightOn(helper);
-        split.costMs += costs[helper] + HelperCostMs;
+        split.costMs += helperCosts[helper];
         split.expectedMs = std::max(split.expectedMs, candidates[helper].load.backlogMs);
         split.delaysOthers |= costs[helper] >= DelayedAnswerCostMs;
     }
--- a/src/serving/PromptPlacement.h
+++ b/src/serving/PromptPlacement.h
@@ -27,6 +27,8 @@
     TargetLoad load;
     double extraCostMs { 0 }; // For recent failures, and random jitter.
     bool isLocal { false }; // In this instance's availability zone.
+    bool isLimited { false }; // It limits the requests that it takes. Helping is no request, but reserving memory is.
+    bool takesRequest { true }; // Within its limit.
 };
 
 // Engines chosen for a prompt, as indexes into the candidates. The decode engine generates the answer; helpers prefill
--- a/src/serving/TargetChooser.cpp
+++ b/src/serving/TargetChooser.cpp
@@ -69,14 +69,16 @@
 {
     auto targets = this->targets.available(request.service.name);
     std::erase_if(targets, [&](const TargetEntry* target) {
-        return request.excluded.contains(target->id) || this->health.pauses.isPaused(target->id, now)
-            || !this->health.limits.mayTake(*target, now);
+        return request.excluded.contains(target->id) || this->health.pauses.isPaused(target->id, now);
     });
     const auto isEjected = [&](const TargetEntry* target) {
         return this->health.isEjected(target->id, now);
     };
-    // If all targets are ejected, all of them stay eligible: a send tests whether one has recovered.
-    if (!std::ranges::all_of(targets, isEjected))
+    const auto takesNothing = [&](const TargetEntry* target) {
+        return isEjected(target) || !this->health.limits.mayTake(*target, now);
+    };
+    // If no other target takes the request, the ejected ones stay eligible: a send tests whether one has recovered.
+    if (!std::ranges::all_of(targets, takesNothing))
         std::erase_if(targets, isEjected);
     return targets;
 }
@@ -87,6 +89,8 @@
     auto bestCost = std::numeric_limits<double>::max();
     std::uniform_real_distribution<double> jitter { 0, JitterWeight };
     for (const auto* target : this->eligibleTargets(request, now)) {
+        if (!this->health.limits.mayTake(*target, now))
+            continue;
         const auto running = static_cast<double>(this->ledger.total(target->id, now).running);
         const auto cost = running / target->slots + FailureWeight * this->health.failureRate(target->id, now)
             + (target->availabilityZone == this->availabilityZone ? 0 : RemoteZoneWeight) + jitter(this->random);
@@ -199,7 +203,8 @@
     for (const auto* target : this->eligibleTargets(request, now)) {
         candidates.push_back({ target, this->ledger.total(target->id, now),
             FailurePenaltyMs * this->health.failureRate(target->id, now) + jitter(this->random),
-            target->availabilityZone == this->availabilityZone });
+            target->availabilityZone == this->availabilityZone, this->health.limits.limit(*target).has_value(),
+            this->health.limits.mayTake(*target, now) });
     }
     const PromptPlacement placement { *request.service.engine };
     PromptPlacementRequest prompt;
@@ -208,22 +213,9 @@
     prompt.routeObjective = request.route.objective;
     prompt.remaining = request.remaining;
     prompt.tightestGap = request.service.tightestGap;
-    const auto planAmong = [&](std::span<const EngineCandidate> engines) {
-        return peers > PeerExchange::Fanout ? this->planByZone(placement, *request.service.engine, prompt, engines, now)
-                                            : placement.plan(prompt, engines);
-    };
-    std::optional<PromptPlan> plan;
-    // Prefilling a part of a long prompt is no request, and yet work that a target with a limit is not fit for.
-    if (this->health.limits.size() > 0 && placement.isLong(prompt)) {
-        auto unlimited = candidates;
-        std::erase_if(unlimited,
-            [&](const EngineCandidate& candidate) { return this->health.limits.limit(*candidate.target).has_value(); });
-        plan = planAmong(unlimited);
-        if (plan)
-            candidates = std::move(unlimited);
-    }
-    if (!plan)
-        plan = planAmong(candidates);
+    auto plan = peers > PeerExchange::Fanout
+        ? this->planByZone(placement, *request.service.engine, prompt, candidates, now)
+        : placement.plan(prompt, candidates);
     if (!plan)
         return std::nullopt;
     TargetChoice choice;
--- a/src/serving/TargetChooser.h
+++ b/src/serving/TargetChooser.h
@@ -58,6 +58,7 @@
     std::optional<TargetChoice> choose(const ChoiceRequest& request, TimePoint now);
 
 private:
+    // Includes targets at their limits, which may still help with a prompt.
     std::vector<const TargetEntry*> eligibleTargets(const ChoiceRequest& request, TimePoint now) const;
     std::optional<TargetChoice> choosePlain(const ChoiceRequest& request, TimePoint now);
     double startupJitterMs(TimePoint now);
--- a/test/TargetChooser_test.cpp
+++ b/test/TargetChooser_test.cpp
@@ -68,6 +68,57 @@
         EXPECT_NE(this->choosePlain(chooser).value().target.id, "p1");
 }
 
+// A limit that is not this instance's share: it may send nothing.
+TEST_F(TargetChooserTest, TargetAtItsLimitIsNotChosen)
+{
+    this->health.limits.recordAnswer(*this->targets.find("p1"), 1, this->now);
+    auto chooser = this->chooser(this->ledger, 1);
+    for (int call = 0; call < 50; ++call)
+        EXPECT_NE(this->choosePlain(chooser).value().target.id, "p1");
+}
+
+// Two targets are ejected, and the third takes no further request now. The service would seem to have no target.
+TEST_F(TargetChooserTest, EjectedTargetIsTriedWhileTheOthersAreAtTheirLimits)
+{
+    this->health.limits.recordAnswer(*this->targets.find("p1"), 1, this->now);
+    this->health.recordOutcome("p0", SendOutcome::Unreachable, this->now);
+    this->health.recordOutcome("p2", SendOutcome::Unreachable, this->now);
+    auto chooser = this->chooser(this->ledger, 1);
+    const auto choice = this->choosePlain(chooser);
+    ASSERT_TRUE(choice);
+    EXPECT_NE(choice->target.id, "p1");
+}
+
+// Most engines take few requests. Long prompts were prefilled by the remaining ones alone, and missed their objectives.
+TEST_F(TargetChooserTest, EnginesAtTheirLimitsStillHelpWithALongPrompt)
+{
+    this->route.objective = 3s;
+    for (int number = 2; number < 21; ++number)
+        this->health.limits.recordAnswer(*this->targets.find("e" + std::to_string(100 + number)), 1, this->now);
+    auto chooser = this->chooser(this->ledger, 1);
+    const auto choice
+        = chooser.choose({ this->route, this->engines, PromptSize { 210'000, 700 }, this->tried, {}, 15s }, this->now);
+    ASSERT_TRUE(choice);
+    EXPECT_FALSE(this->health.limits.limit(choice->target));
+    EXPECT_GE(choice->helpers.size(), 2U);
+    EXPECT_EQ(choice->reservations, 0U);
+}
+
+TEST_F(TargetChooserTest, EngineWithoutALimitIsPreferredAsAHelper)
+{
+    for (int number = 0; number < 10; ++number)
+        this->health.limits.recordAnswer(*this->targets.find("e" + std::to_string(100 + number)), 1, this->now);
+    auto chooser = this->chooser(this->ledger, 1);
+    const ChoiceRequest request { this->route, this->engines, PromptSize { 60'000, 700 }, this->tried, {}, 15s };
+    EXPECT_TRUE(chooser.choose(request, this->now));
+    this->now += 3s; // Until then, an instance that knows of no work places at random.
+    const auto choice = chooser.choose(request, this->now);
+    ASSERT_TRUE(choice);
+    ASSERT_FALSE(choice->helpers.empty());
+    for (const auto& helper : choice->helpers)
+        EXPECT_FALSE(this->health.limits.limit(helper)) << helper.id;
+}
+
 // Ejected targets stay eligible if there are no others. Paused ones must not.
 TEST_F(TargetChooserTest, NoTargetIsChosenWhenAllArePaused)
 {
