Log a fingerprint of each request that ends without an answer

Change: requestFingerprint() hashes method, host, path, caller and body; ended_without_answer has it for each attempt whose connection ended before the answer began. No decision changes.

Attempt ids and other headers do not count, each of the five parts does.

--- /dev/null
+++ b/src/serving/RequestFingerprint.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+#include "base/Http.h"
+
+namespace marigoldpaddle {
+
+// Identifies a request that comes again: hash of its method, host, path with query, caller and body. The ids of its
+// attempts and other headers do not count. `caller` may be empty.
+std::uint64_t requestFingerprint(const HttpRequest& request, std::string_view caller);
+
+}
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -5,6 +5,7 @@
 #include <random>
 #include <utility>
 
+#include "serving/RequestFingerprint.h"
 #include "serving/ServingCall.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -112,6 +113,7 @@
     }
     if (!this->admit(call))
         co_return co_await this->refuse(call, 401, "unknown_key");
+    call.fingerprint = requestFingerprint(exchange.request(), call.workspace);
     const auto allowedTime = std::min(call.route->timeout, call.metadata.remaining.value_or(call.route->timeout));
     call.deadline = call.receivedAt + allowedTime - ResponseMargin;
     if (this->isIntakeClosedFor(call))
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -148,6 +148,7 @@
     AttemptResult recordDeclined(
         Call& call, const TargetChoice& choice, const ResponseMetadata& response, TimePoint sentAt);
     void recordSilence(const Call& call, const Attempt& attempt);
+    void recordEndWithoutAnswer(Call& call, const TargetEntry& target, TimePoint sentAt);
     void recordCutBeforeEvents(const Call& call, const std::string& target);
     void recordSound(const Call& call, Attempt& attempt);
     void recordInterruptedAttempt(Call& call, std::string_view detail);
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -181,6 +181,8 @@
     if (gate.isHeldBack)
         co_return this->recordHeldBack(call, choice.target);
     if (!answer) {
+        if (gate.isWritten && answer.error() == HttpError::NoAnswer)
+            this->recordEndWithoutAnswer(call, choice.target, sentAt);
         this->recordOutcome(call, choice.target, SendOutcome::Unreachable, name(answer.error()));
         co_return gate.isWritten ? AttemptResult::MayHaveRun : AttemptResult::NotSent;
     }
@@ -360,6 +362,17 @@
 }
 
 // Logs an attempt that was cut off while its target had the request. It says nothing about the target's health.
+// Records an attempt whose connection ended before the answer began: the target may have ended because of the request.
+void ServingGateway::recordEndWithoutAnswer(Call& call, const TargetEntry& target, TimePoint sentAt)
+{
+    if (call.isAbandoned)
+        return;
+    this->parts.log.write("ended_without_answer",
+        { { "id", call.metadata.attemptId }, { "target", target.id }, { "born", target.incarnation },
+            { "workspace", call.workspace.empty() ? "-" : std::string_view { call.workspace } },
+            { "fingerprint", call.fingerprint }, { "ran_ms", this->parts.clock.now() - sentAt } });
+}
+
 void ServingGateway::recordInterruptedAttempt(Call& call, std::string_view detail)
 {
     if (call.currentTarget.empty())
