Add failing tests of a request that comes again and ends its targets

The same request comes 20 times, under new attempt ids, to twelve targets that end when they run it: on a safe, an unsafe and a stream's route, before the header and after it.

The prompts of ServingGatewayQuarantineTest get bodies of their own, as different prompts have: with equal bodies a relation between equal requests would make these tests pass without one between equal parts.

--- a/test/ServingGatewayQuarantine_test.cpp
+++ b/test/ServingGatewayQuarantine_test.cpp
@@ -100,6 +100,8 @@
         auto request = this->request(path);
         request.set("Marigoldpaddle-Attempt-Id", "attempt" + std::to_string(++this->prompts));
         request.set("Marigoldpaddle-Prompt-Prefix", parts);
+        request.body() = "prompt " + std::to_string(this->prompts);
+        request.prepare_payload();
         return this->call(std::move(request));
     }
 
@@ -223,5 +225,84 @@
     EXPECT_GE(this->budget.remaining("s", this->clock.now()), before);
 }
 
+// The same request comes again and again, under new attempt ids, and ends each target that runs it.
+class ServingGatewayRepeatedRequestTest : public ServingGatewayTest {
+protected:
+    ServingGatewayRepeatedRequestTest()
+    {
+        for (int index = 2; index <= 12; ++index) {
+            this->others.push_back(std::make_unique<ScriptedTarget>(this->context));
+            this->registerTarget("t" + std::to_string(index), this->others.back()->address);
+        }
+    }
+
+    void setReaction(const ScriptedTarget::Reaction& reaction)
+    {
+        this->first.script = { reaction };
+        for (auto& target : this->others)
+            target->script = { reaction };
+    }
+
+    // Ends under the body "bad". Other requests are answered.
+    static ScriptedTarget::Reaction endsUnderBody(const ScriptedTarget::Reaction& end)
+    {
+        return [=](HttpExchange& exchange) -> asio::awaitable<void> {
+            const auto reaction = exchange.request().body() == "bad" ? end : events("id: 1\n\n", true);
+            co_await reaction(exchange);
+        };
+    }
+
+    unsigned send(const std::string& path, const std::string& body)
+    {
+        auto request = this->request(path);
+        request.set("Marigoldpaddle-Attempt-Id", "attempt" + std::to_string(++this->sent));
+        request.body() = body;
+        request.prepare_payload();
+        const auto answered = this->call(std::move(request));
+        return answered ? answered.value().result_int() : 0;
+    }
+
+    std::size_t received() const
+    {
+        return std::accumulate(this->others.begin(), this->others.end(), this->first.received.size(),
+            [](std::size_t sum, const auto& target) { return sum + target->received.size(); });
+    }
+
+    // Three targets end before the request is suspected; one more may run it at that moment.
+    void expectFewTargetsEnd(const std::string& path)
+    {
+        for (int repetition = 0; repetition < 20; ++repetition)
+            this->send(path, "bad");
+        EXPECT_LE(this->received(), 4U);
+    }
+
+    std::vector<std::unique_ptr<ScriptedTarget>> others;
+    unsigned sent { 0 };
+};
+
+TEST_F(ServingGatewayRepeatedRequestTest, SafeRequestUnderWhichTargetsEndIsNoLongerSent)
+{
+    this->setReaction(endsUnderBody(closeWithoutAnswer()));
+    this->expectFewTargetsEnd("/safe/x");
+}
+
+TEST_F(ServingGatewayRepeatedRequestTest, UnsafeRequestUnderWhichTargetsEndIsNoLongerSent)
+{
+    this->setReaction(endsUnderBody(closeWithoutAnswer()));
+    this->expectFewTargetsEnd("/unsafe/x");
+}
+
+TEST_F(ServingGatewayRepeatedRequestTest, StreamUnderWhichTargetsEndBeforeItsHeaderIsNoLongerSent)
+{
+    this->setReaction(endsUnderBody(closeWithoutAnswer()));
+    this->expectFewTargetsEnd("/stream/x");
+}
+
+TEST_F(ServingGatewayRepeatedRequestTest, StreamUnderWhichTargetsEndAfterItsHeaderIsNoLongerSent)
+{
+    this->setReaction(endsUnderBody(events("id: 1", false)));
+    this->expectFewTargetsEnd("/stream/x");
+}
+
 }
 }
