Stop sending a request under which targets end

The requests of all others on these servers ended with them, and in between no server was left.

Cause: an attempt that ended without an answer counted as a failure of the target only. The request was sent to the next target, and its next repetition to all of them again. PromptQuarantine related ends of targets to parts of prompts, and only after a header, but not to the whole request.

Ruled out: load after the others had ended, since new servers end within 0.2 s of the next request of that route and workspace, with hardly any other request on them. That the requests are the same one is inferred from the users' words and the waves of one route and workspace: a second play writes no logs, so that the fingerprints were not seen.

Change: the fingerprint of a request counts as a part that only its repetitions have. An end before the header is recorded under it, one after the header under it and the parts. Three ends of targets under two attempts quarantine it, at all instances, by the notices that crashes have had. A request with a sound answer of the last 30 s is not blamed, so that a popular request is not refused for another fault; sound answers are forgotten by age, where any one could be forgotten before. Ends count by the target's incarnation. Two fingerprints do not explain each other.

--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -268,7 +268,7 @@
         }
         for (const auto& record : notice.crashes) {
             TargetCrash crash { static_cast<std::uint64_t>(record.target), static_cast<std::uint64_t>(record.request),
-                {}, now - toAge(record.ageMs) };
+                {}, now - toAge(record.ageMs), static_cast<std::uint64_t>(record.fingerprint) };
             std::ranges::transform(record.parts, std::back_inserter(crash.parts),
                 [](std::int64_t part) { return static_cast<std::uint64_t>(part); });
             if (!quarantine.recordCrash(std::move(crash), now))
@@ -324,6 +324,7 @@
             record.request = static_cast<std::int64_t>(crash.request);
             record.parts.assign(crash.parts.begin(), crash.parts.end());
             record.ageMs = milliseconds(now - crash.at);
+            record.fingerprint = static_cast<std::int64_t>(crash.fingerprint);
         }
         const auto cleared = quarantine.partsClearedSince(since);
         for (const auto& sound : cleared | std::views::reverse | std::views::take(MaximumCrashesPerNotice)) {
--- a/src/serving/PromptQuarantine.cpp
+++ b/src/serving/PromptQuarantine.cpp
@@ -5,6 +5,25 @@
 
 namespace marigoldpaddle {
 
+namespace {
+
+// What other requests may have in common with that of the crash.
+std::vector<std::uint64_t> traitsOf(const TargetCrash& crash)
+{
+    auto traits = crash.parts;
+    if (crash.fingerprint != 0)
+        traits.push_back(crash.fingerprint);
+    return traits;
+}
+
+// Whether nothing about the request may be at fault.
+bool isExplained(const TargetCrash& crash)
+{
+    return crash.parts.empty() && crash.fingerprint == 0;
+}
+
+}
+
 PromptQuarantine::PromptQuarantine(Duration duration)
     : duration(duration)
 {
@@ -16,15 +35,12 @@
         return known.crash.target == crash.target && known.crash.request == crash.request;
     };
     if (crash.at + this->duration <= now || std::ranges::any_of(this->crashes, isSame)
-        || this->isQuarantined(crash.parts))
+        || this->isQuarantined(traitsOf(crash)))
         return false;
     crash.parts.resize(std::min(crash.parts.size(), MaximumParts));
-    for (const auto part : crash.parts) {
-        if (this->isSound(part, crash.at))
-            this->recordCleared(part, now);
-    }
-    std::erase_if(crash.parts, [&](std::uint64_t part) { return this->isSound(part, crash.at); });
-    if (crash.parts.empty())
+    for (const auto part : traitsOf(crash))
+        this->clearIfSound(crash, part, now);
+    if (isExplained(crash))
         return false;
     if (this->crashes.size() >= MaximumCrashes)
         this->crashes.erase(this->crashes.begin());
@@ -33,21 +49,35 @@
     return true;
 }
 
+// Removes the part from the crash if it was in a sound answer. Returns whether it did.
+bool PromptQuarantine::clearIfSound(TargetCrash& crash, std::uint64_t part, TimePoint now)
+{
+    const bool isFingerprint = crash.fingerprint == part;
+    if ((!isFingerprint && std::ranges::count(crash.parts, part) == 0) || !this->isSound(part, crash.at))
+        return false;
+    std::erase(crash.parts, part);
+    if (isFingerprint)
+        crash.fingerprint = 0;
+    this->recordCleared(part, now);
+    return true;
+}
+
 void PromptQuarantine::recordSound(std::span<const std::uint64_t> parts, TimePoint at)
 {
-    bool isChanged = false;
     for (const auto part : parts) {
-        if (this->soundAt.size() >= MaximumSoundParts && !this->soundAt.contains(part))
-            this->soundAt.erase(this->soundAt.begin());
-        this->soundAt[part] = std::max(this->soundAt[part], at);
-        bool isCleared = false;
-        for (auto& known : this->crashes) {
-            if (this->isSound(part, known.crash.at))
-                isCleared |= std::erase(known.crash.parts, part) > 0;
-        }
-        if (isCleared)
-            this->recordCleared(part, at);
-        isChanged |= isCleared;
+        const auto found = this->soundParts.find(part);
+        if (found != this->soundParts.end())
+            this->soundParts.modify(found, [&](SoundPart& sound) { sound.at = std::max(sound.at, at); });
+        else
+            this->soundParts.insert({ part, at });
+    }
+    auto& oldest = this->soundParts.get<1>();
+    while (oldest.size() > MaximumSoundParts)
+        oldest.erase(oldest.begin());
+    bool isChanged = false;
+    for (auto& known : this->crashes) {
+        for (const auto part : parts)
+            isChanged |= this->clearIfSound(known.crash, part, at);
     }
     if (isChanged)
         this->update();
@@ -55,8 +85,8 @@
 
 bool PromptQuarantine::isSound(std::uint64_t part, TimePoint crashedAt) const
 {
-    const auto sound = this->soundAt.find(part);
-    return sound != this->soundAt.end() && sound->second + SoundLifetime >= crashedAt;
+    const auto sound = this->soundParts.find(part);
+    return sound != this->soundParts.end() && sound->at + SoundLifetime >= crashedAt;
 }
 
 void PromptQuarantine::recordCleared(std::uint64_t part, TimePoint now)
@@ -64,7 +94,7 @@
     std::erase_if(this->cleared, [&](const ClearedPart& one) { return one.sound.part == part; });
     if (this->cleared.size() >= MaximumCrashes)
         this->cleared.erase(this->cleared.begin());
-    this->cleared.push_back({ { part, this->soundAt[part] }, now });
+    this->cleared.push_back({ *this->soundParts.find(part), now });
 }
 
 bool PromptQuarantine::isQuarantined(std::span<const std::uint64_t> parts) const
@@ -89,7 +119,7 @@
 {
     std::vector<TargetCrash> learned;
     for (const auto& known : this->crashes) {
-        if (known.learnedAt >= since && !known.crash.parts.empty())
+        if (known.learnedAt >= since && !isExplained(known.crash))
             learned.push_back(known.crash);
     }
     return learned;
@@ -112,7 +142,8 @@
 
 void PromptQuarantine::expire(TimePoint now)
 {
-    std::erase_if(this->soundAt, [&](const auto& item) { return item.second + SoundLifetime <= now; });
+    auto& oldest = this->soundParts.get<1>();
+    oldest.erase(oldest.begin(), oldest.upper_bound(now - SoundLifetime));
     std::erase_if(this->cleared, [&](const ClearedPart& one) { return one.clearedAt + this->duration <= now; });
     const auto erased
         = std::erase_if(this->crashes, [&](const KnownCrash& known) { return known.crash.at + this->duration <= now; });
@@ -150,8 +181,8 @@
 {
     std::map<std::uint64_t, CrashSet> byPart;
     for (std::size_t index = 0; index < this->crashes.size(); ++index) {
-        for (const auto part : this->crashes[index].crash.parts)
-            byPart[part].insert(index);
+        for (const auto trait : traitsOf(this->crashes[index].crash))
+            byPart[trait].insert(index);
     }
     return byPart;
 }
@@ -179,13 +210,18 @@
 void PromptQuarantine::update()
 {
     const auto byPart = this->crashesByPart();
+    PartSet fingerprints;
+    for (const auto& known : this->crashes)
+        fingerprints.insert(known.crash.fingerprint);
     this->quarantined.clear();
     for (const auto& [part, crashSet] : byPart) {
         if (!this->isSuspected(crashSet))
             continue;
         PartSet together { part };
         for (const auto& [other, otherCrashes] : byPart) {
-            if (this->occursWith(crashSet, otherCrashes))
+            // No request has two fingerprints.
+            const bool areApart = fingerprints.contains(part) && fingerprints.contains(other);
+            if (!areApart && this->occursWith(crashSet, otherCrashes))
                 together.insert(other);
         }
         this->quarantined.push_back(std::move(together));
--- a/src/serving/PromptQuarantine.h
+++ b/src/serving/PromptQuarantine.h
@@ -4,31 +4,39 @@
 #include <map>
 #include <set>
 #include <span>
-#include <unordered_map>
 #include <vector>
 
+#include <boost/multi_index/hashed_index.hpp>
+#include <boost/multi_index/member.hpp>
+#include <boost/multi_index/ordered_index.hpp>
+#include <boost/multi_index_container.hpp>
+
 #include <marigoldpaddle/Clock.h>
 
 namespace marigoldpaddle {
 
-// A target that ended after it had begun to answer a prompt and before its first event. Ids are hashes.
+// A target that ended under a request before the first event of its answer. Ids are hashes.
 struct TargetCrash {
-    std::uint64_t target { 0 };
-    std::uint64_t request { 0 };
+    std::uint64_t target { 0 }; // Of one incarnation.
+    std::uint64_t request { 0 }; // Of one attempt of a caller.
     std::vector<std::uint64_t> parts; // Parts of the prompt that other prompts may have too.
     TimePoint at {};
+    std::uint64_t fingerprint { 0 }; // Of the whole request, which may come again; 0 if unknown.
 };
 
-// The last sound answer to a prompt with a part.
+// The last sound answer to a request with a part, or to the whole request.
 struct SoundPart {
     std::uint64_t part { 0 };
     TimePoint at {};
 };
 
-// Finds the part of a prompt under which targets end, and quarantines prompts with it: each of them would end another
-// target. A part is suspected when several targets ended under it, with more than one request, and no answer to a
-// prompt with it was sound lately. If another part occurs in nearly all of these crashes, only prompts with both are
-// quarantined: one with either of them tells which it is. Pure computation, no I/O.
+// Finds the part of a prompt, or the whole request, under which targets end, and quarantines requests with it: each of
+// them would end another target. A part is suspected when several targets ended under it, with more than one attempt of
+// callers, and no answer to a prompt with it was sound lately. If another part occurs in nearly all of these crashes,
+// only prompts with both are quarantined: one with either of them tells which it is.
+//
+// A request that comes again counts as a part that only its repetitions have. The parts of its prompt then occur in all
+// of its crashes, so that other prompts with them are sent. Pure computation, no I/O.
 class PromptQuarantine {
 public:
     // Number of targets that end before a part is suspected. One or two may end for reasons of their own.
@@ -41,7 +49,8 @@
     // A target that ends again after this time has been back in between.
     static constexpr Duration ReturnTime = std::chrono::seconds { 2 };
     static constexpr std::size_t MaximumParts = 32; // Of one crash; further ones are ignored.
-    static constexpr std::size_t MaximumCrashes = 64;
+    // A target takes the requests that wait for their answers with it, and each of these is a crash.
+    static constexpr std::size_t MaximumCrashes = 256;
     static constexpr std::size_t MaximumSoundParts = 4096;
     // A part in a sound answer is not at fault for crashes up to this much later.
     static constexpr Duration SoundLifetime = std::chrono::seconds { 30 };
@@ -53,7 +62,8 @@
     // under quarantine, so that it tells something.
     bool recordCrash(TargetCrash crash, TimePoint now);
 
-    // Records that an answer to a prompt with these parts was written for a while, so that they are not at fault.
+    // Records that an answer to a request with these parts was written for a while, so that they are not at fault. A
+    // fingerprint counts as a part here and in isQuarantined().
     void recordSound(std::span<const std::uint64_t> parts, TimePoint at);
 
     bool isQuarantined(std::span<const std::uint64_t> parts) const;
@@ -85,12 +95,19 @@
         TimePoint clearedAt {};
     };
 
+    // Sound answers by part, and in the order of their times.
+    using SoundParts = boost::multi_index_container<SoundPart,
+        boost::multi_index::indexed_by<
+            boost::multi_index::hashed_unique<boost::multi_index::member<SoundPart, std::uint64_t, &SoundPart::part>>,
+            boost::multi_index::ordered_non_unique<boost::multi_index::member<SoundPart, TimePoint, &SoundPart::at>>>>;
+
     using CrashSet = std::set<std::size_t>; // Indexes into `crashes`.
     using PartSet = std::set<std::uint64_t>;
 
     void update();
     std::map<std::uint64_t, CrashSet> crashesByPart() const;
     bool isSound(std::uint64_t part, TimePoint crashedAt) const;
+    bool clearIfSound(TargetCrash& crash, std::uint64_t part, TimePoint now);
     void recordCleared(std::uint64_t part, TimePoint now);
     bool isSuspected(const CrashSet& crashSet) const;
     std::set<std::uint64_t> targetsOf(const CrashSet& crashSet) const;
@@ -99,7 +116,7 @@
     Duration duration;
     std::vector<KnownCrash> crashes; // In the order in which they were learned.
     std::vector<ClearedPart> cleared; // Likewise.
-    std::unordered_map<std::uint64_t, TimePoint> soundAt; // Last sound answer with each part.
+    SoundParts soundParts; // The last sound answer with each part.
     std::vector<PartSet> quarantined; // A prompt with all parts of one of these is quarantined.
 };
 
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -114,6 +114,8 @@
     if (!this->admit(call))
         co_return co_await this->refuse(call, 401, "unknown_key");
     call.fingerprint = requestFingerprint(exchange.request(), call.workspace);
+    call.traits = call.sharedParts;
+    call.traits.push_back(call.fingerprint);
     const auto allowedTime = std::min(call.route->timeout, call.metadata.remaining.value_or(call.route->timeout));
     call.deadline = call.receivedAt + allowedTime - ResponseMargin;
     if (this->isIntakeClosedFor(call))
@@ -246,10 +248,10 @@
     }
 }
 
-// Whether targets end under a part of the prompt. It is refused for as long as that is believed.
+// Whether targets end under the request or a part of its prompt. It is refused for as long as that is believed.
 bool ServingGateway::isQuarantined(Call& call) const
 {
-    if (!this->parts.quarantine.isQuarantined(call.sharedParts))
+    if (!this->parts.quarantine.isQuarantined(call.traits))
         return false;
     call.isQuarantined = true;
     call.retryAfter = std::max(DefaultRetryAfter, this->parts.quarantine.remaining(this->parts.clock.now()));
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -109,7 +109,7 @@
     AttemptResult checkAnswer(Call& call, Attempt& attempt, TimePoint sentAt);
     boost::asio::awaitable<bool> reserveMemory(
         Call& call, const TargetChoice& choice, MemoryLease& lease, ForwardingMetadata& forwarding);
-    boost::asio::awaitable<AttemptResult> relayWhole(Call& call, HttpCall& answer, const std::string& target);
+    boost::asio::awaitable<AttemptResult> relayWhole(Call& call, HttpCall& answer, const TargetEntry& target);
     boost::asio::awaitable<AttemptResult> relayStream(Call& call, std::unique_ptr<Attempt>& attempt);
     boost::asio::awaitable<AttemptResult> relayEvents(Call& call, Attempt& attempt);
     boost::asio::awaitable<AttemptResult> leaveToSuccessor(Attempt& attempt);
@@ -149,7 +149,8 @@
         Call& call, const TargetChoice& choice, const ResponseMetadata& response, TimePoint sentAt);
     void recordSilence(const Call& call, const Attempt& attempt);
     void recordEndWithoutAnswer(Call& call, const TargetEntry& target, TimePoint sentAt);
-    void recordCutBeforeEvents(const Call& call, const std::string& target);
+    void recordCutBeforeEvents(const Call& call, const TargetEntry& target);
+    void recordCrash(const Call& call, const TargetEntry& target, std::vector<std::uint64_t> parts);
     void recordSound(const Call& call, Attempt& attempt);
     void recordInterruptedAttempt(Call& call, std::string_view detail);
     void finish(Call& call, std::string_view outcome, unsigned status);
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -117,7 +117,7 @@
         this->recordOutcome(call, target, SendOutcome::Failed, "no_continuation");
         co_return AttemptResult::MayHaveRun;
     }
-    const auto ended = co_await this->relayWhole(call, *attempt->answer, target.id);
+    const auto ended = co_await this->relayWhole(call, *attempt->answer, target);
     if (ended == AttemptResult::Done && isSuccess(answer.header().result_int()))
         this->recordSound(call, *attempt);
     this->recordOutcome(
@@ -160,7 +160,7 @@
         this->parts.budget.recordFirstSend(call.service->name, now);
 
     const auto isOpen = [&] {
-        return this->acceptsRequests(choice.target) && !this->parts.quarantine.isQuarantined(call.sharedParts)
+        return this->acceptsRequests(choice.target) && !this->parts.quarantine.isQuarantined(call.traits)
             && attempt.permit->use();
     };
     TargetWriteGate gate { isOpen, call.runs };
@@ -323,14 +323,14 @@
 }
 
 asio::awaitable<ServingGateway::AttemptResult> ServingGateway::relayWhole(
-    Call& call, HttpCall& answer, const std::string& target)
+    Call& call, HttpCall& answer, const TargetEntry& target)
 {
     auto body = co_await answer.readAll(this->remaining(call));
     if (!body && body.error() == HttpError::Truncated)
         this->recordCutBeforeEvents(call, target);
     if (!body) {
         this->parts.log.write("answer_broken",
-            { { "id", call.metadata.attemptId }, { "target", target }, { "detail", name(body.error()) } });
+            { { "id", call.metadata.attemptId }, { "target", target.id }, { "detail", name(body.error()) } });
         co_return AttemptResult::MayHaveRun;
     }
     HttpResponse response { this->parts.format.makeCallerHeader(answer.header()).base() };
@@ -365,12 +365,27 @@
 // Records an attempt whose connection ended before the answer began: the target may have ended because of the request.
 void ServingGateway::recordEndWithoutAnswer(Call& call, const TargetEntry& target, TimePoint sentAt)
 {
-    if (call.isAbandoned)
+    if (call.isAbandoned || call.hasResponseStarted)
         return;
+    this->recordCrash(call, target, {});
     this->parts.log.write("ended_without_answer",
         { { "id", call.metadata.attemptId }, { "target", target.id }, { "born", target.incarnation },
             { "workspace", call.workspace.empty() ? "-" : std::string_view { call.workspace } },
-            { "fingerprint", call.fingerprint }, { "ran_ms", this->parts.clock.now() - sentAt } });
+            { "fingerprint", call.fingerprint }, { "ran_ms", this->parts.clock.now() - sentAt },
+            { "suspected_parts", std::uint64_t { this->parts.quarantine.size() } } });
+}
+
+// Records that a target ended under the request, or under one of these parts of its prompt, and tells peers.
+void ServingGateway::recordCrash(const Call& call, const TargetEntry& target, std::vector<std::uint64_t> parts)
+{
+    const auto now = this->parts.clock.now();
+    const auto incarnation = target.id + '/' + std::to_string(target.incarnation);
+    const bool isNew = this->parts.quarantine.recordCrash(
+        { LoadLedger::hashOf(incarnation), LoadLedger::hashOf(call.metadata.attemptId), std::move(parts), now,
+            call.fingerprint },
+        now);
+    if (isNew && this->notifyCrash)
+        this->notifyCrash();
 }
 
 void ServingGateway::recordInterruptedAttempt(Call& call, std::string_view detail)
--- a/src/serving/ServingGatewayStream.cpp
+++ b/src/serving/ServingGatewayStream.cpp
@@ -100,7 +100,7 @@
             co_return AttemptResult::MayHaveRun;
         if (!piece) {
             if (piece.error() == HttpError::Truncated && !attempt.hasEvents)
-                this->recordCutBeforeEvents(call, target.id);
+                this->recordCutBeforeEvents(call, target);
             attempt.hasFailed = true;
             this->recordOutcome(call, target, SendOutcome::Failed, name(piece.error()));
             co_return co_await this->leaveToSuccessor(attempt);
@@ -130,7 +130,7 @@
         if (stream.isBroken() || (isEnd && stream.hasPartialEvent()) || hasEndedAtOnce) {
             answer.discard();
             if (isEnd && !attempt.hasEvents)
-                this->recordCutBeforeEvents(call, target.id);
+                this->recordCutBeforeEvents(call, target);
             attempt.hasFailed = true;
             this->recordOutcome(call, target, SendOutcome::Failed, "broken_events");
             co_return co_await this->leaveToSuccessor(attempt);
@@ -304,27 +304,24 @@
 void ServingGateway::recordSound(const Call& call, Attempt& attempt)
 {
     if (!std::exchange(attempt.isSound, true))
-        this->parts.quarantine.recordSound(call.sharedParts, this->parts.clock.now());
+        this->parts.quarantine.recordSound(call.traits, this->parts.clock.now());
 }
 
 // Records an answer that ended between its header and its first event: the target may have ended because of the prompt.
-void ServingGateway::recordCutBeforeEvents(const Call& call, const std::string& target)
+void ServingGateway::recordCutBeforeEvents(const Call& call, const TargetEntry& target)
 {
     // A target that wrote events of the answer did not end under the prompt, so that no later one does.
-    if (call.isAbandoned || call.hasResponseStarted || call.sharedParts.empty())
+    if (call.isAbandoned || call.hasResponseStarted)
         return;
-    const auto now = this->parts.clock.now();
-    const bool isNew = this->parts.quarantine.recordCrash(
-        { LoadLedger::hashOf(target), LoadLedger::hashOf(call.metadata.attemptId), call.sharedParts, now }, now);
+    this->recordCrash(call, target, call.sharedParts);
     std::string parts;
     for (const auto& part : call.metadata.sharedParts)
         parts += (parts.empty() ? "" : ",") + part;
     this->parts.log.write("cut_before_events",
-        { { "id", call.metadata.attemptId }, { "target", target },
+        { { "id", call.metadata.attemptId }, { "target", target.id },
             { "workspace", call.workspace.empty() ? "-" : std::string_view { call.workspace } }, { "parts", parts },
+            { "fingerprint", call.fingerprint },
             { "suspected_parts", std::uint64_t { this->parts.quarantine.size() } } });
-    if (isNew && this->notifyCrash)
-        this->notifyCrash();
 }
 
 }
--- /dev/null
+++ b/test/GatewayWithPeers.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+#include <unistd.h>
+
+#include "ServingGatewayHarness.h"
+#include "platform/RecordFormat.h"
+#include "serving/PeerRunner.h"
+
+namespace marigoldpaddle::testing {
+
+// A store that cannot be reached.
+class AbsentStore final : public PlatformStore {
+public:
+    asio::awaitable<PlatformResult<KeyedPage>> newest(KeyedStream) override
+    {
+        co_return PlatformError::Unreachable;
+    }
+
+    asio::awaitable<PlatformResult<KeyedPage>> newestPart(KeyedStream, std::string) override
+    {
+        co_return PlatformError::Unreachable;
+    }
+
+    asio::awaitable<PlatformResult<KeyedPage>> changes(KeyedStream, std::uint64_t, Duration) override
+    {
+        co_return PlatformError::Unreachable;
+    }
+};
+
+// The parts of an instance that forward requests and talk to peers, on an address of the loopback network.
+class GatewayWithPeers {
+public:
+    GatewayWithPeers(asio::io_context& context, const Clock& clock, const std::string& address,
+        const std::vector<std::string>& seeds, const ServingConfiguration& configuration,
+        std::span<const TargetEntry> targets)
+        : context(context)
+        , clock(clock)
+        , seed(LoadLedger::hashOf(address))
+        , peers({ context, clock, this->view, this->follower, this->ledger, this->waiting, this->quarantine,
+                    this->health.limits, this->log, this->metrics,
+                    [] {
+                    } },
+              address, "a", seeds, 2s)
+        , address("127.0.0.1:" + std::to_string(this->server.listen("127.0.0.1:0")))
+    {
+        this->view.install(configuration);
+        for (const auto& target : targets)
+            this->view.targets.upsert(target, clock.now());
+        this->gateway.onTargetCrash([this] { this->peers.announceCrashes(); });
+        this->gateway.onTargetLimitChanged([this] { this->peers.announceLimits(); });
+        this->peers.start();
+    }
+
+    asio::io_context& context;
+    const Clock& clock;
+    std::uint64_t seed; // Another one for each instance.
+    platform::HeaderFormat format;
+    platform::RecordFormat records;
+    AbsentStore store;
+    ServingView view;
+    LoadLedger ledger;
+    WaitingPrompts waiting;
+    TargetHealth health;
+    RetryBudget budget { { 0.2, 10s, 1000 } };
+    HttpClient client { this->context.get_executor() };
+    ScriptedMemory memory;
+    PromptQuarantine quarantine;
+    EventLog log { this->clock, { "test", 0, 16 } };
+    MetricsRegistry metrics;
+    ViewFollower follower { this->context, this->clock, this->store, this->records, this->view, this->log,
+        this->metrics, { 2s, 2s, 20ms }, std::mt19937_64 { 1 } };
+    PeerRunner peers;
+    ServingGateway gateway { { this->context, this->clock, this->format, this->view, this->ledger, this->waiting,
+                                 this->health, this->budget, this->client, this->memory, this->quarantine, this->log,
+                                 this->metrics, "test", 3s },
+        TargetChooser { this->view.targets, this->ledger, this->health, "a", std::mt19937_64 { this->seed } } };
+    HttpServer server { this->context, this->gateway };
+    std::string address;
+};
+
+// Some instances before the same targets.
+class InstancesTest : public ::testing::Test {
+protected:
+    static constexpr std::size_t Instances = 8;
+
+    ~InstancesTest() override
+    {
+        this->areCalling = false;
+        this->runFor(100ms);
+    }
+
+    // Starts the instances before these targets, with one route for requests that may be repeated.
+    void start(std::span<const TargetEntry> targets)
+    {
+        ServingConfiguration values;
+        values.version = 1;
+        values.services["s"].name = "s";
+        Route route;
+        route.name = "safe";
+        route.host = "a.example";
+        route.pathPrefix = "/safe/";
+        route.kind = RouteKind::Repeatable;
+        route.timeout = 5s;
+        route.objective = 300ms;
+        route.maximumAttempts = 2;
+        route.isPublic = true;
+        route.shares = { { "s", 1 } };
+        values.routes = { route };
+        const auto port = ":" + std::to_string(20'000 + ::getpid() % 10'000);
+        std::vector<std::string> seeds;
+        for (std::size_t index = 1; index <= Instances; ++index)
+            seeds.push_back("127.0.5." + std::to_string(index) + port);
+        for (const auto& address : seeds)
+            this->instances.push_back(
+                std::make_unique<GatewayWithPeers>(this->context, this->clock, address, seeds, values, targets));
+        this->runFor(500ms); // They find each other.
+    }
+
+    static TargetEntry entryOf(const std::string& id, const ScriptedTarget& target)
+    {
+        TargetEntry entry;
+        entry.id = id;
+        entry.service = "s";
+        entry.address = target.address;
+        entry.availabilityZone = "a";
+        return entry;
+    }
+
+    HttpRequest request(const std::string& body)
+    {
+        auto request = makeRequest(http::verb::post, "/safe/x", body);
+        request.set(http::field::host, "a.example");
+        request.set("Marigoldpaddle-Attempt-Id", "attempt" + std::to_string(++this->attempts));
+        request.set("Marigoldpaddle-Deadline-Remaining", "5000");
+        return request;
+    }
+
+    void runFor(Duration time)
+    {
+        this->context.restart();
+        this->context.run_for(time);
+    }
+
+    asio::io_context context { 1 };
+    SteadyClock clock;
+    HttpClient caller { this->context.get_executor() };
+    std::vector<std::unique_ptr<GatewayWithPeers>> instances;
+    bool areCalling { true };
+    unsigned attempts { 0 };
+};
+
+}
