Share a limit among instances of the target's zone, and end it by cause

The sharers were drawn from all zones, while with more than 24 peers prompts stay in their own zone: a target whose sharers are elsewhere gets no request, so that nothing tells the end of its limit, and after a minute all instances forget it at the same moment and send to it together. And an answer without a limit ended one that was stated while the answer was on its way.

Change: instances of the target's zone come first in the order of sharers; statements carry the zone. Instances without a share forget a limit without statements after two minutes, sharers after one. An answer that states none ends a limit only if its request was sent after the last statement. Limits are in complete notices only: the short ones that announce a placed prompt to 39 peers were meant to stay at about 100 bytes.

--- a/src/serving/PeerExchange.cpp
+++ b/src/serving/PeerExchange.cpp
@@ -140,11 +140,14 @@
     return commands;
 }
 
-std::vector<std::string_view> PeerExchange::liveAddresses(TimePoint now) const
+std::vector<LimitSharer> PeerExchange::liveSharers(TimePoint now) const
 {
-    auto live = this->livePeersByZone(now);
-    std::ranges::copy(live.remote, std::back_inserter(live.local));
-    return std::move(live.local);
+    std::vector<LimitSharer> live;
+    for (const auto& [address, peer] : this->peers) {
+        if (this->isLive(peer, now))
+            live.push_back({ address, peer.availabilityZone });
+    }
+    return live;
 }
 
 std::size_t PeerExchange::livePeers(TimePoint now) const
--- a/src/serving/PeerExchange.h
+++ b/src/serving/PeerExchange.h
@@ -12,6 +12,7 @@
 #include <marigoldpaddle/Clock.h>
 
 #include "marigold_types.h"
+#include "serving/TargetLimits.h"
 
 namespace marigoldpaddle {
 
@@ -124,8 +125,8 @@
     // Number of live peers of the local zone that precede this instance in an order that all of them agree on.
     std::size_t readerRank(TimePoint now) const;
 
-    // Addresses of the live peers. The views refer to this object and are valid until it changes.
-    std::vector<std::string_view> liveAddresses(TimePoint now) const;
+    // The live peers. The views refer to this object and are valid until it changes.
+    std::vector<LimitSharer> liveSharers(TimePoint now) const;
 
     // Number of live peers.
     std::size_t livePeers(TimePoint now) const;
--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -282,7 +282,8 @@
     {
         for (const auto& record : notice.limits) {
             TargetLimitStatement statement { static_cast<std::uint64_t>(record.target),
-                static_cast<std::uint64_t>(record.incarnation), {}, now - toAge(record.ageMs) };
+                static_cast<std::uint64_t>(record.incarnation), {}, now - toAge(record.ageMs),
+                static_cast<std::uint64_t>(record.zone) };
             if (record.perSecond >= 0)
                 statement.perSecond = record.perSecond;
             if (this->parts.limits.learn(statement, now) == TargetLimits::Change::None)
@@ -308,6 +309,7 @@
             record.target = static_cast<std::int64_t>(statement.target);
             record.incarnation = static_cast<std::int64_t>(statement.incarnation);
             record.perSecond = statement.perSecond.value_or(-1);
+            record.zone = static_cast<std::int64_t>(statement.zone);
             record.ageMs = milliseconds(now - statement.at);
         }
     }
@@ -340,7 +342,8 @@
         while (true) {
             const auto now = this->parts.clock.now();
             const auto loads = this->parts.ledger.localLoads(now);
-            this->parts.limits.setInstances(this->address, this->exchange.liveAddresses(now), now);
+            this->parts.limits.setInstances(
+                { this->address, this->availabilityZone }, this->exchange.liveSharers(now), now);
             this->perform(this->exchange.tick(this->localState(now), !loads.empty() || this->lastNoticeHadLoads, now));
             timer.expires_after(TickPeriod);
             co_await timer.async_wait(asio::use_awaitable);
@@ -407,7 +410,6 @@
         notice.storeEra = static_cast<std::int64_t>(summary.era);
         notice.leaving = this->isLeaving;
         this->addCrashes(notice, now);
-        this->addLimits(notice, now);
         const auto startBy = this->parts.waiting.earliestStartBy();
         notice.waitingStartByMs
             = startBy == TimePoint::max() ? -1 : std::max<std::int64_t>(0, milliseconds(startBy - now));
@@ -446,6 +448,7 @@
         auto notice = this->makeHeader(now);
         notice.zoneOccupancy = this->zoneOccupancy(now);
         notice.targetChanges = toWire(changes);
+        this->addLimits(notice, now);
         const auto loads = this->parts.ledger.localLoads(now);
         this->addLoads(notice, loads);
         this->lastNoticeHadLoads = !loads.empty();
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -172,7 +172,7 @@
     auto answer = co_await this->startUnlessRetried(call, choice, std::move(start));
     if (answer) {
         const auto response = this->parts.format.responseMetadata(answer.value().header());
-        this->advice.targetAnswered(choice.target, response, call.metadata.attemptId);
+        this->advice.targetAnswered(choice.target, response, call.metadata.attemptId, sentAt);
     }
     if (attempt.isSuperseded)
         co_return AttemptResult::MayHaveRun;
--- a/src/serving/TargetAdvice.cpp
+++ b/src/serving/TargetAdvice.cpp
@@ -19,12 +19,12 @@
     this->notifyLimit = std::move(notify);
 }
 
-void TargetAdvice::targetAnswered(
-    const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId)
+void TargetAdvice::targetAnswered(const TargetEntry& target, const ResponseMetadata& response,
+    std::string_view requestId, std::optional<TimePoint> sentAt)
 {
     if (response.retryAfter)
         this->recordPause(target, *response.retryAfter, requestId);
-    this->recordLimit(target, response, requestId);
+    this->recordLimit(target, response, requestId, sentAt);
     if (!response.isLeaving)
         return;
     if (!response.isMisdirected)
@@ -45,16 +45,21 @@
     this->metrics.counter("marigold_target_pauses_total").increment();
 }
 
-// An answer without a limit ends the limit only if the target itself gave it to this request: an order's answer need
-// not state limits, and another process may have answered in place of the target.
-void TargetAdvice::recordLimit(const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId)
+// An answer without a limit counts only if the target itself gave it to this request: an order's answer need not state
+// limits, and another process may have answered in place of the target.
+void TargetAdvice::recordLimit(const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId,
+    std::optional<TimePoint> sentAt)
 {
-    const bool isOwnAnswer = response.isSealed && response.attemptId == requestId;
-    if (response.isMisdirected || (!response.requestLimit && !isOwnAnswer))
+    if (response.isMisdirected)
         return;
     auto& limits = this->health.limits;
     const auto previous = limits.limit(target);
-    const auto change = limits.recordAnswer(target, response.requestLimit, this->clock.now());
+    const bool isOwnAnswer = response.isSealed && response.attemptId == requestId;
+    auto change = TargetLimits::Change::None;
+    if (response.requestLimit)
+        change = limits.recordLimit(target, *response.requestLimit, this->clock.now());
+    else if (isOwnAnswer && sentAt)
+        change = limits.recordNoLimit(target, *sentAt, this->clock.now());
     if (change == TargetLimits::Change::None)
         return;
     this->log.write("target_states_limit",
--- a/src/serving/TargetAdvice.h
+++ b/src/serving/TargetAdvice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string_view>
 
 #include <marigoldpaddle/Clock.h>
@@ -18,8 +19,10 @@
 public:
     virtual ~TargetAnswerObserver() = default;
 
-    // `requestId` is the id of the answered request, or of the memory reservation of an order.
-    virtual void targetAnswered(const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId)
+    // `requestId` is the id of the answered request, or of the memory reservation of an order. `sentAt` is when a
+    // request was sent; empty for an order.
+    virtual void targetAnswered(const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId,
+        std::optional<TimePoint> sentAt)
         = 0;
 };
 
@@ -35,12 +38,13 @@
     // it before they send to the target.
     void onLimitChanged(std::function<void()> notify);
 
-    void targetAnswered(
-        const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId) override;
+    void targetAnswered(const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId,
+        std::optional<TimePoint> sentAt) override;
 
 private:
     void recordPause(const TargetEntry& target, Duration requested, std::string_view requestId);
-    void recordLimit(const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId);
+    void recordLimit(const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId,
+        std::optional<TimePoint> sentAt);
     void recordLeaving(const TargetEntry& target, std::string_view requestId);
 
     const Clock& clock;
--- a/src/serving/TargetLimits.cpp
+++ b/src/serving/TargetLimits.cpp
@@ -25,9 +25,9 @@
     return std::chrono::ceil<Duration>(seconds);
 }
 
-std::uint64_t hashOfAddress(std::string_view address)
+std::uint64_t hashOf(std::string_view text)
 {
-    return XXH3_64bits(address.data(), address.size());
+    return XXH3_64bits(text.data(), text.size());
 }
 
 // Orders instances differently for each target.
@@ -39,11 +39,16 @@
 
 }
 
-void TargetLimits::setInstances(std::string_view self, std::span<const std::string_view> peers, TimePoint now)
+TargetLimits::Instance TargetLimits::instanceOf(const LimitSharer& sharer)
 {
-    this->self = hashOfAddress(self);
+    return { hashOf(sharer.address), hashOf(sharer.availabilityZone) };
+}
+
+void TargetLimits::setInstances(const LimitSharer& self, std::span<const LimitSharer> peers, TimePoint now)
+{
+    this->self = instanceOf(self);
     this->peers.clear();
-    std::ranges::transform(peers, std::back_inserter(this->peers), hashOfAddress);
+    std::ranges::transform(peers, std::back_inserter(this->peers), &TargetLimits::instanceOf);
     for (auto& [target, limit] : this->limits) {
         refill(limit, now);
         this->updateShare(target, limit);
@@ -58,17 +63,29 @@
         return;
     const auto instances = static_cast<double>(this->peers.size() + 1);
     const auto sharers = std::clamp(std::ceil(*limit.perSecond * SharersPerRequestRate), 1.0, instances);
-    const auto own = rankOf(target, this->self);
+    const auto order = [&](const Instance& instance) {
+        return std::pair { instance.zone != limit.zone, rankOf(target, instance.address) };
+    };
+    const auto own = order(this->self);
     const auto before
-        = std::ranges::count_if(this->peers, [&](std::uint64_t instance) { return rankOf(target, instance) < own; });
+        = std::ranges::count_if(this->peers, [&](const Instance& instance) { return order(instance) < own; });
     if (static_cast<double>(before) < sharers)
         limit.share = *limit.perSecond / sharers;
 }
 
-TargetLimits::Change TargetLimits::recordAnswer(
-    const TargetEntry& target, std::optional<double> perSecond, TimePoint now)
+TargetLimits::Change TargetLimits::recordLimit(const TargetEntry& target, double perSecond, TimePoint now)
+{
+    const TargetLimitStatement statement { LoadLedger::hashOf(target.id), target.incarnation, perSecond, now,
+        hashOf(target.availabilityZone) };
+    return this->record(statement, now);
+}
+
+TargetLimits::Change TargetLimits::recordNoLimit(const TargetEntry& target, TimePoint sentAt, TimePoint now)
 {
-    return this->record({ LoadLedger::hashOf(target.id), target.incarnation, perSecond, now }, now);
+    const auto* limit = this->find(target);
+    if (!limit || limit->statedAt > sentAt)
+        return Change::None;
+    return this->record({ LoadLedger::hashOf(target.id), target.incarnation, {}, now, limit->zone }, now);
 }
 
 TargetLimits::Change TargetLimits::learn(const TargetLimitStatement& statement, TimePoint now)
@@ -103,6 +120,7 @@
     const auto previous = limit.perSecond;
     limit.statedAt = statement.at;
     limit.perSecond = perSecond;
+    limit.zone = statement.zone;
     const bool isChanged = previous != perSecond;
     if (isChanged || statement.at - limit.refreshedAt >= RefreshPeriod) {
         limit.newsAt = now;
@@ -196,7 +214,7 @@
     std::vector<TargetLimitStatement> news;
     for (const auto& [target, limit] : this->limits) {
         if (limit.newsAt >= since)
-            news.push_back({ target, limit.incarnation, limit.perSecond, limit.statedAt });
+            news.push_back({ target, limit.incarnation, limit.perSecond, limit.statedAt, limit.zone });
     }
     return news;
 }
@@ -209,7 +227,11 @@
 
 void TargetLimits::expire(TimePoint now)
 {
-    std::erase_if(this->limits, [&](const auto& item) { return item.second.statedAt + Lifetime <= now; });
+    std::erase_if(this->limits, [&](const auto& item) {
+        const auto& limit = item.second;
+        const bool isShared = !limit.perSecond || limit.share > 0;
+        return limit.statedAt + (isShared ? Lifetime : 2 * Lifetime) <= now;
+    });
 }
 
 RequestPermit::RequestPermit(TargetLimits& limits, const Clock& clock, TargetEntry target)
--- a/src/serving/TargetLimits.h
+++ b/src/serving/TargetLimits.h
@@ -21,10 +21,18 @@
     std::uint64_t incarnation { 0 };
     std::optional<double> perSecond; // Empty: it no longer has a limit.
     TimePoint at {};
+    std::uint64_t zone { 0 }; // Hash of the target's availability zone.
+};
+
+// An instance that shares limits.
+struct LimitSharer {
+    std::string_view address;
+    std::string_view availabilityZone;
 };
 
 // Keeps the requests to targets that state a limit within it, over all instances. Each limit is shared by a few
 // instances, which all instances draw alike by a hash of target and instance; the others send nothing to the target.
+// Those of the target's zone come first, since others may place nothing there.
 // The number of sharers grows with the limit, so that each may send about one request a second or more: with a share
 // for every one of some hundred instances, a single request of each would exceed a low limit. A sharer spends its
 // share as a token bucket that starts empty, since the target states its limit in the answer to a request.
@@ -39,7 +47,8 @@
     static constexpr double SharersPerRequestRate = 1;
     // A bucket holds the requests of this time, and at least one.
     static constexpr Duration BurstPeriod = std::chrono::milliseconds { 500 };
-    // Without a statement for this long a limit ends, in case that this instance has missed its end.
+    // Without a statement for this long a limit ends, in case that this instance has missed its end; twice as long for
+    // an instance without a share, so that it does not send at the same moment as the sharers.
     static constexpr Duration Lifetime = std::chrono::seconds { 60 };
     // A limit that is still stated is news again after this time, which keeps it alive at other instances.
     static constexpr Duration RefreshPeriod = std::chrono::seconds { 10 };
@@ -51,11 +60,15 @@
         Ended,
     };
 
-    // Sets the addresses of this instance and of its live peers, among which limits are shared.
-    void setInstances(std::string_view self, std::span<const std::string_view> peers, TimePoint now);
+    // Sets this instance and its live peers, among which limits are shared.
+    void setInstances(const LimitSharer& self, std::span<const LimitSharer> peers, TimePoint now);
+
+    // Records that an answer to this instance states a limit.
+    Change recordLimit(const TargetEntry& target, double perSecond, TimePoint now);
 
-    // Records a target's statement in an answer to this instance. Without a limit, `perSecond` is empty.
-    Change recordAnswer(const TargetEntry& target, std::optional<double> perSecond, TimePoint now);
+    // Records that an answer to a request, which was sent at `sentAt`, states no limit. It ends the limit unless that
+    // was stated later: the answer may have been on its way for longer.
+    Change recordNoLimit(const TargetEntry& target, TimePoint sentAt, TimePoint now);
 
     // Records a statement that a peer has heard of. It is ignored if a later one is known.
     Change learn(const TargetLimitStatement& statement, TimePoint now);
@@ -93,6 +106,7 @@
         TimePoint statedAt {};
         TimePoint newsAt {};
         TimePoint refreshedAt {}; // Time of the statement that was last news.
+        std::uint64_t zone { 0 };
         double share { 0 }; // Requests a second of this instance.
         double tokens { 0 };
         TimePoint refilledAt {};
@@ -105,8 +119,16 @@
     static double tokensAt(const Limit& limit, TimePoint now);
     static void refill(Limit& limit, TimePoint now);
 
-    std::uint64_t self { 0 }; // Hash of the address.
-    std::vector<std::uint64_t> peers; // Likewise.
+    // Hashes of an instance's address and zone.
+    struct Instance {
+        std::uint64_t address { 0 };
+        std::uint64_t zone { 0 };
+    };
+
+    static Instance instanceOf(const LimitSharer& sharer);
+
+    Instance self;
+    std::vector<Instance> peers;
     std::map<std::uint64_t, Limit> limits; // By hash of the target's id.
 };
 
--- a/test/OrderClient_test.cpp
+++ b/test/OrderClient_test.cpp
@@ -32,8 +32,8 @@
 
 class RecordingObserver final : public TargetAnswerObserver {
 public:
-    void targetAnswered(
-        const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId) override
+    void targetAnswered(const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId,
+        std::optional<TimePoint>) override
     {
         this->target = target.id;
         this->last = response;
--- a/test/ServingGatewayLimit_test.cpp
+++ b/test/ServingGatewayLimit_test.cpp
@@ -127,7 +127,7 @@
 {
     this->registerTarget("gone", "127.0.0.1:1");
     const auto* gone = this->view.targets.find("gone");
-    this->health.limits.recordAnswer(*gone, 2, this->clock.now());
+    this->health.limits.recordLimit(*gone, 2, this->clock.now());
     this->context.restart();
     this->context.run_for(600ms);
     ASSERT_TRUE(this->health.limits.mayTake(*gone, this->clock.now()));
@@ -144,7 +144,7 @@
         const bool isResumed = exchange.request()["Last-Event-Id"] == "1";
         if (!isResumed) {
             for (const auto* target : this->view.targets.available("s"))
-                this->health.limits.recordAnswer(*target, 1, this->clock.now());
+                this->health.limits.recordLimit(*target, 1, this->clock.now());
         }
         const auto reaction = isResumed ? events("id: 2\n\n", true) : events("id: 1\n\nid: 2\nda", false);
         co_await reaction(exchange);
@@ -164,7 +164,7 @@
     this->registerTarget("t2", this->second.address);
     this->memory.reaction = [&](const TargetEntry& helper) {
         const auto* other = this->view.targets.find(helper.id == "t1" ? "t2" : "t1");
-        this->health.limits.recordAnswer(*other, 1, this->clock.now());
+        this->health.limits.recordLimit(*other, 1, this->clock.now());
         return MemoryOutcome::Done;
     };
     auto prompt = this->request("/stream/x");
@@ -183,7 +183,7 @@
     this->registerTarget("t2", this->second.address);
     ScriptedTarget third { this->context };
     this->registerTarget("t3", third.address);
-    this->health.limits.recordAnswer(*this->view.targets.find("t3"), 1, this->clock.now());
+    this->health.limits.recordLimit(*this->view.targets.find("t3"), 1, this->clock.now());
     std::set<std::string> reserved;
     this->memory.reaction = [&](const TargetEntry& helper) {
         reserved.insert(helper.id);
--- a/test/TargetChooser_test.cpp
+++ b/test/TargetChooser_test.cpp
@@ -71,7 +71,7 @@
 // A limit that is not this instance's share: it may send nothing.
 TEST_F(TargetChooserTest, TargetAtItsLimitIsNotChosen)
 {
-    this->health.limits.recordAnswer(*this->targets.find("p1"), 1, this->now);
+    this->health.limits.recordLimit(*this->targets.find("p1"), 1, this->now);
     auto chooser = this->chooser(this->ledger, 1);
     for (int call = 0; call < 50; ++call)
         EXPECT_NE(this->choosePlain(chooser).value().target.id, "p1");
@@ -80,7 +80,7 @@
 // Two targets are ejected, and the third takes no further request now. The service would seem to have no target.
 TEST_F(TargetChooserTest, EjectedTargetIsTriedWhileTheOthersAreAtTheirLimits)
 {
-    this->health.limits.recordAnswer(*this->targets.find("p1"), 1, this->now);
+    this->health.limits.recordLimit(*this->targets.find("p1"), 1, this->now);
     this->health.recordOutcome("p0", SendOutcome::Unreachable, this->now);
     this->health.recordOutcome("p2", SendOutcome::Unreachable, this->now);
     auto chooser = this->chooser(this->ledger, 1);
@@ -94,7 +94,7 @@
 {
     this->route.objective = 3s;
     for (int number = 2; number < 21; ++number)
-        this->health.limits.recordAnswer(*this->targets.find("e" + std::to_string(100 + number)), 1, this->now);
+        this->health.limits.recordLimit(*this->targets.find("e" + std::to_string(100 + number)), 1, this->now);
     auto chooser = this->chooser(this->ledger, 1);
     const auto choice
         = chooser.choose({ this->route, this->engines, PromptSize { 210'000, 700 }, this->tried, {}, 15s }, this->now);
@@ -107,7 +107,7 @@
 TEST_F(TargetChooserTest, EngineWithoutALimitIsPreferredAsAHelper)
 {
     for (int number = 0; number < 10; ++number)
-        this->health.limits.recordAnswer(*this->targets.find("e" + std::to_string(100 + number)), 1, this->now);
+        this->health.limits.recordLimit(*this->targets.find("e" + std::to_string(100 + number)), 1, this->now);
     auto chooser = this->chooser(this->ledger, 1);
     const ChoiceRequest request { this->route, this->engines, PromptSize { 60'000, 700 }, this->tried, {}, 15s };
     EXPECT_TRUE(chooser.choose(request, this->now));
--- a/test/TargetLimits_test.cpp
+++ b/test/TargetLimits_test.cpp
@@ -22,6 +22,7 @@
     TargetEntry entry;
     entry.id = id;
     entry.incarnation = incarnation;
+    entry.availabilityZone = "b";
     return entry;
 }
 
@@ -30,7 +31,7 @@
 protected:
     TargetLimitsTest()
     {
-        this->limits.setInstances("10.0.0.1:1", {}, this->now);
+        this->limits.setInstances({ "10.0.0.1:1", "a" }, {}, this->now);
     }
 
     std::size_t takeAll()
@@ -56,7 +57,7 @@
 // The answer that states the limit belongs to a request that counts.
 TEST_F(TargetLimitsTest, FirstRequestAfterTheStatementWaitsForItsTurn)
 {
-    EXPECT_EQ(this->limits.recordAnswer(this->target, 4, this->now), Change::Lowered);
+    EXPECT_EQ(this->limits.recordLimit(this->target, 4, this->now), Change::Lowered);
     EXPECT_FALSE(this->limits.mayTake(this->target, this->now));
     EXPECT_EQ(this->limits.nextAt(this->target, this->now), this->now + 250ms);
     this->now += 250ms;
@@ -66,14 +67,14 @@
 
 TEST_F(TargetLimitsTest, LowLimitSavesUpNoMoreThanOneRequest)
 {
-    this->limits.recordAnswer(this->target, 1, this->now);
+    this->limits.recordLimit(this->target, 1, this->now);
     this->now += 1min - 1ms;
     EXPECT_EQ(this->takeAll(), 1U);
 }
 
 TEST_F(TargetLimitsTest, HighLimitAllowsABurstOfHalfASecond)
 {
-    this->limits.recordAnswer(this->target, 40, this->now);
+    this->limits.recordLimit(this->target, 40, this->now);
     this->now += 10s;
     EXPECT_EQ(this->takeAll(), 20U);
 }
@@ -81,12 +82,12 @@
 // The end of a limit shows only in an answer, so a target with a limit of zero would be lost for good.
 TEST_F(TargetLimitsTest, TargetWithALimitOfZeroGetsARequestNowAndThen)
 {
-    this->limits.recordAnswer(this->target, 0, this->now);
+    this->limits.recordLimit(this->target, 0, this->now);
     std::size_t taken = 0;
     for (int second = 0; second < 40; ++second) {
         this->now += 1s;
         taken += this->takeAll();
-        this->limits.recordAnswer(this->target, 0, this->now);
+        this->limits.recordLimit(this->target, 0, this->now);
     }
     EXPECT_GE(taken, 4U);
     EXPECT_LE(taken, 9U);
@@ -94,35 +95,35 @@
 
 TEST_F(TargetLimitsTest, AnswerWithoutALimitEndsIt)
 {
-    this->limits.recordAnswer(this->target, 1, this->now);
-    EXPECT_EQ(this->limits.recordAnswer(this->target, {}, this->now + 1s), Change::Ended);
+    this->limits.recordLimit(this->target, 1, this->now);
+    EXPECT_EQ(this->limits.recordNoLimit(this->target, this->now + 1s, this->now + 1s), Change::Ended);
     EXPECT_FALSE(this->limits.limit(this->target));
     EXPECT_TRUE(this->limits.tryTake(this->target, this->now + 1s));
     EXPECT_TRUE(this->limits.tryTake(this->target, this->now + 1s));
-    EXPECT_EQ(this->limits.recordAnswer(this->target, {}, this->now + 2s), Change::None);
+    EXPECT_EQ(this->limits.recordNoLimit(this->target, this->now + 2s, this->now + 2s), Change::None);
 }
 
 TEST_F(TargetLimitsTest, RestartEndsTheLimit)
 {
-    this->limits.recordAnswer(this->target, 1, this->now);
+    this->limits.recordLimit(this->target, 1, this->now);
     EXPECT_FALSE(this->limits.limit(targetOf("t1", 2)));
-    this->limits.recordAnswer(targetOf("t1", 2), 3, this->now);
+    this->limits.recordLimit(targetOf("t1", 2), 3, this->now);
     EXPECT_EQ(this->limits.limit(targetOf("t1", 2)), 3.0);
 }
 
 // A statement about the earlier incarnation arrives late by way of a peer.
 TEST_F(TargetLimitsTest, StatementOfAnEarlierIncarnationIsIgnored)
 {
-    this->limits.recordAnswer(targetOf("t1", 2), 3, this->now);
+    this->limits.recordLimit(targetOf("t1", 2), 3, this->now);
     EXPECT_EQ(this->limits.learn({ LoadLedger::hashOf("t1"), 1, 1.0, this->now + 1s }, this->now + 1s), Change::None);
     EXPECT_EQ(this->limits.limit(targetOf("t1", 2)), 3.0);
 }
 
 TEST_F(TargetLimitsTest, OlderStatementOfAPeerIsIgnored)
 {
-    this->limits.recordAnswer(this->target, {}, this->now);
-    this->limits.recordAnswer(this->target, 2, this->now);
-    this->limits.recordAnswer(this->target, {}, this->now + 1s);
+    this->limits.recordNoLimit(this->target, this->now, this->now);
+    this->limits.recordLimit(this->target, 2, this->now);
+    this->limits.recordNoLimit(this->target, this->now + 1s, this->now + 1s);
     EXPECT_EQ(this->limits.learn({ LoadLedger::hashOf("t1"), 1, 2.0, this->now }, this->now + 1100ms), Change::None);
     EXPECT_FALSE(this->limits.limit(this->target));
 }
@@ -130,17 +131,17 @@
 // A value is stated again and again, each time in another answer: other instances are told, and what was saved stays.
 TEST_F(TargetLimitsTest, ChangedValueKeepsWhatWasSaved)
 {
-    this->limits.recordAnswer(this->target, 2, this->now);
+    this->limits.recordLimit(this->target, 2, this->now);
     this->now += 400ms;
-    EXPECT_EQ(this->limits.recordAnswer(this->target, 1, this->now), Change::Lowered);
+    EXPECT_EQ(this->limits.recordLimit(this->target, 1, this->now), Change::Lowered);
     EXPECT_EQ(this->limits.nextAt(this->target, this->now), this->now + 200ms);
-    EXPECT_EQ(this->limits.recordAnswer(this->target, 2, this->now), Change::Raised);
+    EXPECT_EQ(this->limits.recordLimit(this->target, 2, this->now), Change::Raised);
     EXPECT_EQ(this->limits.nextAt(this->target, this->now), this->now + 100ms);
 }
 
 TEST_F(TargetLimitsTest, RequestThatWasNotSentIsReturned)
 {
-    this->limits.recordAnswer(this->target, 1, this->now);
+    this->limits.recordLimit(this->target, 1, this->now);
     this->now += 1s;
     EXPECT_TRUE(this->limits.tryTake(this->target, this->now));
     this->limits.giveBack(this->target, this->now);
@@ -149,7 +150,7 @@
 
 TEST_F(TargetLimitsTest, LimitThatNobodyConfirmsEnds)
 {
-    this->limits.recordAnswer(this->target, 1, this->now);
+    this->limits.recordLimit(this->target, 1, this->now);
     this->limits.expire(this->now + TargetLimits::Lifetime - 1s);
     EXPECT_TRUE(this->limits.limit(this->target));
     this->limits.expire(this->now + TargetLimits::Lifetime);
@@ -158,19 +159,45 @@
 
 TEST_F(TargetLimitsTest, LimitThatIsStillStatedIsNewsAgain)
 {
-    this->limits.recordAnswer(this->target, 1, this->now);
+    this->limits.recordLimit(this->target, 1, this->now);
     const auto confirmedAt = this->now + TargetLimits::RefreshPeriod;
-    this->limits.recordAnswer(this->target, 1, this->now + 1s);
+    this->limits.recordLimit(this->target, 1, this->now + 1s);
     EXPECT_TRUE(this->limits.newsSince(this->now + 1s).empty());
-    this->limits.recordAnswer(this->target, 1, confirmedAt);
+    this->limits.recordLimit(this->target, 1, confirmedAt);
     ASSERT_EQ(this->limits.newsSince(confirmedAt).size(), 1U);
     EXPECT_EQ(this->limits.newsSince(confirmedAt).front().at, confirmedAt);
 }
 
+// The answer was on its way when the target began to state its limit in others.
+TEST_F(TargetLimitsTest, AnswerToARequestFromBeforeTheStatementDoesNotEndTheLimit)
+{
+    this->limits.recordLimit(this->target, 1, this->now);
+    EXPECT_EQ(this->limits.recordNoLimit(this->target, this->now - 1ms, this->now + 500ms), Change::None);
+    EXPECT_TRUE(this->limits.limit(this->target));
+    EXPECT_EQ(this->limits.recordNoLimit(this->target, this->now, this->now + 500ms), Change::Ended);
+}
+
+// All instances forgot a limit without a recent statement at the same moment, and sent to the target together.
+TEST_F(TargetLimitsTest, InstanceWithoutAShareForgetsALimitLater)
+{
+    std::vector<LimitSharer> peers;
+    std::vector<std::string> addresses;
+    for (int index = 2; index < 40; ++index)
+        addresses.push_back("10.0.0." + std::to_string(index) + ":1");
+    for (const auto& address : addresses)
+        peers.push_back({ address, "b" });
+    this->limits.setInstances({ "10.0.0.1:1", "a" }, peers, this->now);
+    this->limits.recordLimit(this->target, 1, this->now);
+    this->limits.expire(this->now + TargetLimits::Lifetime);
+    EXPECT_TRUE(this->limits.limit(this->target));
+    this->limits.expire(this->now + 2 * TargetLimits::Lifetime);
+    EXPECT_FALSE(this->limits.limit(this->target));
+}
+
 // The same statement comes back from peers, each time a little younger.
 TEST_F(TargetLimitsTest, RepetitionsDoNotKeepALimitAlive)
 {
-    this->limits.recordAnswer(this->target, 1, this->now);
+    this->limits.recordLimit(this->target, 1, this->now);
     auto statement = this->limits.newsSince(this->now).front();
     for (int repetition = 0; repetition < 100; ++repetition) {
         statement.at += 5ms;
@@ -189,6 +216,7 @@
 
     struct Instance {
         std::string address;
+        std::string zone;
         TargetLimits limits;
         bool isTold { false };
     };
@@ -196,8 +224,10 @@
     TargetLimitsOfInstancesTest()
         : instances(GetParam())
     {
-        for (std::size_t index = 0; index < this->instances.size(); ++index)
+        for (std::size_t index = 0; index < this->instances.size(); ++index) {
             this->instances[index].address = "10.0.0." + std::to_string(index) + ":1";
+            this->instances[index].zone = index % 3 == 0 ? "a" : index % 3 == 1 ? "b" : "c";
+        }
         this->shareAmongAll();
     }
 
@@ -209,12 +239,12 @@
 
     template <typename Predicate> void shareAmong(Instance& instance, Predicate isLive)
     {
-        std::vector<std::string_view> peers;
+        std::vector<LimitSharer> peers;
         for (const auto& other : this->instances) {
             if (&other != &instance && isLive(other))
-                peers.push_back(other.address);
+                peers.push_back({ other.address, other.zone });
         }
-        instance.limits.setInstances(instance.address, peers, this->now);
+        instance.limits.setInstances({ instance.address, instance.zone }, peers, this->now);
     }
 
     // Each instance tries to send every step; the target states `perSecond` in every answer.
@@ -225,7 +255,10 @@
                 if (!instance.limits.tryTake(this->target, this->now))
                     continue;
                 this->sent.push_back({ this->now, instance.isTold });
-                instance.limits.recordAnswer(this->target, perSecond, this->now);
+                if (perSecond)
+                    instance.limits.recordLimit(this->target, *perSecond, this->now);
+                else
+                    instance.limits.recordNoLimit(this->target, this->now, this->now);
                 instance.isTold = perSecond.has_value();
             }
             this->exchange();
@@ -298,6 +331,18 @@
     }
 }
 
+// With many instances, prompts stay in their zone. Sharers of another zone would not send to the target, and the end of
+// its limit would not be noticed.
+TEST_P(TargetLimitsOfInstancesTest, SharersAreOfTheZoneOfTheTarget)
+{
+    this->run(500ms, 1.4);
+    this->now += 5s;
+    for (const auto& instance : this->instances) {
+        const bool isSharer = instance.limits.mayTake(this->target, this->now);
+        EXPECT_TRUE(!isSharer || instance.zone == "b" || this->instances.size() < 4) << instance.address;
+    }
+}
+
 TEST_P(TargetLimitsOfInstancesTest, AllInstancesHearOfTheEnd)
 {
     this->run(5s, 1.4);
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -340,6 +340,7 @@
     2: i64 incarnation
     3: double perSecond // Negative: it no longer has a limit.
     4: i64 ageMs // Since the statement.
+    5: i64 zone // Hash of the target's availability zone.
 }
 
 struct LoadNotice {
