Do not refuse a popular request for the targets that another one ended

While one request ends all targets of a service, no answer clears a popular one that waits on the same targets. After three of them it was refused for ten minutes, long after the service had come back.

Change: a request whose targets all ended under another suspected request, which ended others too, is not blamed. If the two cannot be told apart, the quarantine lasts for 30 s after the last end; the next one tells. A request under which two targets have ended is not sent again for the same attempt.

Result: VictimOfARequestThatAlsoEndsOthersIsNotQuarantined failed before (refused after the third end, for ten minutes) and passes, as does RequestThatEndedTwoTargetsIsNotRetried.

--- a/src/serving/PromptQuarantine.cpp
+++ b/src/serving/PromptQuarantine.cpp
@@ -45,7 +45,7 @@
     if (this->crashes.size() >= MaximumCrashes)
         this->crashes.erase(this->crashes.begin());
     this->crashes.push_back({ std::move(crash), now });
-    this->update();
+    this->update(now);
     return true;
 }
 
@@ -80,7 +80,7 @@
             isChanged |= this->clearIfSound(known.crash, part, at);
     }
     if (isChanged)
-        this->update();
+        this->update(at);
 }
 
 bool PromptQuarantine::isSound(std::uint64_t part, TimePoint crashedAt) const
@@ -145,10 +145,9 @@
     auto& oldest = this->soundParts.get<1>();
     oldest.erase(oldest.begin(), oldest.upper_bound(now - SoundLifetime));
     std::erase_if(this->cleared, [&](const ClearedPart& one) { return one.clearedAt + this->duration <= now; });
-    const auto erased
-        = std::erase_if(this->crashes, [&](const KnownCrash& known) { return known.crash.at + this->duration <= now; });
-    if (erased > 0)
-        this->update();
+    std::erase_if(this->crashes, [&](const KnownCrash& known) { return known.crash.at + this->duration <= now; });
+    if (!this->quarantined.empty())
+        this->update(now);
 }
 
 // Whether enough targets ended. One that came back in between counts again.
@@ -207,7 +206,46 @@
     return static_cast<std::size_t>(unexplained) < needed;
 }
 
-void PromptQuarantine::update()
+TimePoint PromptQuarantine::lastCrashOf(const CrashSet& crashSet) const
+{
+    auto last = TimePoint::min();
+    for (const auto index : crashSet)
+        last = std::max(last, this->crashes[index].crash.at);
+    return last;
+}
+
+// Whether the request, rather than another suspected one, ended its targets. A victim's targets all ended under the
+// request at fault, which also ended others.
+PromptQuarantine::Blame PromptQuarantine::blameFor(
+    std::uint64_t fingerprint, const std::map<std::uint64_t, CrashSet>& byPart, const PartSet& fingerprints) const
+{
+    const auto targets = this->targetsOf(byPart.at(fingerprint));
+    auto blame = Blame::Full;
+    for (const auto other : fingerprints) {
+        const auto found = byPart.find(other);
+        if (other == fingerprint || found == byPart.end() || !this->isSuspected(found->second))
+            continue;
+        const auto explained = this->targetsOf(found->second);
+        if (!std::ranges::includes(explained, targets))
+            continue;
+        if (explained.size() > targets.size())
+            return Blame::None;
+        blame = Blame::Ambiguous;
+    }
+    return blame;
+}
+
+bool PromptQuarantine::mayEndTargets(std::uint64_t fingerprint) const
+{
+    PartSet targets;
+    for (const auto& known : this->crashes) {
+        if (known.crash.fingerprint == fingerprint)
+            targets.insert(known.crash.target);
+    }
+    return targets.size() + 1 >= SuspectedTargets;
+}
+
+void PromptQuarantine::update(TimePoint now)
 {
     const auto byPart = this->crashesByPart();
     PartSet fingerprints;
@@ -217,10 +255,15 @@
     for (const auto& [part, crashSet] : byPart) {
         if (!this->isSuspected(crashSet))
             continue;
+        const bool isFingerprint = fingerprints.contains(part);
+        const auto blame = isFingerprint ? this->blameFor(part, byPart, fingerprints) : Blame::Full;
+        const bool isOver = this->lastCrashOf(crashSet) + AmbiguousDuration <= now;
+        if (blame == Blame::None || (blame == Blame::Ambiguous && isOver))
+            continue;
         PartSet together { part };
         for (const auto& [other, otherCrashes] : byPart) {
             // No request has two fingerprints.
-            const bool areApart = fingerprints.contains(part) && fingerprints.contains(other);
+            const bool areApart = isFingerprint && fingerprints.contains(other);
             if (!areApart && this->occursWith(crashSet, otherCrashes))
                 together.insert(other);
         }
--- a/src/serving/PromptQuarantine.h
+++ b/src/serving/PromptQuarantine.h
@@ -36,7 +36,9 @@
 // only prompts with both are quarantined: one with either of them tells which it is.
 //
 // A request that comes again counts as a part that only its repetitions have. The parts of its prompt then occur in all
-// of its crashes, so that other prompts with them are sent. Pure computation, no I/O.
+// of its crashes, so that other prompts with them are sent. A popular request may lose its targets again and again to
+// another one: it is not quarantined if the other also ended targets without it, and for a short time only if the two
+// cannot be told apart. Pure computation, no I/O.
 class PromptQuarantine {
 public:
     // Number of targets that end before a part is suspected. One or two may end for reasons of their own.
@@ -52,6 +54,8 @@
     // A target takes the requests that wait for their answers with it, and each of these is a crash.
     static constexpr std::size_t MaximumCrashes = 256;
     static constexpr std::size_t MaximumSoundParts = 4096;
+    // Quarantine of a request whose crashes another one explains just as well. The next crash tells them apart.
+    static constexpr Duration AmbiguousDuration = std::chrono::seconds { 30 };
     // A part in a sound answer is not at fault for crashes up to this much later.
     static constexpr Duration SoundLifetime = std::chrono::seconds { 30 };
 
@@ -68,6 +72,10 @@
 
     bool isQuarantined(std::span<const std::uint64_t> parts) const;
 
+    // Whether targets have ended under the request often enough that it should not be sent to another one for the same
+    // attempt of the caller.
+    bool mayEndTargets(std::uint64_t fingerprint) const;
+
     // Time until the first crash that causes the quarantine no longer counts; zero if nothing is quarantined.
     Duration remaining(TimePoint now) const;
 
@@ -104,7 +112,16 @@
     using CrashSet = std::set<std::size_t>; // Indexes into `crashes`.
     using PartSet = std::set<std::uint64_t>;
 
-    void update();
+    enum class Blame {
+        None, // Another request is at fault.
+        Ambiguous, // Another request may be at fault.
+        Full,
+    };
+
+    void update(TimePoint now);
+    Blame blameFor(
+        std::uint64_t fingerprint, const std::map<std::uint64_t, CrashSet>& byPart, const PartSet& fingerprints) const;
+    TimePoint lastCrashOf(const CrashSet& crashSet) const;
     std::map<std::uint64_t, CrashSet> crashesByPart() const;
     bool isSound(std::uint64_t part, TimePoint crashedAt) const;
     bool clearIfSound(TargetCrash& crash, std::uint64_t part, TimePoint now);
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -379,6 +379,8 @@
         return "attempts";
     if (this->isQuarantined(call))
         return "quarantined";
+    if (last == AttemptResult::MayHaveRun && this->parts.quarantine.mayEndTargets(call.fingerprint))
+        return "ended_targets";
     if (last == AttemptResult::NotSent || std::exchange(call.hasSpentRetry, false)
         || this->parts.budget.trySpend(call.service->name, this->parts.clock.now()))
         return {};
--- a/test/PromptQuarantine_test.cpp
+++ b/test/PromptQuarantine_test.cpp
@@ -330,6 +330,34 @@
     EXPECT_TRUE(this->isQuarantined({ Poll }));
 }
 
+// A popular request loses its targets to another one while no target is left to answer it. It was refused for ten
+// minutes although the others were served again.
+TEST_F(RepeatedRequestQuarantineTest, VictimOfARequestThatAlsoEndsOthersIsNotQuarantined)
+{
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        this->crashOn(target, Repeated);
+        this->crashOn(target, Poll);
+    }
+    this->now += PromptQuarantine::AmbiguousDuration;
+    this->quarantine.expire(this->now);
+    EXPECT_FALSE(this->isQuarantined({ Poll }));
+    this->crashOn(4, Repeated);
+    EXPECT_TRUE(this->isQuarantined({ Repeated }));
+    EXPECT_FALSE(this->isQuarantined({ Poll }));
+    this->now += 9min;
+    this->quarantine.expire(this->now);
+    EXPECT_TRUE(this->isQuarantined({ Repeated }));
+}
+
+TEST_F(RepeatedRequestQuarantineTest, RequestThatEndedTwoTargetsIsNotRetried)
+{
+    this->crashOf(Repeated);
+    EXPECT_FALSE(this->quarantine.mayEndTargets(Repeated));
+    this->crashOf(Repeated);
+    EXPECT_TRUE(this->quarantine.mayEndTargets(Repeated));
+    EXPECT_FALSE(this->quarantine.mayEndTargets(Poll));
+}
+
 // Many callers send the same request, and some of them lose their targets to another fault. It must still be served.
 TEST_F(RepeatedRequestQuarantineTest, RequestThatWasAnsweredLatelyIsNotQuarantined)
 {
