Announce news of targets to all peers at most once in a period

Cause: each end of a target under a request is announced to all live peers at once. Ends before the header count since the quarantine by fingerprint, so that a target that ends with a dozen waiting requests would cost an instance a dozen notices to each of its peers, 195 of them in the largest deployment.

Limits and ends of targets use the same call.

Result: FaultsRepeatedRequestTest, FaultsTargetLimitsTest and PeerRunnerTest pass. The bytes were not measured.

--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -278,6 +278,16 @@
         }
     }
 
+    void announceNewsIfDue()
+    {
+        const auto now = this->parts.clock.now();
+        if (!this->hasNews || now - this->lastNewsAt < TickPeriod)
+            return;
+        this->hasNews = false;
+        this->lastNewsAt = now;
+        this->perform(this->exchange.notifyAll(now));
+    }
+
     void learnLimits(const wire::LoadNotice& notice, TimePoint now)
     {
         for (const auto& record : notice.limits) {
@@ -345,6 +355,7 @@
             this->parts.limits.setInstances(
                 { this->address, this->availabilityZone }, this->exchange.liveSharers(now), now);
             this->perform(this->exchange.tick(this->localState(now), !loads.empty() || this->lastNoticeHadLoads, now));
+            this->announceNewsIfDue();
             timer.expires_after(TickPeriod);
             co_await timer.async_wait(asio::use_awaitable);
         }
@@ -543,7 +554,8 @@
     bool lastNoticeHadLoads { false }; // The last notice had loads, so their absence is a change too.
     bool isLeaving { false };
     std::optional<TimePoint> lastNewPeerAt;
-    TimePoint lastLimitsAt {}; // Of the last call that announced limits.
+    bool hasNews { false }; // Not all peers have been notified of the last news.
+    TimePoint lastNewsAt {}; // When all were notified last.
 };
 
 PeerRunner::PeerRunner(const Parts& parts, std::string address, std::string availabilityZone,
@@ -573,20 +585,10 @@
     this->state->announceWork();
 }
 
-void PeerRunner::announceCrashes()
+void PeerRunner::announceNews()
 {
-    this->state->perform(this->state->exchange.notifyAll(this->state->parts.clock.now()));
-}
-
-void PeerRunner::announceLimits()
-{
-    auto& state = *this->state;
-    const auto now = state.parts.clock.now();
-    // Otherwise the periodic notices carry them.
-    if (now - state.lastLimitsAt < TickPeriod)
-        return;
-    state.lastLimitsAt = now;
-    state.perform(state.exchange.notifyAll(now));
+    this->state->hasNews = true;
+    this->state->announceNewsIfDue();
 }
 
 void PeerRunner::announceLeaving()
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -312,8 +312,8 @@
     state.follower.start(state.peers);
     state.peers.start();
     state.gateway.onPromptPlaced([&state] { state.peers.notifyPeersNow(); });
-    state.gateway.onTargetCrash([&state] { state.peers.announceCrashes(); });
-    state.gateway.onTargetLimitChanged([&state] { state.peers.announceLimits(); });
+    state.gateway.onTargetCrash([&state] { state.peers.announceNews(); });
+    state.gateway.onTargetLimitChanged([&state] { state.peers.announceNews(); });
     asio::co_spawn(state.context, state.runHousekeeping(), asio::detached);
     return ports;
 }
--- a/test/GatewayWithPeers.h
+++ b/test/GatewayWithPeers.h
@@ -51,8 +51,8 @@
         this->view.install(configuration);
         for (const auto& target : targets)
             this->view.targets.upsert(target, clock.now());
-        this->gateway.onTargetCrash([this] { this->peers.announceCrashes(); });
-        this->gateway.onTargetLimitChanged([this] { this->peers.announceLimits(); });
+        this->gateway.onTargetCrash([this] { this->peers.announceNews(); });
+        this->gateway.onTargetLimitChanged([this] { this->peers.announceNews(); });
         this->peers.start();
     }
 
