Let a sound answer excuse a part from few crashes only

What callers saw: a part that was sound until a change of the targets ended one target after the other for 30 s, as its last sound answer excused it from all crashes of that time.

Cause: a sound answer removed its parts from each crash of the next 30 s for good. That is right for a part that most prompts have, which some target still answers, and wrong for one under which every target ends.

Change: a crash remembers which parts a sound answer before it excuses, and which one after it clears.

--- a/src/serving/PeerRunner.h
+++ b/src/serving/PeerRunner.h
@@ -55,8 +55,8 @@
     // Notifies peers of new work at once, before they place their own.
     void notifyPeersNow();
 
-    // Notifies all peers of a target that ended under a request, or of a target's new limit or its end: at once, or with
-    // the next period if peers have just been notified.
+    // Notifies all peers of a target that ended under a request, or of a target's new limit or its end: at once, or
+    // with the next period if peers have just been notified.
     void announceNews();
 
     // Notifies peers that this instance is leaving.
--- a/src/serving/PromptQuarantine.cpp
+++ b/src/serving/PromptQuarantine.cpp
@@ -16,12 +16,6 @@
     return traits;
 }
 
-// Whether nothing about the request may be at fault.
-bool isExplained(const TargetCrash& crash)
-{
-    return crash.parts.empty() && crash.fingerprint == 0;
-}
-
 }
 
 PromptQuarantine::PromptQuarantine(Duration duration)
@@ -38,28 +32,31 @@
         || this->isQuarantined(traitsOf(crash)))
         return false;
     crash.parts.resize(std::min(crash.parts.size(), MaximumParts));
-    for (const auto part : traitsOf(crash))
-        this->clearIfSound(crash, part, now);
-    if (isExplained(crash))
+    KnownCrash known { std::move(crash), now };
+    const auto traits = traitsOf(known.crash);
+    for (const auto part : traits)
+        this->clearIfSound(known, part, now);
+    if (known.cleared.size() == traits.size())
         return false;
     if (this->crashes.size() >= MaximumCrashes)
         this->crashes.erase(this->crashes.begin());
-    this->crashes.push_back({ std::move(crash), now });
+    this->crashes.push_back(std::move(known));
     this->update(now);
     return true;
 }
 
-// Removes the part from the crash if it was in a sound answer. Returns whether it did.
-bool PromptQuarantine::clearIfSound(TargetCrash& crash, std::uint64_t part, TimePoint now)
+// Excuses the part, which belongs to the crash, if it was in a sound answer shortly before, and clears it if it was in
+// one after the crash. Returns whether either is new.
+bool PromptQuarantine::clearIfSound(KnownCrash& known, std::uint64_t part, TimePoint now)
 {
-    const bool isFingerprint = crash.fingerprint == part;
-    if ((!isFingerprint && std::ranges::count(crash.parts, part) == 0) || !this->isSound(part, crash.at))
+    const auto sound = this->soundParts.find(part);
+    const auto crashedAt = known.crash.at;
+    if (sound == this->soundParts.end() || sound->at + SoundLifetime < crashedAt)
         return false;
-    std::erase(crash.parts, part);
-    if (isFingerprint)
-        crash.fingerprint = 0;
-    this->recordCleared(part, now);
-    return true;
+    const bool isNew = sound->at >= crashedAt ? known.cleared.insert(part).second : known.excused.insert(part).second;
+    if (isNew)
+        this->recordCleared(part, now);
+    return isNew;
 }
 
 void PromptQuarantine::recordSound(std::span<const std::uint64_t> parts, TimePoint at)
@@ -76,19 +73,14 @@
         oldest.erase(oldest.begin());
     bool isChanged = false;
     for (auto& known : this->crashes) {
+        const auto traits = traitsOf(known.crash);
         for (const auto part : parts)
-            isChanged |= this->clearIfSound(known.crash, part, at);
+            isChanged |= std::ranges::count(traits, part) > 0 && this->clearIfSound(known, part, at);
     }
     if (isChanged)
         this->update(at);
 }
 
-bool PromptQuarantine::isSound(std::uint64_t part, TimePoint crashedAt) const
-{
-    const auto sound = this->soundParts.find(part);
-    return sound != this->soundParts.end() && sound->at + SoundLifetime >= crashedAt;
-}
-
 void PromptQuarantine::recordCleared(std::uint64_t part, TimePoint now)
 {
     std::erase_if(this->cleared, [&](const ClearedPart& one) { return one.sound.part == part; });
@@ -119,8 +111,12 @@
 {
     std::vector<TargetCrash> learned;
     for (const auto& known : this->crashes) {
-        if (known.learnedAt >= since && !isExplained(known.crash))
-            learned.push_back(known.crash);
+        auto crash = known.crash;
+        std::erase_if(crash.parts, [&](std::uint64_t part) { return known.cleared.contains(part); });
+        if (known.cleared.contains(crash.fingerprint))
+            crash.fingerprint = 0;
+        if (known.learnedAt >= since && !traitsOf(crash).empty())
+            learned.push_back(std::move(crash));
     }
     return learned;
 }
@@ -175,13 +171,22 @@
     return ended >= SuspectedTargets && endsByTarget.size() > 1 && requests.size() >= SuspectedRequests;
 }
 
-// The crashes that each part may be at fault for.
+// The crashes that each part may be at fault for. Crashes that a part is excused from count once they are many: if it
+// were sound, some answer with it would have cleared them.
 std::map<std::uint64_t, PromptQuarantine::CrashSet> PromptQuarantine::crashesByPart() const
 {
     std::map<std::uint64_t, CrashSet> byPart;
+    std::map<std::uint64_t, CrashSet> excusedByPart;
     for (std::size_t index = 0; index < this->crashes.size(); ++index) {
-        for (const auto trait : traitsOf(this->crashes[index].crash))
-            byPart[trait].insert(index);
+        const auto& known = this->crashes[index];
+        for (const auto trait : traitsOf(known.crash)) {
+            if (!known.cleared.contains(trait))
+                (known.excused.contains(trait) ? excusedByPart : byPart)[trait].insert(index);
+        }
+    }
+    for (const auto& [part, crashSet] : excusedByPart) {
+        if (this->targetsOf(crashSet).size() >= ManyTargets)
+            byPart[part].insert(crashSet.begin(), crashSet.end());
     }
     return byPart;
 }
--- a/src/serving/PromptQuarantine.h
+++ b/src/serving/PromptQuarantine.h
@@ -56,7 +56,8 @@
     static constexpr std::size_t MaximumSoundParts = 4096;
     // Quarantine of a request whose crashes another one explains just as well. The next crash tells them apart.
     static constexpr Duration AmbiguousDuration = std::chrono::seconds { 30 };
-    // A part in a sound answer is not at fault for crashes up to this much later.
+    // A part in a sound answer is excused from crashes up to this much later, until ManyTargets have ended under it
+    // without another sound answer.
     static constexpr Duration SoundLifetime = std::chrono::seconds { 30 };
 
     // A crash counts for `duration`; after that, prompts with its parts are sent again.
@@ -92,10 +93,11 @@
     void expire(TimePoint now);
 
 private:
-    // The parts that are cleared later are removed from the crash.
     struct KnownCrash {
         TargetCrash crash;
         TimePoint learnedAt {};
+        std::set<std::uint64_t> excused {}; // Parts that were in a sound answer shortly before the crash.
+        std::set<std::uint64_t> cleared {}; // Parts that were in a sound answer after the crash.
     };
 
     struct ClearedPart {
@@ -123,8 +125,7 @@
         std::uint64_t fingerprint, const std::map<std::uint64_t, CrashSet>& byPart, const PartSet& fingerprints) const;
     TimePoint lastCrashOf(const CrashSet& crashSet) const;
     std::map<std::uint64_t, CrashSet> crashesByPart() const;
-    bool isSound(std::uint64_t part, TimePoint crashedAt) const;
-    bool clearIfSound(TargetCrash& crash, std::uint64_t part, TimePoint now);
+    bool clearIfSound(KnownCrash& known, std::uint64_t part, TimePoint now);
     void recordCleared(std::uint64_t part, TimePoint now);
     bool isSuspected(const CrashSet& crashSet) const;
     std::set<std::uint64_t> targetsOf(const CrashSet& crashSet) const;
--- a/test/PromptQuarantine_test.cpp
+++ b/test/PromptQuarantine_test.cpp
@@ -260,6 +260,21 @@
     EXPECT_LE(ended, 8);
 }
 
+// Many targets end at one moment for another reason, under prompts with a part that most have. The next answer shows
+// that the part is sound.
+TEST_F(PromptQuarantineTest, PopularPartIsSentAgainAfterManyTargetsEndedAtOnce)
+{
+    this->quarantine.recordSound(std::vector { Common }, this->now);
+    for (int index = 0; index < 8; ++index)
+        this->crash({ Common, 20 + this->last });
+    this->now += 200ms;
+    this->quarantine.recordSound(std::vector { Common }, this->now);
+    EXPECT_FALSE(this->isQuarantined({ Common, Other }));
+    this->now += 1s;
+    this->crash({ Common, 11 });
+    EXPECT_FALSE(this->isQuarantined({ Common, Other }));
+}
+
 // The part was sound until a change of the targets. Many targets end under it and no answer with it is sound any more.
 TEST_F(PromptQuarantineTest, PartThatWasSoundJustBeforeIsQuarantinedOnceManyTargetsEnd)
 {
