Relate ends of targets before the header to parts of prompts too

Cause: only ends between header and first event counted against the parts of a prompt. A connection that closes before the header was left out, as it may also be an idle one that the target had closed.

Ruled out as a danger: an idle connection proves closed at most once for each target and moment, and a sound answer of the last 30 s excuses a part that most prompts have; three targets and two attempts are needed beyond that.

Change: both kinds of end record the parts and the fingerprint.

--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -150,7 +150,7 @@
     void recordSilence(const Call& call, const Attempt& attempt);
     void recordEndWithoutAnswer(Call& call, const TargetEntry& target, TimePoint sentAt);
     void recordCutBeforeEvents(const Call& call, const TargetEntry& target);
-    void recordCrash(const Call& call, const TargetEntry& target, std::vector<std::uint64_t> parts);
+    void recordCrash(const Call& call, const TargetEntry& target);
     void recordSound(const Call& call, Attempt& attempt);
     void recordInterruptedAttempt(Call& call, std::string_view detail);
     void finish(Call& call, std::string_view outcome, unsigned status);
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -367,7 +367,7 @@
 {
     if (call.isAbandoned || call.hasResponseStarted)
         return;
-    this->recordCrash(call, target, {});
+    this->recordCrash(call, target);
     this->parts.log.write("ended_without_answer",
         { { "id", call.metadata.attemptId }, { "target", target.id }, { "born", target.incarnation },
             { "workspace", call.workspace.empty() ? "-" : std::string_view { call.workspace } },
@@ -375,15 +375,14 @@
             { "suspected_parts", std::uint64_t { this->parts.quarantine.size() } } });
 }
 
-// Records that a target ended under the request, or under one of these parts of its prompt, and tells peers.
-void ServingGateway::recordCrash(const Call& call, const TargetEntry& target, std::vector<std::uint64_t> parts)
+// Records that a target ended under the request, or under a part of its prompt, and tells peers.
+void ServingGateway::recordCrash(const Call& call, const TargetEntry& target)
 {
     const auto now = this->parts.clock.now();
     const auto incarnation = target.id + '/' + std::to_string(target.incarnation);
-    const bool isNew = this->parts.quarantine.recordCrash(
-        { LoadLedger::hashOf(incarnation), LoadLedger::hashOf(call.metadata.attemptId), std::move(parts), now,
-            call.fingerprint },
-        now);
+    const TargetCrash crash { LoadLedger::hashOf(incarnation), LoadLedger::hashOf(call.metadata.attemptId),
+        call.sharedParts, now, call.fingerprint };
+    const bool isNew = this->parts.quarantine.recordCrash(crash, now);
     if (isNew && this->notifyCrash)
         this->notifyCrash();
 }
--- a/src/serving/ServingGatewayStream.cpp
+++ b/src/serving/ServingGatewayStream.cpp
@@ -313,7 +313,7 @@
     // A target that wrote events of the answer did not end under the prompt, so that no later one does.
     if (call.isAbandoned || call.hasResponseStarted)
         return;
-    this->recordCrash(call, target, call.sharedParts);
+    this->recordCrash(call, target);
     std::string parts;
     for (const auto& part : call.metadata.sharedParts)
         parts += (parts.empty() ? "" : ",") + part;
