--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -144,7 +144,9 @@
     std::vector<LedgerEntry> recordWork(const TargetChoice& choice);
     void recordOutcome(Call& call, const TargetEntry& target, SendOutcome outcome, std::string_view detail);
     bool acceptsRequests(const TargetEntry& target) const;
+    const TargetEntry* findRestingHelper(const TargetChoice& choice) const;
     AttemptResult recordHeldBack(Call& call, const TargetEntry& target);
+    AttemptResult recordHeldBackByHelper(Call& call, const TargetEntry& target, const TargetEntry& helper);
     AttemptResult recordDeclined(
         Call& call, const TargetChoice& choice, const ResponseMetadata& response, TimePoint sentAt);
     void recordSilence(const Call& call, const Attempt& attempt);
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -46,6 +46,13 @@
 // A helper that needs this long to decline is not answering the engine that asked it.
 constexpr Duration SilentHelperTime = std::chrono::seconds { 1 };
 
+// The next attempt excludes the helper instead of the target that was chosen to answer.
+void excludeHelper(std::set<std::string>& tried, const TargetEntry& target, const TargetEntry& helper)
+{
+    tried.erase(target.id);
+    tried.insert(helper.id);
+}
+
 // Allows the write unless the target began to leave, asked for a pause or stated a limit, or the prompt was found to
 // end targets, while the connection or memory was awaited. Counts the attempts that may be executed: those that were
 // written.
@@ -160,8 +167,8 @@
         this->parts.budget.recordFirstSend(call.service->name, now);
 
     const auto isOpen = [&] {
-        return this->acceptsRequests(choice.target) && !this->parts.quarantine.isQuarantined(call.traits)
-            && attempt.permit->use();
+        return this->acceptsRequests(choice.target) && !this->findRestingHelper(choice)
+            && !this->parts.quarantine.isQuarantined(call.traits) && attempt.permit->use();
     };
     TargetWriteGate gate { isOpen, call.runs };
     const auto sentAt = this->parts.clock.now();
@@ -178,8 +185,12 @@
         co_return AttemptResult::MayHaveRun;
     if (!answer && !gate.isWritten && this->isQuarantined(call))
         co_return AttemptResult::NotSent;
-    if (gate.isHeldBack)
+    if (gate.isHeldBack) {
+        const auto* helper = this->findRestingHelper(choice);
+        if (helper && this->acceptsRequests(choice.target))
+            co_return this->recordHeldBackByHelper(call, choice.target, *helper);
         co_return this->recordHeldBack(call, choice.target);
+    }
     if (!answer) {
         if (gate.isWritten && answer.error() == HttpError::NoAnswer)
             this->recordEndWithoutAnswer(call, choice.target, sentAt);
@@ -253,6 +264,24 @@
         && !this->parts.health.pauses.isPaused(target.id, this->parts.clock.now());
 }
 
+// Returns a helper that began to leave or asked for a pause since it was chosen; null if there is none. The target
+// would learn of it only after it has read its own part.
+const TargetEntry* ServingGateway::findRestingHelper(const TargetChoice& choice) const
+{
+    const auto rests = [&](const TargetEntry& helper) {
+        return !this->acceptsRequests(helper);
+    };
+    const auto found = std::ranges::find_if(choice.helpers, rests);
+    return found != choice.helpers.end() ? &*found : nullptr;
+}
+
+ServingGateway::AttemptResult ServingGateway::recordHeldBackByHelper(
+    Call& call, const TargetEntry& target, const TargetEntry& helper)
+{
+    excludeHelper(call.tried, target, helper);
+    return this->recordHeldBack(call, helper);
+}
+
 // Records that nothing was sent because the target no longer takes requests. It says nothing about its health.
 ServingGateway::AttemptResult ServingGateway::recordHeldBack(Call& call, const TargetEntry& target)
 {
@@ -290,10 +319,8 @@
         response.isMisdirected ? "other_target"
             : isHelper         ? "helper_declined"
                                : "not_run");
-    if (isHelper) {
-        call.tried.erase(choice.target.id);
-        call.tried.insert(target.id);
-    }
+    if (isHelper)
+        excludeHelper(call.tried, choice.target, target);
     return AttemptResult::NotRun;
 }
 
@@ -310,13 +337,11 @@
         // A reservation counts as a request.
         const bool isAccepted
             = this->acceptsRequests(engine) && this->parts.health.limits.tryTake(engine, this->parts.clock.now());
+        if (isAccepted && co_await lease.add(engine, reservation) == MemoryOutcome::Done)
+            continue;
         if (!isAccepted)
             this->recordHeldBack(call, engine);
-        else if (co_await lease.add(engine, reservation) == MemoryOutcome::Done)
-            continue;
-        // The next attempt excludes this engine instead of the one chosen to answer.
-        call.tried.erase(choice.target.id);
-        call.tried.insert(engine.id);
+        excludeHelper(call.tried, choice.target, engine);
         co_return false;
     }
     co_return true;
--- a/test/ServingGatewayAdvice_test.cpp
+++ b/test/ServingGatewayAdvice_test.cpp
@@ -189,6 +189,44 @@
     EXPECT_EQ(this->received(), 0U);
 }
 
+// Three engines: while the request waits for memory on the first helper, the second one begins to leave. The target
+// would have declined after reading a part of the prompt, and the next attempt excluded the target in place of the
+// helper.
+TEST_F(ServingGatewayPauseTest, RequestWhoseHelperBeginsToLeaveIsPlacedAnew)
+{
+    this->configureEngines();
+    this->registerTarget("t2", this->second.address);
+    ScriptedTarget third { this->context };
+    this->registerTarget("t3", third.address);
+    ScriptedTarget fourth { this->context };
+    this->registerTarget("t4", fourth.address);
+    std::vector<std::string> helpersAtWrite;
+    const auto reaction = [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        helpersAtWrite.emplace_back(exchange.request()["Marigoldpaddle-Helpers"]);
+        const auto whole = events("id: 1\n\n", true);
+        co_await whole(exchange);
+    };
+    for (auto* target : { &this->first, &this->second, &third, &fourth })
+        target->script = { reaction };
+    std::vector<std::string> reserved;
+    std::string leaving;
+    this->memory.reaction = [&](const TargetEntry& helper) {
+        reserved.push_back(helper.id);
+        // The helper that got the first of two reservations leaves during the second one.
+        if (reserved.size() == 2) {
+            leaving = this->view.targets.find(reserved.front())->address;
+            this->view.targets.markLeaving(*this->view.targets.find(reserved.front()), this->clock.now());
+        }
+        return MemoryOutcome::Done;
+    };
+    auto prompt = this->requestWithReservations();
+    prompt.set("Marigoldpaddle-Token-Usage", "160000,100");
+    EXPECT_EQ(this->call(std::move(prompt)).value().result_int(), 200U);
+    ASSERT_EQ(helpersAtWrite.size(), 1U);
+    EXPECT_EQ(helpersAtWrite.front().find(leaving), std::string::npos) << helpersAtWrite.front();
+    EXPECT_EQ(this->metrics.counter("marigold_held_back_requests_total").value(), 1U);
+}
+
 // The caller was told to retry after 0.3 s, when all targets were still paused.
 TEST_F(ServingGatewayPauseTest, RequestIsRefusedAtOnceUntilTheFirstPauseEnds)
 {
