Split the news of targets from the exchange with peers

Each crash went into every short notice of a placed prompt too, and a target that ends with many waiting requests makes as many crashes, of which a notice had 16.

Change: PeerNews translates ends of targets and limits between notices and what the instance knows; WireTime.h has the durations of messages. News are in complete notices only, which go to all peers at once when there are any, with up to 32 crashes. Targets that take no request now are called throttled. Two tests share one store that cannot be reached.

--- /dev/null
+++ b/src/serving/PeerNews.cpp
@@ -0,0 +1,122 @@
+#include "serving/PeerNews.h"
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+
+#include "serving/WireTime.h"
+
+namespace marigoldpaddle {
+
+namespace {
+
+// Notices repeat a crash or a limit for some rounds, also in the longest interval between two of them.
+constexpr Duration NewsAnnouncementPeriod = std::chrono::seconds { 3 };
+// A target takes the requests that wait for their answers with it, each of which is a crash.
+constexpr std::size_t MaximumCrashesPerNotice = 32;
+constexpr std::size_t MaximumLimitsPerNotice = 64;
+
+}
+
+PeerNews::PeerNews(PromptQuarantine& quarantine, TargetLimits& limits, EventLog& log)
+    : quarantine(quarantine)
+    , limits(limits)
+    , log(log)
+{
+}
+
+void PeerNews::recordNewPeer(TimePoint now)
+{
+    this->lastNewPeerAt = now;
+}
+
+void PeerNews::learn(const wire::LoadNotice& notice, TimePoint now)
+{
+    this->learnCrashes(notice, now);
+    this->learnLimits(notice, now);
+}
+
+void PeerNews::addTo(wire::LoadNotice& notice, TimePoint now) const
+{
+    this->addCrashes(notice, now);
+    this->addLimits(notice, now);
+}
+
+void PeerNews::learnCrashes(const wire::LoadNotice& notice, TimePoint now)
+{
+    auto& quarantine = this->quarantine;
+    for (const auto& sound : notice.soundParts) {
+        const auto part = static_cast<std::uint64_t>(sound.part);
+        quarantine.recordSound({ &part, 1 }, now - toAge(sound.ageMs));
+    }
+    for (const auto& record : notice.crashes) {
+        TargetCrash crash { static_cast<std::uint64_t>(record.target), static_cast<std::uint64_t>(record.request), {},
+            now - toAge(record.ageMs), static_cast<std::uint64_t>(record.fingerprint) };
+        std::ranges::transform(record.parts, std::back_inserter(crash.parts),
+            [](std::int64_t part) { return static_cast<std::uint64_t>(part); });
+        if (!quarantine.recordCrash(std::move(crash), now))
+            continue;
+        this->log.write("crash_learned",
+            { { "source", notice.sender }, { "suspected_parts", std::uint64_t { quarantine.size() } } });
+    }
+}
+
+void PeerNews::learnLimits(const wire::LoadNotice& notice, TimePoint now)
+{
+    for (const auto& record : notice.limits) {
+        TargetLimitStatement statement { static_cast<std::uint64_t>(record.target),
+            static_cast<std::uint64_t>(record.incarnation), {}, now - toAge(record.ageMs),
+            static_cast<std::uint64_t>(record.zone) };
+        if (record.perSecond >= 0)
+            statement.perSecond = record.perSecond;
+        if (this->limits.learn(statement, now) == TargetLimits::Change::None)
+            continue;
+        this->log.write("target_limit_learned",
+            { { "source", notice.sender }, { "born", statement.incarnation }, { "per_second", record.perSecond },
+                { "limited_targets", std::uint64_t { this->limits.size() } } });
+    }
+}
+
+// News are repeated for a while, as datagrams get lost. A new peer gets all that is known.
+TimePoint PeerNews::newsSince(TimePoint now) const
+{
+    const auto isForNewPeer = this->lastNewPeerAt && now - *this->lastNewPeerAt < NewsAnnouncementPeriod;
+    return isForNewPeer ? TimePoint::min() : now - NewsAnnouncementPeriod;
+}
+
+void PeerNews::addCrashes(wire::LoadNotice& notice, TimePoint now) const
+{
+    const auto& quarantine = this->quarantine;
+    const auto since = this->newsSince(now);
+    // The newest first: the number in a notice is limited.
+    const auto crashes = quarantine.crashesLearnedSince(since);
+    for (const auto& crash : crashes | std::views::reverse | std::views::take(MaximumCrashesPerNotice)) {
+        auto& record = notice.crashes.emplace_back();
+        record.target = static_cast<std::int64_t>(crash.target);
+        record.request = static_cast<std::int64_t>(crash.request);
+        record.parts.assign(crash.parts.begin(), crash.parts.end());
+        record.ageMs = milliseconds(now - crash.at);
+        record.fingerprint = static_cast<std::int64_t>(crash.fingerprint);
+    }
+    const auto cleared = quarantine.partsClearedSince(since);
+    for (const auto& sound : cleared | std::views::reverse | std::views::take(MaximumCrashesPerNotice)) {
+        auto& record = notice.soundParts.emplace_back();
+        record.part = static_cast<std::int64_t>(sound.part);
+        record.ageMs = milliseconds(now - sound.at);
+    }
+}
+
+void PeerNews::addLimits(wire::LoadNotice& notice, TimePoint now) const
+{
+    const auto news = this->limits.newsSince(this->newsSince(now));
+    for (const auto& statement : news | std::views::take(MaximumLimitsPerNotice)) {
+        auto& record = notice.limits.emplace_back();
+        record.target = static_cast<std::int64_t>(statement.target);
+        record.incarnation = static_cast<std::int64_t>(statement.incarnation);
+        record.perSecond = statement.perSecond.value_or(-1);
+        record.zone = static_cast<std::int64_t>(statement.zone);
+        record.ageMs = milliseconds(now - statement.at);
+    }
+}
+
+}
--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -16,7 +16,9 @@
 
 #include "base/Http.h"
 #include "rpc/Codec.h"
+#include "serving/PeerNews.h"
 #include "serving/TransferSlots.h"
+#include "serving/WireTime.h"
 
 namespace marigoldpaddle {
 
@@ -30,16 +32,6 @@
 constexpr Duration FetchTimeout = std::chrono::milliseconds { 400 };
 // Limit of one notice: a datagram that UDP carries over loopback and, fragmented, over other networks.
 constexpr std::size_t MaximumNoticeBytes = 16 * 1024;
-// Notices repeat a crash or a limit for some rounds, also in the longest interval between two of them.
-constexpr Duration NewsAnnouncementPeriod = std::chrono::seconds { 3 };
-constexpr std::size_t MaximumCrashesPerNotice = 16;
-constexpr std::size_t MaximumLimitsPerNotice = 64;
-
-std::int64_t milliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 wire::TargetLoadRecord toRecord(std::uint64_t target, const TargetLoad& load)
 {
     wire::TargetLoadRecord record;
@@ -72,19 +64,6 @@
     return load;
 }
 
-std::int64_t toMilliseconds(Duration age)
-{
-    return age == Duration::max() ? std::numeric_limits<std::int32_t>::max() : milliseconds(age);
-}
-
-// The largest number on the wire stands for no view.
-Duration toAge(std::int64_t ms)
-{
-    return ms >= std::numeric_limits<std::int32_t>::max()
-        ? Duration::max()
-        : Duration { std::chrono::milliseconds { std::max<std::int64_t>(0, ms) } };
-}
-
 ViewSummary toSummary(const wire::LoadNotice& notice)
 {
     return { static_cast<std::uint64_t>(notice.storeEra), static_cast<std::uint64_t>(notice.configurationVersion),
@@ -196,6 +175,7 @@
         : parts(parts)
         , address(std::move(address))
         , availabilityZone(std::move(availabilityZone))
+        , news(parts.quarantine, parts.limits, parts.log)
         , exchange(this->address, this->availabilityZone, std::move(seeds), targetsBound,
               std::mt19937_64 { std::random_device {}() })
         , socket(parts.context)
@@ -239,10 +219,9 @@
             return;
         const auto replies = this->exchange.replyToNewPeers(now);
         if (!replies.empty())
-            this->lastNewPeerAt = now;
+            this->news.recordNewPeer(now);
         this->perform(replies);
-        this->learnCrashes(*notice, now);
-        this->learnLimits(*notice, now);
+        this->news.learn(*notice, now);
         this->parts.follower.applyPeerView(toSummary(*notice), fromWire(notice->targetChanges));
         if (const auto own = this->localState(now); own.targetsAge == Duration::max())
             this->perform(this->exchange.fetchNewerRecords(own, now));
@@ -259,25 +238,6 @@
             this->parts.ledger.updateZoneOccupancy(notice->availabilityZone, notice->zoneOccupancy, now);
     }
 
-    void learnCrashes(const wire::LoadNotice& notice, TimePoint now)
-    {
-        auto& quarantine = this->parts.quarantine;
-        for (const auto& sound : notice.soundParts) {
-            const auto part = static_cast<std::uint64_t>(sound.part);
-            quarantine.recordSound({ &part, 1 }, now - toAge(sound.ageMs));
-        }
-        for (const auto& record : notice.crashes) {
-            TargetCrash crash { static_cast<std::uint64_t>(record.target), static_cast<std::uint64_t>(record.request),
-                {}, now - toAge(record.ageMs), static_cast<std::uint64_t>(record.fingerprint) };
-            std::ranges::transform(record.parts, std::back_inserter(crash.parts),
-                [](std::int64_t part) { return static_cast<std::uint64_t>(part); });
-            if (!quarantine.recordCrash(std::move(crash), now))
-                continue;
-            this->parts.log.write("crash_learned",
-                { { "source", notice.sender }, { "suspected_parts", std::uint64_t { quarantine.size() } } });
-        }
-    }
-
     void announceNewsIfDue()
     {
         const auto now = this->parts.clock.now();
@@ -288,64 +248,6 @@
         this->perform(this->exchange.notifyAll(now));
     }
 
-    void learnLimits(const wire::LoadNotice& notice, TimePoint now)
-    {
-        for (const auto& record : notice.limits) {
-            TargetLimitStatement statement { static_cast<std::uint64_t>(record.target),
-                static_cast<std::uint64_t>(record.incarnation), {}, now - toAge(record.ageMs),
-                static_cast<std::uint64_t>(record.zone) };
-            if (record.perSecond >= 0)
-                statement.perSecond = record.perSecond;
-            if (this->parts.limits.learn(statement, now) == TargetLimits::Change::None)
-                continue;
-            this->parts.log.write("target_limit_learned",
-                { { "source", notice.sender }, { "born", statement.incarnation }, { "per_second", record.perSecond },
-                    { "limited_targets", std::uint64_t { this->parts.limits.size() } } });
-        }
-    }
-
-    // News are repeated for a while, as datagrams get lost. A new peer gets all that is known.
-    TimePoint newsSince(TimePoint now) const
-    {
-        const auto isForNewPeer = this->lastNewPeerAt && now - *this->lastNewPeerAt < NewsAnnouncementPeriod;
-        return isForNewPeer ? TimePoint::min() : now - NewsAnnouncementPeriod;
-    }
-
-    void addLimits(wire::LoadNotice& notice, TimePoint now) const
-    {
-        const auto news = this->parts.limits.newsSince(this->newsSince(now));
-        for (const auto& statement : news | std::views::take(MaximumLimitsPerNotice)) {
-            auto& record = notice.limits.emplace_back();
-            record.target = static_cast<std::int64_t>(statement.target);
-            record.incarnation = static_cast<std::int64_t>(statement.incarnation);
-            record.perSecond = statement.perSecond.value_or(-1);
-            record.zone = static_cast<std::int64_t>(statement.zone);
-            record.ageMs = milliseconds(now - statement.at);
-        }
-    }
-
-    void addCrashes(wire::LoadNotice& notice, TimePoint now) const
-    {
-        const auto& quarantine = this->parts.quarantine;
-        const auto since = this->newsSince(now);
-        // The newest first: the number in a notice is limited.
-        const auto crashes = quarantine.crashesLearnedSince(since);
-        for (const auto& crash : crashes | std::views::reverse | std::views::take(MaximumCrashesPerNotice)) {
-            auto& record = notice.crashes.emplace_back();
-            record.target = static_cast<std::int64_t>(crash.target);
-            record.request = static_cast<std::int64_t>(crash.request);
-            record.parts.assign(crash.parts.begin(), crash.parts.end());
-            record.ageMs = milliseconds(now - crash.at);
-            record.fingerprint = static_cast<std::int64_t>(crash.fingerprint);
-        }
-        const auto cleared = quarantine.partsClearedSince(since);
-        for (const auto& sound : cleared | std::views::reverse | std::views::take(MaximumCrashesPerNotice)) {
-            auto& record = notice.soundParts.emplace_back();
-            record.part = static_cast<std::int64_t>(sound.part);
-            record.ageMs = milliseconds(now - sound.at);
-        }
-    }
-
     asio::awaitable<void> runTicks()
     {
         asio::steady_timer timer { this->parts.context };
@@ -402,7 +304,7 @@
         return slots > 0 ? running / slots : -1;
     }
 
-    // A notice without loads.
+    // A notice without loads and news.
     wire::LoadNotice makeHeader(TimePoint now)
     {
         wire::LoadNotice notice;
@@ -420,7 +322,6 @@
         notice.targetsOffset = static_cast<std::int64_t>(summary.targetsOffset);
         notice.storeEra = static_cast<std::int64_t>(summary.era);
         notice.leaving = this->isLeaving;
-        this->addCrashes(notice, now);
         const auto startBy = this->parts.waiting.earliestStartBy();
         notice.waitingStartByMs
             = startBy == TimePoint::max() ? -1 : std::max<std::int64_t>(0, milliseconds(startBy - now));
@@ -459,7 +360,7 @@
         auto notice = this->makeHeader(now);
         notice.zoneOccupancy = this->zoneOccupancy(now);
         notice.targetChanges = toWire(changes);
-        this->addLimits(notice, now);
+        this->news.addTo(notice, now);
         const auto loads = this->parts.ledger.localLoads(now);
         this->addLoads(notice, loads);
         this->lastNoticeHadLoads = !loads.empty();
@@ -542,6 +443,7 @@
     Parts parts;
     std::string address;
     std::string availabilityZone;
+    PeerNews news;
     PeerExchange exchange;
     udp::socket socket;
     RpcServer server;
@@ -553,7 +455,6 @@
     std::array<char, 64 * 1024> buffer {};
     bool lastNoticeHadLoads { false }; // The last notice had loads, so their absence is a change too.
     bool isLeaving { false };
-    std::optional<TimePoint> lastNewPeerAt;
     bool hasNews { false }; // Not all peers have been notified of the last news.
     TimePoint lastNewsAt {}; // When all were notified last.
 };
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -198,7 +198,7 @@
         auto choice = this->chooser.choose({ *call.route, *call.service, call.metadata.prompt, call.tried,
                                                now - call.receivedAt, this->remaining(call) },
             now);
-        if (!choice && !this->mayAwaitReturn(call, now))
+        if (!choice && !this->mayAwaitTarget(call, now))
             co_return choice;
         if (!choice) {
             asio::steady_timer timer { this->parts.context, PlacementRetryPeriod };
@@ -259,7 +259,7 @@
 }
 
 // When a target that is paused or at its limit takes a request of this instance again. Empty if it does so now.
-std::optional<TimePoint> ServingGateway::returnOf(const TargetEntry& target, TimePoint now) const
+std::optional<TimePoint> ServingGateway::nextRequestAt(const TargetEntry& target, TimePoint now) const
 {
     const auto pauseEnd = this->parts.health.pauses.end(target.id, now).value_or(now);
     const auto at = std::max(pauseEnd, this->parts.health.limits.nextAt(target, now));
@@ -267,11 +267,11 @@
 }
 
 // Empty unless all targets of the service are paused or at their limits.
-std::vector<TimePoint> ServingGateway::returnsOfAllTargets(const Call& call, TimePoint now) const
+std::vector<TimePoint> ServingGateway::nextRequestTimes(const Call& call, TimePoint now) const
 {
     std::vector<TimePoint> returns;
     for (const auto* target : this->parts.view.targets.available(call.service->name)) {
-        const auto at = this->returnOf(*target, now);
+        const auto at = this->nextRequestAt(*target, now);
         if (!at)
             return {};
         returns.push_back(*at);
@@ -280,12 +280,12 @@
 }
 
 // A stream that has begun cannot be refused. It waits for a target that can continue it in time.
-bool ServingGateway::mayAwaitReturn(const Call& call, TimePoint now) const
+bool ServingGateway::mayAwaitTarget(const Call& call, TimePoint now) const
 {
     if (!call.hasResponseStarted)
         return false;
     const auto mayContinue = [&](const TargetEntry* target) {
-        const auto at = this->returnOf(*target, now);
+        const auto at = this->nextRequestAt(*target, now);
         return at && *at < call.deadline && !call.tried.contains(target->id);
     };
     return std::ranges::any_of(this->parts.view.targets.available(call.service->name), mayContinue);
@@ -295,10 +295,10 @@
 // a time from the first return of a target on. The callers are spread up to the last return, and over some time after a
 // single one: the first target that is free again could not serve all of them. A caller waits for a third of its
 // remaining time at most, so a spread beyond that would bring the callers back together.
-std::string_view ServingGateway::recordRestingTargets(Call& call)
+std::string_view ServingGateway::recordThrottledTargets(Call& call)
 {
     const auto now = this->parts.clock.now();
-    const auto returns = this->returnsOfAllTargets(call, now);
+    const auto returns = this->nextRequestTimes(call, now);
     if (returns.empty())
         return {};
     const auto [earliest, latest] = std::ranges::minmax(returns);
@@ -410,12 +410,12 @@
     const bool isPastDeadline = this->remaining(call) <= Duration::zero();
     if (call.runs > 0 || (call.tries > 0 && isPastDeadline))
         co_return co_await this->refuse(call, isPastDeadline ? 504 : 502, "may_have_run");
-    const bool mayRest = !call.isQuarantined && !call.isRefusedByShutdown;
-    const auto resting = mayRest ? this->recordRestingTargets(call) : std::string_view {};
+    const bool mayBeThrottled = !call.isQuarantined && !call.isRefusedByShutdown;
+    const auto throttled = mayBeThrottled ? this->recordThrottledTargets(call) : std::string_view {};
     co_await this->refuse(call, 503,
         call.isQuarantined             ? "quarantined"
             : call.isRefusedByShutdown ? "stopping"
-            : !resting.empty()         ? resting
+            : !throttled.empty()       ? throttled
             : call.hasNoCapacity       ? "no_place"
             : call.tries > 0           ? "targets_declined"
                                        : "no_target");
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -125,10 +125,10 @@
     boost::asio::awaitable<void> refuse(Call& call, unsigned status, std::string_view reason);
     boost::asio::awaitable<void> waitUntilDeadline(Call& call);
     boost::asio::awaitable<void> waitForCallerDisconnect(Call& call);
-    std::optional<TimePoint> returnOf(const TargetEntry& target, TimePoint now) const;
-    std::vector<TimePoint> returnsOfAllTargets(const Call& call, TimePoint now) const;
-    bool mayAwaitReturn(const Call& call, TimePoint now) const;
-    std::string_view recordRestingTargets(Call& call);
+    std::optional<TimePoint> nextRequestAt(const TargetEntry& target, TimePoint now) const;
+    std::vector<TimePoint> nextRequestTimes(const Call& call, TimePoint now) const;
+    bool mayAwaitTarget(const Call& call, TimePoint now) const;
+    std::string_view recordThrottledTargets(Call& call);
     void recordNotPlaced(Call& call, const TargetChoice& best);
     bool isQuarantined(Call& call) const;
     bool isIntakeClosedFor(const Call& call) const;
@@ -144,7 +144,7 @@
     std::vector<LedgerEntry> recordWork(const TargetChoice& choice);
     void recordOutcome(Call& call, const TargetEntry& target, SendOutcome outcome, std::string_view detail);
     bool acceptsRequests(const TargetEntry& target) const;
-    const TargetEntry* findRestingHelper(const TargetChoice& choice) const;
+    const TargetEntry* findUnavailableHelper(const TargetChoice& choice) const;
     AttemptResult recordHeldBack(Call& call, const TargetEntry& target);
     AttemptResult recordHeldBackByHelper(Call& call, const TargetEntry& target, const TargetEntry& helper);
     AttemptResult recordDeclined(
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -167,7 +167,7 @@
         this->parts.budget.recordFirstSend(call.service->name, now);
 
     const auto isOpen = [&] {
-        return this->acceptsRequests(choice.target) && !this->findRestingHelper(choice)
+        return this->acceptsRequests(choice.target) && !this->findUnavailableHelper(choice)
             && !this->parts.quarantine.isQuarantined(call.traits) && attempt.permit->use();
     };
     TargetWriteGate gate { isOpen, call.runs };
@@ -186,7 +186,7 @@
     if (!answer && !gate.isWritten && this->isQuarantined(call))
         co_return AttemptResult::NotSent;
     if (gate.isHeldBack) {
-        const auto* helper = this->findRestingHelper(choice);
+        const auto* helper = this->findUnavailableHelper(choice);
         if (helper && this->acceptsRequests(choice.target))
             co_return this->recordHeldBackByHelper(call, choice.target, *helper);
         co_return this->recordHeldBack(call, choice.target);
@@ -266,12 +266,12 @@
 
 // Returns a helper that began to leave or asked for a pause since it was chosen; null if there is none. The target
 // would learn of it only after it has read its own part.
-const TargetEntry* ServingGateway::findRestingHelper(const TargetChoice& choice) const
+const TargetEntry* ServingGateway::findUnavailableHelper(const TargetChoice& choice) const
 {
-    const auto rests = [&](const TargetEntry& helper) {
+    const auto isUnavailable = [&](const TargetEntry& helper) {
         return !this->acceptsRequests(helper);
     };
-    const auto found = std::ranges::find_if(choice.helpers, rests);
+    const auto found = std::ranges::find_if(choice.helpers, isUnavailable);
     return found != choice.helpers.end() ? &*found : nullptr;
 }
 
--- /dev/null
+++ b/src/serving/WireTime.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+
+#include <marigoldpaddle/Clock.h>
+
+// Durations in messages between instances, in milliseconds.
+namespace marigoldpaddle {
+
+inline std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+inline std::int64_t toMilliseconds(Duration age)
+{
+    return age == Duration::max() ? std::numeric_limits<std::int32_t>::max() : milliseconds(age);
+}
+
+// The largest number on the wire stands for no view.
+inline Duration toAge(std::int64_t ms)
+{
+    return ms >= std::numeric_limits<std::int32_t>::max()
+        ? Duration::max()
+        : Duration { std::chrono::milliseconds { std::max<std::int64_t>(0, ms) } };
+}
+
+}
--- a/test/GatewayWithPeers.h
+++ b/test/GatewayWithPeers.h
@@ -7,31 +7,13 @@
 
 #include <unistd.h>
 
+#include "AbsentStore.h"
 #include "ServingGatewayHarness.h"
 #include "platform/RecordFormat.h"
 #include "serving/PeerRunner.h"
 
 namespace marigoldpaddle::testing {
 
-// A store that cannot be reached.
-class AbsentStore final : public PlatformStore {
-public:
-    asio::awaitable<PlatformResult<KeyedPage>> newest(KeyedStream) override
-    {
-        co_return PlatformError::Unreachable;
-    }
-
-    asio::awaitable<PlatformResult<KeyedPage>> newestPart(KeyedStream, std::string) override
-    {
-        co_return PlatformError::Unreachable;
-    }
-
-    asio::awaitable<PlatformResult<KeyedPage>> changes(KeyedStream, std::uint64_t, Duration) override
-    {
-        co_return PlatformError::Unreachable;
-    }
-};
-
 // The parts of an instance that forward requests and talk to peers, on an address of the loopback network.
 class GatewayWithPeers {
 public:
--- a/test/PeerRunner_test.cpp
+++ b/test/PeerRunner_test.cpp
@@ -10,6 +10,7 @@
 
 #include <gtest/gtest.h>
 
+#include "AbsentStore.h"
 #include "platform/RecordFormat.h"
 
 namespace marigoldpaddle {
@@ -18,28 +19,9 @@
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 
-// A store that the tests do not read.
-class UnusedStore final : public PlatformStore {
-public:
-    asio::awaitable<PlatformResult<KeyedPage>> newest(KeyedStream) override
-    {
-        co_return PlatformError::Unreachable;
-    }
-
-    asio::awaitable<PlatformResult<KeyedPage>> newestPart(KeyedStream, std::string) override
-    {
-        co_return PlatformError::Unreachable;
-    }
-
-    asio::awaitable<PlatformResult<KeyedPage>> changes(KeyedStream, std::uint64_t, Duration) override
-    {
-        co_return PlatformError::Unreachable;
-    }
-};
-
 // An instance with a list of targets that peers ask for. The tests hold what an RPC server holds until an answer is
 // written.
-class PeerRunnerTest : public testing::Test {
+class PeerRunnerTest : public ::testing::Test {
 protected:
     static constexpr Duration Bound = 400ms;
 
@@ -103,7 +85,7 @@
 
     asio::io_context context { 1 };
     SteadyClock clock;
-    UnusedStore store;
+    testing::AbsentStore store;
     platform::RecordFormat records;
     ServingView view;
     EventLog log { this->clock, { "test", 0, 64 } };
