--- a/test/SoakCluster.cpp
+++ b/test/SoakCluster.cpp
@@ -210,6 +210,11 @@
         engine.proxy->setFault(fault.link, std::chrono::milliseconds { fault.amount });
         co_await this->pause(fault.length);
         engine.proxy->setFault(LinkFault::None);
+    } else if (fault.fault == LimitedEngine) {
+        const json::value limit(std::to_string(fault.amount));
+        co_await set("limit", limit);
+        co_await this->pause(fault.length);
+        co_await set("limit", json::value(""));
     } else if (fault.fault == SilentEngine || fault.fault == DecliningEngine || fault.fault == SlowEngine) {
         const auto* field = fault.fault == SilentEngine ? "silent"
             : fault.fault == DecliningEngine            ? "declining"
--- a/test/SoakPlan.h
+++ b/test/SoakPlan.h
@@ -27,6 +27,7 @@
     // Faults of the stand-ins.
     SilentEngine, // Accepts connections and does not answer new requests.
     DecliningEngine,
+    LimitedEngine, // States how many requests a second it takes.
     FailingEngine, // Fails a few prompts with 500 after their execution has started.
     BrokenStream, // Breaks the next stream in the middle of an event.
     LateOrders, // Orders get no answer and are executed later.
