Log how connections to targets fare, over all requests

What was missing: the log had one name for a connection that timed out, was refused or was reset, and nothing said when any target was last in contact with the instance, so that the loss of an instance's paths looked like the failure of single targets.

Change: HttpClient reports to an observer how connections begin and end. TargetLinks counts and logs them (connect_failed, connection_lost) with the time since any target accepted a connection or sent bytes. No decision depends on it yet.

--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -77,6 +77,16 @@
     socket.set_option(KeepAliveCount { LostProbes }, ignored);
 }
 
+ConnectFailure connectFailure(const error_code& failure)
+{
+    if (failure == asio::error::connection_refused || failure == asio::error::connection_reset)
+        return ConnectFailure::Refused;
+    if (failure == beast::error::timeout || failure == asio::error::timed_out
+        || failure == asio::error::host_unreachable || failure == asio::error::network_unreachable)
+        return ConnectFailure::TimedOut;
+    return ConnectFailure::Local;
+}
+
 HttpError responseError(const error_code& failure)
 {
     if (failure == beast::error::timeout)
@@ -117,14 +127,53 @@
 
 }
 
-// The idle connections of a client, by address.
+std::string_view name(ConnectFailure failure)
+{
+    switch (failure) {
+    case ConnectFailure::Refused:
+        return "refused";
+    case ConnectFailure::TimedOut:
+        return "timed_out";
+    case ConnectFailure::Local:
+        return "local";
+    }
+    return "invalid";
+}
+
+// The idle connections of a client, by address, and the client's observer.
 class HttpCall::Pool {
 public:
-    explicit Pool(std::size_t connectionsPerAddress)
+    Pool(std::size_t connectionsPerAddress, ConnectionObserver* observer)
         : connectionsPerAddress(connectionsPerAddress)
+        , observer(observer)
     {
     }
 
+    // Reports a read or write that ended with `failure`, which may be none. The client may no longer exist.
+    static void report(const std::weak_ptr<Pool>& pool, std::string_view address, const error_code& failure)
+    {
+        const auto locked = pool.lock();
+        if (!locked || !locked->observer)
+            return;
+        if (!failure)
+            locked->observer->received(address);
+        else if (failure == asio::error::connection_reset || failure == asio::error::timed_out
+            || failure == asio::error::host_unreachable || failure == asio::error::broken_pipe)
+            locked->observer->connectionLost(address);
+    }
+
+    // Reports the end of an attempt to connect.
+    static void reportConnect(const std::weak_ptr<Pool>& pool, std::string_view address, const error_code& failure)
+    {
+        const auto locked = pool.lock();
+        if (!locked || !locked->observer)
+            return;
+        if (!failure)
+            locked->observer->connected(address);
+        else if (failure != asio::error::operation_aborted)
+            locked->observer->connectFailed(address, connectFailure(failure));
+    }
+
     // Returns a connection that is still open; null if there is none.
     std::unique_ptr<Connection> take(const std::string& address)
     {
@@ -161,6 +210,7 @@
 
 private:
     std::size_t connectionsPerAddress;
+    ConnectionObserver* observer;
     std::map<std::string, std::vector<std::unique_ptr<Connection>>, std::less<>> idleConnections;
 };
 
@@ -203,6 +253,7 @@
         error_code failure;
         co_await http::async_read_some(this->connection->stream, this->connection->buffer, parser,
             asio::redirect_error(asio::use_awaitable, failure));
+        Pool::report(this->pool, this->connection->address, failure);
         if (failure == beast::error::timeout)
             co_return HttpError::Timeout;
         if (failure)
@@ -226,10 +277,10 @@
     }
 }
 
-HttpClient::HttpClient(asio::any_io_executor executor, HttpClientLimits limits)
+HttpClient::HttpClient(asio::any_io_executor executor, HttpClientLimits limits, ConnectionObserver* observer)
     : executor(std::move(executor))
     , limits(limits)
-    , pool(std::make_shared<Pool>(limits.idleConnectionsPerAddress))
+    , pool(std::make_shared<Pool>(limits.idleConnectionsPerAddress, observer))
 {
 }
 
@@ -243,7 +294,7 @@
     const auto limits = this->limits;
     auto connection = reuse == ConnectionReuse::Allowed ? this->pool->take(address) : nullptr;
     if (!connection) {
-        auto connected = co_await HttpClient::connect(this->executor, limits, address);
+        auto connected = co_await HttpClient::connect(this->executor, limits, pool, address);
         if (!connected)
             co_return connected.error();
         connection = std::move(connected).value();
@@ -256,12 +307,15 @@
     connection->stream.expires_after(timeout);
     error_code failure;
     co_await http::async_write(connection->stream, request, asio::redirect_error(asio::use_awaitable, failure));
-    if (failure)
+    if (failure) {
+        Pool::report(pool, address, failure);
         co_return HttpError::SendFailed;
+    }
     connection->parser.emplace();
     connection->parser->body_limit(limits.maximumResponseBytes);
     co_await http::async_read_header(connection->stream, connection->buffer, *connection->parser,
         asio::redirect_error(asio::use_awaitable, failure));
+    Pool::report(pool, address, failure);
     if (failure)
         co_return responseError(failure);
     // No request asks for an interim response, so it is none of the answers that a server may give.
@@ -289,7 +343,7 @@
 }
 
 asio::awaitable<HttpResult<std::unique_ptr<HttpCall::Connection>>> HttpClient::connect(
-    asio::any_io_executor executor, HttpClientLimits limits, std::string address)
+    asio::any_io_executor executor, HttpClientLimits limits, std::weak_ptr<Pool> pool, std::string address)
 {
     auto connection = std::make_unique<Connection>(executor, address);
     const auto [host, port] = splitAddress(address);
@@ -300,6 +354,7 @@
     connection->stream.expires_after(limits.connectTimeout);
     co_await connection->stream.async_connect(
         tcp::endpoint { parsed, port }, asio::redirect_error(asio::use_awaitable, failure));
+    Pool::reportConnect(pool, address, failure);
     if (failure)
         co_return HttpError::ConnectFailed;
     auto& socket = connection->stream.socket();
--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -37,6 +38,32 @@
     virtual bool mayWrite() = 0;
 };
 
+// Why a connection was not established.
+enum class ConnectFailure {
+    Refused, // The address answered with a reset.
+    TimedOut, // No answer.
+    Local, // A fault of this process or its host, such as a lack of descriptors. It says nothing about the server.
+};
+
+std::string_view name(ConnectFailure failure);
+
+// Told how the connections of a client fare. The functions must not call the client.
+class ConnectionObserver {
+public:
+    virtual ~ConnectionObserver() = default;
+
+    // A new connection was established.
+    virtual void connected(std::string_view address) = 0;
+
+    virtual void connectFailed(std::string_view address, ConnectFailure failure) = 0;
+
+    // An established connection was reset, or its peer no longer acknowledges what was sent.
+    virtual void connectionLost(std::string_view address) = 0;
+
+    // Bytes of a response arrived.
+    virtual void received(std::string_view address) = 0;
+};
+
 class HttpClient;
 
 // A request that was sent and its response, which is read incrementally. The destructor returns the connection to the
@@ -72,7 +99,9 @@
 // wait for a header.
 class HttpClient {
 public:
-    explicit HttpClient(boost::asio::any_io_executor executor, HttpClientLimits limits = {});
+    // `observer` may be null; otherwise it must outlive the client.
+    explicit HttpClient(
+        boost::asio::any_io_executor executor, HttpClientLimits limits = {}, ConnectionObserver* observer = nullptr);
     ~HttpClient();
 
     // Connects, sends a request and waits for the header of its response. `timeout` covers writing the request and
@@ -92,7 +121,7 @@
     using Connection = HttpCall::Connection;
     using Pool = HttpCall::Pool;
     static boost::asio::awaitable<HttpResult<std::unique_ptr<Connection>>> connect(
-        boost::asio::any_io_executor executor, HttpClientLimits limits, std::string address);
+        boost::asio::any_io_executor executor, HttpClientLimits limits, std::weak_ptr<Pool> pool, std::string address);
 
     boost::asio::any_io_executor executor;
     HttpClientLimits limits;
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -15,6 +15,7 @@
 #include "base/Metrics.h"
 #include "serving/PeerRunner.h"
 #include "serving/ServingGateway.h"
+#include "serving/TargetLinks.h"
 
 namespace marigoldpaddle {
 
@@ -32,17 +33,6 @@
 // Time for the final answers of requests that the shutdown ends; part of ExitMargin.
 constexpr Duration FinalResponsePeriod = std::chrono::milliseconds { 100 };
 constexpr Duration HousekeepingPeriod = std::chrono::seconds { 1 };
-// A target in another zone accepts a connection within some round trips; a lost first packet is retransmitted after a
-// second.
-constexpr Duration TargetConnectTimeout = std::chrono::milliseconds { 400 };
-// Without acknowledgements the network path is broken, as opposed to a target that is busy.
-constexpr Duration TargetUnacknowledgedTimeout = std::chrono::seconds { 2 };
-// Answers are held until they are complete, so that a broken one is not delivered. Some of this size fit into the
-// memory of a small machine.
-constexpr std::size_t MaximumAnswerBytes = std::size_t { 16 } * 1024 * 1024;
-// Shortest interval of TCP. A dead engine is noticed within three seconds, so that the memory which a prompt holds on
-// other engines is released in time.
-constexpr std::chrono::seconds TargetProbeAfter { 1 };
 
 constexpr SettingSpecification Specifications[] = {
     { "instance", "name", SettingKind::Text, 0, 0, std::nullopt, "name of this instance" },
@@ -187,11 +177,8 @@
         , clock(clock)
         , settings(settings)
         , log(clock, { settings.instance, settings.logLinesPerSecond, 4096 })
-        , client(context.get_executor(),
-              { .connectTimeout = TargetConnectTimeout,
-                  .maximumResponseBytes = MaximumAnswerBytes,
-                  .unacknowledgedTimeout = TargetUnacknowledgedTimeout,
-                  .probeAfter = TargetProbeAfter })
+        , links(clock, this->log, this->metrics)
+        , client(context.get_executor(), targetClientLimits(), &this->links)
         , budget(settings.retries)
         , follower(context, clock, platform.store, platform.records, this->view, this->log, this->metrics,
               settings.follower, std::mt19937_64 { std::random_device {}() })
@@ -277,6 +264,7 @@
     WaitingPrompts waiting;
     TargetHealth health;
     PromptQuarantine quarantine;
+    TargetLinks links;
     HttpClient client;
     RetryBudget budget;
     ViewFollower follower;
--- a/test/GatewayWithPeers.h
+++ b/test/GatewayWithPeers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <span>
 #include <string>
@@ -11,6 +12,7 @@
 #include "ServingGatewayHarness.h"
 #include "platform/RecordFormat.h"
 #include "serving/PeerRunner.h"
+#include "serving/TargetLinks.h"
 
 namespace marigoldpaddle::testing {
 
@@ -49,11 +51,12 @@
     WaitingPrompts waiting;
     TargetHealth health;
     RetryBudget budget { { 0.2, 10s, 1000 } };
-    HttpClient client { this->context.get_executor() };
-    ScriptedMemory memory;
-    PromptQuarantine quarantine;
     EventLog log { this->clock, { "test", 0, 16 } };
     MetricsRegistry metrics;
+    TargetLinks links { this->clock, this->log, this->metrics };
+    HttpClient client { this->context.get_executor(), targetClientLimits(), &this->links };
+    ScriptedMemory memory;
+    PromptQuarantine quarantine;
     ViewFollower follower { this->context, this->clock, this->store, this->records, this->view, this->log,
         this->metrics, { 2s, 2s, 20ms }, std::mt19937_64 { 1 } };
     PeerRunner peers;
@@ -70,39 +73,61 @@
 protected:
     static constexpr std::size_t Instances = 8;
 
+    // The targets as one instance, given by its index, reaches them.
+    using TargetsOf = std::function<std::vector<TargetEntry>(std::size_t)>;
+
     ~InstancesTest() override
     {
         this->areCalling = false;
         this->runFor(100ms);
     }
 
-    // Starts the instances before these targets, with one route for requests that may be repeated.
+    // Starts the instances before these targets.
     void start(std::span<const TargetEntry> targets)
+    {
+        this->start([&](std::size_t) { return std::vector<TargetEntry> { targets.begin(), targets.end() }; });
+    }
+
+    // Starts the instances, with a public route for each kind of request.
+    void start(const TargetsOf& targetsOf)
     {
         ServingConfiguration values;
         values.version = 1;
         values.services["s"].name = "s";
-        Route route;
-        route.name = "safe";
-        route.host = "a.example";
-        route.pathPrefix = "/safe/";
-        route.kind = RouteKind::Repeatable;
-        route.timeout = 5s;
-        route.objective = 300ms;
-        route.maximumAttempts = 2;
-        route.isPublic = true;
-        route.shares = { { "s", 1 } };
-        values.routes = { route };
+        values.requiresKeys = true;
+        values.workspaceByKey = { { "key", "workspace" } };
+        values.routes = { route("safe", RouteKind::Repeatable), route("unsafe", RouteKind::Unrepeatable),
+            route("stream", RouteKind::Stream), route("keyed", RouteKind::Repeatable) };
+        values.routes[2].isResumable = true;
+        values.routes[3].isPublic = false;
         const auto port = ":" + std::to_string(20'000 + ::getpid() % 10'000);
         std::vector<std::string> seeds;
         for (std::size_t index = 1; index <= Instances; ++index)
             seeds.push_back("127.0.5." + std::to_string(index) + port);
-        for (const auto& address : seeds)
+        for (const auto& address : seeds) {
+            const auto targets = targetsOf(this->instances.size());
             this->instances.push_back(
                 std::make_unique<GatewayWithPeers>(this->context, this->clock, address, seeds, values, targets));
+        }
         this->runFor(500ms); // They find each other.
     }
 
+    static Route route(const std::string& name, RouteKind kind)
+    {
+        Route route;
+        route.name = name;
+        route.host = "a.example";
+        route.pathPrefix = "/" + name + "/";
+        route.kind = kind;
+        route.timeout = 5s;
+        route.objective = 300ms;
+        route.gapObjective = 200ms;
+        route.maximumAttempts = 2;
+        route.isPublic = true;
+        route.shares = { { "s", 1 } };
+        return route;
+    }
+
     static TargetEntry entryOf(const std::string& id, const ScriptedTarget& target)
     {
         TargetEntry entry;
@@ -113,9 +138,9 @@
         return entry;
     }
 
-    HttpRequest request(const std::string& body)
+    HttpRequest request(const std::string& body, const std::string& path = "/safe/x")
     {
-        auto request = makeRequest(http::verb::post, "/safe/x", body);
+        auto request = makeRequest(http::verb::post, path, body);
         request.set(http::field::host, "a.example");
         request.set("Marigoldpaddle-Attempt-Id", "attempt" + std::to_string(++this->attempts));
         request.set("Marigoldpaddle-Deadline-Remaining", "5000");
