--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -33,6 +33,22 @@
     {
     }
 
+    ~Connection()
+    {
+        this->resetIfInUse();
+    }
+
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+
+    // Makes the connection be reset when it is closed, if a request was written and its response is not complete.
+    void resetIfInUse()
+    {
+        error_code ignored;
+        if (this->isInUse && this->stream.socket().is_open())
+            this->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+
     // Parses the bytes that were already received, so that pieces of the body that arrived together are returned
     // together. A parse error is ignored here: the next read parses the same bytes and reports it.
     void parseBuffered()
@@ -56,6 +72,7 @@
     std::optional<http::response_parser<http::string_body>> parser;
     HttpResponseHeader header;
     TimePoint reusableUntil {};
+    bool isInUse { false }; // A request was written, and its response is not complete.
 };
 
 namespace {
@@ -77,16 +94,6 @@
     socket.set_option(KeepAliveCount { LostProbes }, ignored);
 }
 
-ConnectFailure connectFailure(const error_code& failure)
-{
-    if (failure == asio::error::connection_refused || failure == asio::error::connection_reset)
-        return ConnectFailure::Refused;
-    if (failure == beast::error::timeout || failure == asio::error::timed_out
-        || failure == asio::error::host_unreachable || failure == asio::error::network_unreachable)
-        return ConnectFailure::TimedOut;
-    return ConnectFailure::Local;
-}
-
 HttpError responseError(const error_code& failure)
 {
     if (failure == beast::error::timeout)
@@ -140,6 +147,16 @@
     return "invalid";
 }
 
+ConnectFailure connectFailureOf(const error_code& failure)
+{
+    if (failure == asio::error::connection_refused || failure == asio::error::connection_reset)
+        return ConnectFailure::Refused;
+    if (failure == beast::error::timeout || failure == asio::error::timed_out
+        || failure == asio::error::host_unreachable || failure == asio::error::network_unreachable)
+        return ConnectFailure::TimedOut;
+    return ConnectFailure::Local;
+}
+
 // The idle connections of a client, by address, and the client's observer.
 class HttpCall::Pool {
 public:
@@ -171,7 +188,7 @@
         if (!failure)
             locked->observer->connected(address);
         else if (failure != asio::error::operation_aborted)
-            locked->observer->connectFailed(address, connectFailure(failure));
+            locked->observer->connectFailed(address, connectFailureOf(failure));
     }
 
     // Returns a connection that is still open; null if there is none.
@@ -194,9 +211,15 @@
         if (connections.size() >= this->connectionsPerAddress)
             return;
         connection->parser.reset();
+        connection->isInUse = false;
         connections.push_back(std::move(connection));
     }
 
+    void closeIdleConnections()
+    {
+        this->idleConnections.clear();
+    }
+
     void closeStaleConnections()
     {
         const auto now = std::chrono::steady_clock::now();
@@ -235,6 +258,7 @@
 
 void HttpCall::discard()
 {
+    this->connection->resetIfInUse();
     this->connection->stream.close();
     this->connection->parser.reset();
 }
@@ -261,6 +285,7 @@
     }
     this->connection->stream.expires_never();
     this->connection->parseBuffered();
+    this->connection->isInUse = !parser.is_done();
     co_return std::exchange(body, std::string {});
 }
 
@@ -304,6 +329,7 @@
     if (request[http::field::host].empty())
         request.set(http::field::host, address);
     request.keep_alive(true);
+    connection->isInUse = true;
     connection->stream.expires_after(timeout);
     error_code failure;
     co_await http::async_write(connection->stream, request, asio::redirect_error(asio::use_awaitable, failure));
@@ -322,6 +348,7 @@
     if (connection->parser->get().result_int() < FirstFinalStatus)
         co_return HttpError::Malformed;
     connection->stream.expires_never();
+    connection->isInUse = !connection->parser->is_done();
     connection->header = HttpResponseHeader { connection->parser->get().base() };
     connection->reusableUntil
         = std::chrono::steady_clock::now() + keepAliveLifetime(connection->header, limits.idleLifetime);
@@ -368,6 +395,11 @@
     co_return connection;
 }
 
+void HttpClient::closeIdleConnections()
+{
+    this->pool->closeIdleConnections();
+}
+
 void HttpClient::closeStaleConnections()
 {
     this->pool->closeStaleConnections();
--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/system/error_code.hpp>
 
 #include "base/Http.h"
 
@@ -47,6 +48,9 @@
 
 std::string_view name(ConnectFailure failure);
 
+// Classifies the error of an attempt to connect.
+ConnectFailure connectFailureOf(const boost::system::error_code& failure);
+
 // Told how the connections of a client fare. The functions must not call the client.
 class ConnectionObserver {
 public:
@@ -67,7 +71,8 @@
 class HttpClient;
 
 // A request that was sent and its response, which is read incrementally. The destructor returns the connection to the
-// client's pool if the whole response was read, and closes it otherwise, or if the client no longer exists.
+// client's pool if the whole response was read, and resets it otherwise, so that bytes of the request that a broken
+// path holds up do not arrive later.
 class HttpCall {
 public:
     HttpCall(HttpCall&&) noexcept;
@@ -114,6 +119,9 @@
     boost::asio::awaitable<HttpResult<HttpResponse>> call(
         std::string address, HttpRequest request, Duration timeout, ConnectionReuse reuse = ConnectionReuse::Allowed);
 
+    // Closes all pooled connections that are idle.
+    void closeIdleConnections();
+
     // Closes pooled connections whose idle lifetime has expired or that the server has closed.
     void closeStaleConnections();
 
--- a/src/serving/CallFormat.h
+++ b/src/serving/CallFormat.h
@@ -76,6 +76,12 @@
     // unchanged.
     virtual HttpRequest makeTargetRequest(const HttpRequest& request, const ForwardingMetadata& metadata) const = 0;
 
+    // Makes the request for another instance, which serves it as if the caller had sent it there: with the caller's
+    // key. `lastEventId` replaces the caller's, if it is set.
+    virtual HttpRequest makeRelayRequest(
+        const HttpRequest& request, Duration remaining, std::optional<std::uint64_t> lastEventId) const
+        = 0;
+
     virtual ResponseMetadata responseMetadata(const HttpResponseHeader& header) const = 0;
 
     // Returns the response header for the caller: the target's without the hop-by-hop headers.
--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <limits>
 #include <optional>
 #include <ranges>
 
@@ -222,6 +223,7 @@
             this->news.recordNewPeer(now);
         this->perform(replies);
         this->news.learn(*notice, now);
+        this->updateRelays(*notice, now);
         this->parts.follower.applyPeerView(toSummary(*notice), fromWire(notice->targetChanges));
         if (const auto own = this->localState(now); own.targetsAge == Duration::max())
             this->perform(this->exchange.fetchNewerRecords(own, now));
@@ -238,6 +240,21 @@
             this->parts.ledger.updateZoneOccupancy(notice->availabilityZone, notice->zoneOccupancy, now);
     }
 
+    void updateRelays(const wire::LoadNotice& notice, TimePoint now)
+    {
+        if (!this->parts.relays)
+            return;
+        if (notice.leaving)
+            return this->parts.relays->remove(notice.sender);
+        const auto host = splitAddress(notice.sender).host;
+        const bool acceptsRelays
+            = notice.relayPort > 0 && notice.relayPort <= std::numeric_limits<std::uint16_t>::max();
+        this->parts.relays->update(notice.sender,
+            { acceptsRelays ? host + ':' + std::to_string(notice.relayPort) : std::string {}, notice.availabilityZone,
+                !notice.cutOff, static_cast<unsigned>(std::max(0, notice.relayedRequests)) },
+            now, std::chrono::milliseconds { std::clamp<std::int64_t>(notice.validMs, 100, 60'000) });
+    }
+
     void announceNewsIfDue()
     {
         const auto now = this->parts.clock.now();
@@ -322,6 +339,12 @@
         notice.targetsOffset = static_cast<std::int64_t>(summary.targetsOffset);
         notice.storeEra = static_cast<std::int64_t>(summary.era);
         notice.leaving = this->isLeaving;
+        if (this->parts.relayState) {
+            const auto state = this->parts.relayState();
+            notice.relayPort = splitAddress(state.address).port;
+            notice.cutOff = !state.reachesTargets;
+            notice.relayedRequests = static_cast<std::int32_t>(state.relayedRequests);
+        }
         const auto startBy = this->parts.waiting.earliestStartBy();
         notice.waitingStartByMs
             = startBy == TimePoint::max() ? -1 : std::max<std::int64_t>(0, milliseconds(startBy - now));
--- a/src/serving/PeerRunner.h
+++ b/src/serving/PeerRunner.h
@@ -17,6 +17,7 @@
 #include "serving/LoadLedger.h"
 #include "serving/PeerExchange.h"
 #include "serving/PromptQuarantine.h"
+#include "serving/RelayPeers.h"
 #include "serving/TargetLimits.h"
 #include "serving/ViewFollower.h"
 #include "serving/WaitingPrompts.h"
@@ -38,6 +39,8 @@
         EventLog& log;
         MetricsRegistry& metrics;
         std::function<void()> onConfigurationInstalled; // Called after each, from the platform or a peer.
+        RelayPeers* relays { nullptr }; // Learns what peers state about relayed requests; may be null.
+        std::function<RelayPeer()> relayState {}; // What peers are told of this instance; may be empty.
     };
 
     // Everything that the parts refer to must outlive the runner. `address` is "IP:port", as are those of the seeds.
--- /dev/null
+++ b/src/serving/RelayFormat.cpp
@@ -0,0 +1,97 @@
+#include "serving/RelayFormat.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace marigoldpaddle {
+
+namespace {
+
+constexpr std::string_view VersionHeader = "Relay-Configuration-Version";
+constexpr std::string_view ElapsedHeader = "Relay-Elapsed"; // Milliseconds.
+constexpr std::string_view RunsHeader = "Relay-Runs";
+constexpr std::string_view RetryHeader = "Relay-Retry"; // 0 or 1.
+constexpr std::string_view RefusalHeader = "Relay-Refusal";
+constexpr std::string_view TargetHeader = "Relay-Target";
+constexpr std::array Headers { VersionHeader, ElapsedHeader, RunsHeader, RetryHeader, RefusalHeader, TargetHeader };
+
+std::string_view text(boost::beast::string_view value)
+{
+    return { value.data(), value.size() };
+}
+
+template <typename Number> std::optional<Number> numberFrom(std::string_view digits)
+{
+    Number number {};
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+    if (error != std::errc {} || end != digits.data() + digits.size())
+        return std::nullopt;
+    return number;
+}
+
+template <typename Message> void eraseHeaders(Message& message)
+{
+    std::ranges::for_each(Headers, [&](std::string_view name) { message.erase(name); });
+}
+
+}
+
+void addRelayRequest(HttpRequest& request, const RelayRequest& relay)
+{
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(relay.elapsed).count();
+    request.set(VersionHeader, std::to_string(relay.configurationVersion));
+    request.set(ElapsedHeader, std::to_string(elapsed));
+    request.set(RunsHeader, std::to_string(relay.runs));
+    request.set(RetryHeader, relay.isRetry ? "1" : "0");
+}
+
+std::optional<RelayRequest> relayRequestFrom(const HttpRequest& request)
+{
+    const auto version = numberFrom<std::uint64_t>(text(request[VersionHeader]));
+    const auto elapsed = numberFrom<std::uint32_t>(text(request[ElapsedHeader]));
+    const auto runs = numberFrom<unsigned>(text(request[RunsHeader]));
+    const auto isRetry = numberFrom<unsigned>(text(request[RetryHeader]));
+    if (!version || !elapsed || !runs || !isRetry)
+        return std::nullopt;
+    return RelayRequest { *version, std::chrono::milliseconds { *elapsed }, *runs, *isRetry != 0 };
+}
+
+void addRelayRefusal(HttpResponse& response, const RelayRefusal& refusal)
+{
+    response.set(RefusalHeader, refusal.reason);
+    response.set(RunsHeader, std::to_string(refusal.runs));
+}
+
+RelayRefusal relayRefusalFrom(const HttpResponseHeader& header)
+{
+    return { text(header[RefusalHeader]), numberFrom<unsigned>(text(header[RunsHeader])).value_or(0) };
+}
+
+void addRelayTarget(HttpResponseHeader& header, std::string_view target)
+{
+    header.set(TargetHeader, target);
+}
+
+std::string_view relayTargetFrom(const HttpResponseHeader& header)
+{
+    return text(header[TargetHeader]);
+}
+
+void eraseRelayHeaders(HttpRequest& request)
+{
+    eraseHeaders(request);
+}
+
+void eraseRelayHeaders(HttpResponseHeader& header)
+{
+    eraseHeaders(header);
+}
+
+bool mayRelayElsewhere(std::string_view reason)
+{
+    return reason == relay_refusals::Busy || reason == relay_refusals::CutOff || reason == relay_refusals::Outdated
+        || reason == "stopping" || reason == "no_configuration";
+}
+
+}
--- /dev/null
+++ b/src/serving/RelayFormat.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <marigoldpaddle/Clock.h>
+
+#include "base/Http.h"
+
+// Headers between two instances when one of them serves a caller of the other. The request is the caller's, with its
+// remaining time; the answer is the target's, or a refusal of the peer.
+namespace marigoldpaddle {
+
+// What the instance that received a request states about it.
+struct RelayRequest {
+    std::uint64_t configurationVersion { 0 }; // In force there; an older one must not be applied to the request.
+    Duration elapsed {}; // Since the request was received there.
+    unsigned runs { 0 }; // Earlier attempts that may have been executed.
+    bool isRetry { false }; // A retry was spent for it, so it is not a first send.
+};
+
+void addRelayRequest(HttpRequest& request, const RelayRequest& relay);
+
+// Empty if the headers are missing or invalid.
+std::optional<RelayRequest> relayRequestFrom(const HttpRequest& request);
+
+// Marks a response of the peer itself, as opposed to a target's answer. With any status but 502 and 504 the request was
+// not executed.
+struct RelayRefusal {
+    std::string_view reason; // Empty for the answer of a target.
+    unsigned runs { 0 }; // Attempts of the peer that may have been executed.
+
+    bool empty() const
+    {
+        return this->reason.empty();
+    }
+};
+
+void addRelayRefusal(HttpResponse& response, const RelayRefusal& refusal);
+
+// The reason refers to the header.
+RelayRefusal relayRefusalFrom(const HttpResponseHeader& header);
+
+// Names the target that answered.
+void addRelayTarget(HttpResponseHeader& header, std::string_view target);
+std::string_view relayTargetFrom(const HttpResponseHeader& header);
+
+// Removes the headers above, which concern one hop only.
+void eraseRelayHeaders(HttpRequest& request);
+void eraseRelayHeaders(HttpResponseHeader& header);
+
+// Reasons for which another peer may serve the request.
+namespace relay_refusals {
+inline constexpr std::string_view Busy = "peer_busy"; // It serves as many requests of other instances as it can.
+inline constexpr std::string_view CutOff = "peer_cut_off"; // It reaches no target either.
+inline constexpr std::string_view Outdated = "peer_outdated"; // Its configuration is older than the sender's.
+}
+
+// Whether another peer may serve a request that a peer refused for this reason.
+bool mayRelayElsewhere(std::string_view reason);
+
+}
--- /dev/null
+++ b/src/serving/RelayPeers.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include <marigoldpaddle/Clock.h>
+
+namespace marigoldpaddle {
+
+// What a peer states about requests that it accepts from other instances.
+struct RelayPeer {
+    std::string address; // "IP:port"; empty if it accepts none.
+    std::string availabilityZone;
+    bool reachesTargets { true };
+    unsigned relayedRequests { 0 }; // Requests of other instances in progress there.
+};
+
+// Chooses the peers through which an instance without a path to any target serves its callers. Pure computation, no
+// I/O.
+//
+// Peers of the local availability zone come first, unless most of them are cut off as well: the few others would then
+// carry the whole zone. Of two peers drawn at random the one with fewer relayed requests is chosen, and the number of
+// requests in progress at one peer is limited, so that the peers are not flooded.
+class RelayPeers {
+public:
+    // Requests of this instance in progress at one peer.
+    static constexpr std::size_t MaximumOutstanding = 64;
+    // A peer that could not be reached, or accepted no request, is avoided for this time.
+    static constexpr Duration AvoidancePeriod = std::chrono::seconds { 1 };
+
+    RelayPeers(std::string availabilityZone, std::mt19937_64 random);
+
+    // Records what the peer `name` states; it holds for `validity`.
+    void update(std::string_view name, RelayPeer peer, TimePoint now, Duration validity);
+
+    // Records that the peer leaves.
+    void remove(std::string_view name);
+
+    // Returns the address of a peer that is not in `excluded`. Empty if no peer reaches targets and accepts requests.
+    std::optional<std::string> choose(const std::set<std::string>& excluded, TimePoint now);
+
+    // Whether the peer with this address is alive and reaches targets, as far as is known.
+    bool isSound(std::string_view address, TimePoint now) const;
+
+    // Number of peers through which requests could be served.
+    std::size_t soundPeers(TimePoint now) const;
+
+    void recordFailure(std::string_view address, TimePoint now);
+
+    // Counts a request in progress at the peer with this address for as long as the object exists.
+    class Permit {
+    public:
+        Permit(RelayPeers& peers, std::string address);
+        ~Permit();
+        Permit(const Permit&) = delete;
+        Permit& operator=(const Permit&) = delete;
+
+    private:
+        RelayPeers& peers;
+        std::string address;
+    };
+
+private:
+    struct Entry {
+        RelayPeer peer;
+        TimePoint validUntil {};
+    };
+
+    bool isUsable(const Entry& entry, TimePoint now) const;
+    std::size_t load(const RelayPeer& peer) const;
+
+    std::string availabilityZone;
+    std::mt19937_64 random;
+    std::map<std::string, Entry, std::less<>> entries; // By name.
+    std::map<std::string, TimePoint, std::less<>> avoidedUntil; // By address.
+    std::map<std::string, std::size_t, std::less<>> outstanding; // By address.
+};
+
+}
--- a/src/serving/ServingCall.h
+++ b/src/serving/ServingCall.h
@@ -4,6 +4,40 @@
 
 namespace marigoldpaddle {
 
+// Refusal of a peer that served a request of this instance's caller.
+struct PeerRefusal {
+    unsigned status { 503 };
+    std::string reason;
+};
+
+// Allows the write unless the target began to leave, asked for a pause or stated a limit, or the prompt was found to
+// end targets, while the connection or memory was awaited. Counts the attempts that may be executed: those that were
+// written.
+class TargetWriteGate final : public WriteGate {
+public:
+    TargetWriteGate(std::function<bool()> isOpen, unsigned& runs)
+        : isOpen(std::move(isOpen))
+        , runs(runs)
+    {
+    }
+
+    bool mayWrite() override
+    {
+        this->isWritten = this->isOpen();
+        this->isHeldBack = !this->isWritten;
+        if (this->isWritten)
+            ++this->runs;
+        return this->isWritten;
+    }
+
+    bool isWritten { false };
+    bool isHeldBack { false };
+
+private:
+    std::function<bool()> isOpen;
+    unsigned& runs;
+};
+
 // Interval between attempts to find another target for a request whose target is late or silent.
 inline constexpr Duration RetryCheckPeriod = std::chrono::milliseconds { 250 };
 
@@ -20,8 +54,14 @@
     {
     }
 
+    // Attempts that may have been executed, over all instances.
+    unsigned allRuns() const
+    {
+        return this->runs + (this->relayed ? this->relayed->runs : 0);
+    }
+
     HttpExchange& exchange;
-    TimePoint receivedAt;
+    TimePoint receivedAt; // By the instance that the caller is connected to.
     TimePoint deadline {};
     CallerMetadata metadata;
     std::shared_ptr<const ActiveConfiguration> configuration;
@@ -41,6 +81,10 @@
     std::optional<EventStream> stream; // Set once events may reach the caller.
     TimePoint lastEventAt {};
     Duration longestGap {}; // Between two chunks of the answer.
+    std::optional<RelayRequest> relayed; // Set if another instance received the request from its caller.
+    std::set<std::string> triedPeers; // Through which this instance has relayed the request.
+    std::optional<PeerRefusal> peerRefusal; // A peer's refusal that no other peer would change.
+    bool isCutOff { false }; // No target can be reached, and no peer serves the request.
     bool hasResponseStarted { false }; // The caller has received bytes of the answer, or is about to.
     bool hasNoCapacity { false }; // Targets exist, but none could take the request in time.
     bool isQuarantined { false }; // Targets end under a part of the prompt.
@@ -61,6 +105,7 @@
     std::vector<LedgerEntry> work;
     std::optional<MemoryLease> lease;
     std::optional<RequestPermit> permit; // Set once the attempt is being opened.
+    std::optional<RelayPeers::Permit> relay; // Set for an attempt through a peer.
     std::optional<HttpCall> answer; // Set once the target answers.
     std::optional<std::string> unread; // Read ahead of its relay.
     TimePoint firstEventAt {};
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -66,6 +66,7 @@
     , reservationPrefix(parts.instance + '-' + std::to_string(std::random_device {}()) + '-')
 {
     this->parts.memory.setObserver(&this->advice);
+    this->createRelayHandler();
 }
 
 ServingGateway::~ServingGateway()
@@ -96,9 +97,15 @@
 
 asio::awaitable<void> ServingGateway::handle(HttpExchange& exchange)
 {
-    using namespace asio::experimental::awaitable_operators;
     Call call { exchange, this->parts.clock.now() };
     call.metadata = this->parts.format.callerMetadata(exchange.request());
+    co_await this->process(call);
+}
+
+asio::awaitable<void> ServingGateway::process(Call& call)
+{
+    using namespace asio::experimental::awaitable_operators;
+    const auto& exchange = call.exchange;
     std::ranges::transform(call.metadata.sharedParts, std::back_inserter(call.sharedParts), &LoadLedger::hashOf);
     call.configuration = this->parts.view.configuration();
     if (!call.configuration)
@@ -116,8 +123,12 @@
     call.fingerprint = requestFingerprint(exchange.request(), call.workspace);
     call.traits = call.sharedParts;
     call.traits.push_back(call.fingerprint);
-    const auto allowedTime = std::min(call.route->timeout, call.metadata.remaining.value_or(call.route->timeout));
-    call.deadline = call.receivedAt + allowedTime - ResponseMargin;
+    // The route's time limit counts from the receipt by the first instance, the caller's from its last statement.
+    const auto now = this->parts.clock.now();
+    call.deadline = call.receivedAt + call.route->timeout;
+    if (call.metadata.remaining)
+        call.deadline = std::min(call.deadline, (call.relayed ? now : call.receivedAt) + *call.metadata.remaining);
+    call.deadline -= ResponseMargin;
     if (this->isIntakeClosedFor(call))
         co_return co_await this->refuse(call, 503, "stopping");
 
@@ -163,12 +174,11 @@
     if (!call.service)
         co_return co_await this->refuse(call, 503, "no_service");
     AttemptResult last = AttemptResult::NotSent;
-    while (call.tries == 0 || this->mayRetry(call, last)) {
+    while ((call.tries == 0 && call.triedPeers.empty()) || this->mayRetry(call, last)) {
         const auto choice = co_await this->waitForPlacement(call);
         if (!choice)
             break;
-        ++call.tries;
-        call.tried.insert(choice->target.id);
+        this->recordTry(call, *choice);
         last = co_await this->send(call, *choice);
         if (last == AttemptResult::Done)
             co_return;
@@ -194,6 +204,17 @@
     while (true) {
         if (this->isQuarantined(call))
             co_return std::nullopt;
+        if (this->isCutOff()) {
+            auto relay = this->chooseRelay(call);
+            if (relay)
+                co_return relay;
+            // Open connections may live on while new ones are refused, also by targets that are all full.
+            const bool mayTryTargets = !call.relayed && call.tries < MaximumTries;
+            if (!mayTryTargets || !this->parts.relay->links.hasRecentBytes()) {
+                this->recordCutOff(call);
+                co_return std::nullopt;
+            }
+        }
         const auto now = this->parts.clock.now();
         auto choice = this->chooser.choose({ *call.route, *call.service, call.metadata.prompt, call.tried,
                                                now - call.receivedAt, this->remaining(call) },
@@ -248,6 +269,16 @@
     }
 }
 
+void ServingGateway::recordTry(Call& call, const TargetChoice& choice)
+{
+    if (choice.isRelay) {
+        call.triedPeers.insert(choice.target.address);
+        return;
+    }
+    ++call.tries;
+    call.tried.insert(choice.target.id);
+}
+
 // Whether targets end under the request or a part of its prompt. It is refused for as long as that is believed.
 bool ServingGateway::isQuarantined(Call& call) const
 {
@@ -369,13 +400,15 @@
 // Why the request may not be sent again; empty if it may. Then the retry has been spent.
 std::string_view ServingGateway::retryObstacle(Call& call, AttemptResult last)
 {
-    if (call.tries >= MaximumTries)
+    if (call.peerRefusal)
+        return "refused_by_peer";
+    if (call.tries >= MaximumTries && !this->mayRelay(call))
         return "tries";
     if (this->remaining(call) <= Duration::zero())
         return "deadline";
     if (call.runs > 0 && !call.route->mayRunAgain())
         return "not_repeatable";
-    if (call.runs >= call.route->maximumAttempts)
+    if (call.allRuns() >= call.route->maximumAttempts)
         return "attempts";
     if (this->isQuarantined(call))
         return "quarantined";
@@ -410,6 +443,11 @@
     const bool isPastDeadline = this->remaining(call) <= Duration::zero();
     if (call.runs > 0 || (call.tries > 0 && isPastDeadline))
         co_return co_await this->refuse(call, isPastDeadline ? 504 : 502, "may_have_run");
+    if (call.peerRefusal)
+        co_return co_await this->refuse(call, call.peerRefusal->status, call.peerRefusal->reason);
+    if (call.isCutOff)
+        co_return co_await this->refuse(
+            call, 503, call.relayed ? relay_refusals::CutOff : std::string_view { "cut_off" });
     const bool mayBeThrottled = !call.isQuarantined && !call.isRefusedByShutdown;
     const auto throttled = mayBeThrottled ? this->recordThrottledTargets(call) : std::string_view {};
     co_await this->refuse(call, 503,
@@ -426,7 +464,10 @@
     call.hasResponseStarted = true;
     const auto retryAfter
         = status == 503 ? std::optional { call.retryAfter.value_or(DefaultRetryAfter) } : std::nullopt;
-    co_await call.exchange.respond(this->parts.format.makeOwnResponse(status, reason, retryAfter));
+    auto response = this->parts.format.makeOwnResponse(status, reason, retryAfter);
+    if (call.relayed)
+        addRelayRefusal(response, { reason, call.runs });
+    co_await call.exchange.respond(std::move(response));
     this->parts.metrics.counter("marigold_refusals_total", "reason=\"" + std::string { reason } + "\"").increment();
     this->finish(call, reason, status);
 }
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -24,11 +24,14 @@
 #include "serving/LoadLedger.h"
 #include "serving/MemoryLease.h"
 #include "serving/PromptQuarantine.h"
+#include "serving/RelayFormat.h"
+#include "serving/RelayPeers.h"
 #include "serving/RetryBudget.h"
 #include "serving/ServingView.h"
 #include "serving/TargetAdvice.h"
 #include "serving/TargetChooser.h"
 #include "serving/TargetHealth.h"
+#include "serving/TargetLinks.h"
 #include "serving/WaitingPrompts.h"
 
 namespace marigoldpaddle {
@@ -37,6 +40,13 @@
 // the target's, or a refusal that states correctly whether the request may have been executed.
 class ServingGateway final : public HttpHandler {
 public:
+    // What serves callers while this instance reaches no target.
+    struct RelayParts {
+        TargetLinks& links;
+        RelayPeers& peers;
+        HttpClient& client; // For requests to peers.
+    };
+
     struct Parts {
         boost::asio::io_context& context;
         const Clock& clock;
@@ -53,6 +63,7 @@
         MetricsRegistry& metrics;
         std::string instance; // Prefix of the ids of memory reservations.
         Duration memoryLeaseDuration {}; // How long an engine keeps a reservation that is not renewed.
+        std::optional<RelayParts> relay {}; // Empty: nothing is sent through peers.
     };
 
     // Everything that the parts refer to must outlive the gateway.
@@ -82,7 +93,15 @@
     boost::asio::awaitable<void> handle(HttpExchange& exchange) override;
     HttpResponse makeFaultResponse(HttpFault fault) override;
 
+    // Serves the callers of instances that reach no target.
+    HttpHandler& relayHandler();
+
+    // Number of requests of other instances in progress.
+    unsigned relayedRequests() const;
+
 private:
+    class RelayHandler;
+    class RelayedEntry;
     struct Call; // See ServingCall.h.
     struct Attempt; // See ServingCall.h.
 
@@ -98,9 +117,25 @@
         Answering, // The target has begun to answer; the attempt has not ended.
     };
 
+    void createRelayHandler();
+    boost::asio::awaitable<void> handleRelayed(HttpExchange& exchange);
+    std::string_view relayedRefusal(const RelayRequest& relayed) const;
+    boost::asio::awaitable<void> process(Call& call);
     bool admit(Call& call);
     boost::asio::awaitable<void> forward(Call& call);
     boost::asio::awaitable<std::optional<TargetChoice>> waitForPlacement(Call& call);
+    void recordTry(Call& call, const TargetChoice& choice);
+    bool isCutOff() const;
+    bool mayRelay(const Call& call) const;
+    std::optional<TargetChoice> chooseRelay(const Call& call);
+    void recordCutOff(Call& call);
+    boost::asio::awaitable<AttemptResult> openRelay(Call& call, Attempt& attempt);
+    boost::asio::awaitable<HttpResult<HttpCall>> startUnlessPeerLost(
+        Call& call, const std::string& peer, boost::asio::awaitable<HttpResult<HttpCall>> start);
+    boost::asio::awaitable<void> waitForPeerLoss(Call& call, const std::string& peer);
+    AttemptResult recordPeerRefusal(Call& call, Attempt& attempt);
+    void applyRelayedAdvice(const Call& call, const HttpCall& answer, TimePoint sentAt);
+    HttpResponseHeader forwardedHeader(const Call& call, const HttpCall& answer, const TargetEntry& target);
     boost::asio::awaitable<AttemptResult> send(Call& call, const TargetChoice& choice);
     boost::asio::awaitable<AttemptResult> open(Call& call, Attempt& attempt);
     boost::asio::awaitable<HttpResult<HttpCall>> startUnlessRetried(
@@ -109,7 +144,7 @@
     AttemptResult checkAnswer(Call& call, Attempt& attempt, TimePoint sentAt);
     boost::asio::awaitable<bool> reserveMemory(
         Call& call, const TargetChoice& choice, MemoryLease& lease, ForwardingMetadata& forwarding);
-    boost::asio::awaitable<AttemptResult> relayWhole(Call& call, HttpCall& answer, const TargetEntry& target);
+    boost::asio::awaitable<AttemptResult> relayWhole(Call& call, Attempt& attempt);
     boost::asio::awaitable<AttemptResult> relayStream(Call& call, std::unique_ptr<Attempt>& attempt);
     boost::asio::awaitable<AttemptResult> relayEvents(Call& call, Attempt& attempt);
     boost::asio::awaitable<AttemptResult> leaveToSuccessor(Attempt& attempt);
@@ -138,7 +173,7 @@
     std::string_view retryObstacle(Call& call, AttemptResult last);
     Duration remaining(const Call& call) const;
     Duration firstByteLimit(const Call& call, const TargetChoice& choice) const;
-    Duration gapLimit(const Call& call, const std::string& target) const;
+    Duration gapLimit(const Call& call, const TargetChoice& choice) const;
     // Whether another target may execute the request after `runs` attempts that may have been executed.
     bool mayRunElsewhere(const Call& call, unsigned runs) const;
     std::vector<LedgerEntry> recordWork(const TargetChoice& choice);
@@ -151,7 +186,7 @@
         Call& call, const TargetChoice& choice, const ResponseMetadata& response, TimePoint sentAt);
     void recordSilence(const Call& call, const Attempt& attempt);
     void recordEndWithoutAnswer(Call& call, const TargetEntry& target, TimePoint sentAt);
-    void recordCutBeforeEvents(const Call& call, const TargetEntry& target);
+    void recordCutBeforeEvents(const Call& call, const TargetChoice& choice);
     void recordCrash(const Call& call, const TargetEntry& target);
     void recordSound(const Call& call, Attempt& attempt);
     void recordInterruptedAttempt(Call& call, std::string_view detail);
@@ -162,6 +197,8 @@
     TargetChooser chooser;
     std::function<void()> notifyPlaced;
     std::function<void()> notifyCrash;
+    std::unique_ptr<HttpHandler> relays;
+    unsigned relayedInProgress { 0 };
     std::set<boost::asio::steady_timer*> deadlines; // Deadline timers of the requests in progress.
     TimePoint intakeUntil { TimePoint::max() };
     TimePoint endsAt { TimePoint::max() };
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -53,34 +53,6 @@
     tried.insert(helper.id);
 }
 
-// Allows the write unless the target began to leave, asked for a pause or stated a limit, or the prompt was found to
-// end targets, while the connection or memory was awaited. Counts the attempts that may be executed: those that were
-// written.
-class TargetWriteGate final : public WriteGate {
-public:
-    TargetWriteGate(std::function<bool()> isOpen, unsigned& runs)
-        : isOpen(std::move(isOpen))
-        , runs(runs)
-    {
-    }
-
-    bool mayWrite() override
-    {
-        this->isWritten = this->isOpen();
-        this->isHeldBack = !this->isWritten;
-        if (this->isWritten)
-            ++this->runs;
-        return this->isWritten;
-    }
-
-    bool isWritten { false };
-    bool isHeldBack { false };
-
-private:
-    std::function<bool()> isOpen;
-    unsigned& runs;
-};
-
 }
 
 Duration ServingGateway::firstByteLimit(const Call& call, const TargetChoice& choice) const
@@ -90,7 +62,8 @@
 
 bool ServingGateway::mayRunElsewhere(const Call& call, unsigned runs) const
 {
-    return call.route->mayRunAgain() && runs < call.route->maximumAttempts && call.tries < MaximumTries;
+    return call.route->mayRunAgain() && runs < call.route->maximumAttempts
+        && (call.tries < MaximumTries || this->mayRelay(call));
 }
 
 std::vector<LedgerEntry> ServingGateway::recordWork(const TargetChoice& choice)
@@ -124,7 +97,7 @@
         this->recordOutcome(call, target, SendOutcome::Failed, "no_continuation");
         co_return AttemptResult::MayHaveRun;
     }
-    const auto ended = co_await this->relayWhole(call, *attempt->answer, target);
+    const auto ended = co_await this->relayWhole(call, *attempt);
     if (ended == AttemptResult::Done && isSuccess(answer.header().result_int()))
         this->recordSound(call, *attempt);
     this->recordOutcome(
@@ -136,6 +109,8 @@
 asio::awaitable<ServingGateway::AttemptResult> ServingGateway::open(Call& call, Attempt& attempt)
 {
     const auto& choice = attempt.choice;
+    if (choice.isRelay)
+        co_return co_await this->openRelay(call, attempt);
     attempt.work = this->recordWork(choice);
     attempt.permit.emplace(this->parts.health.limits, this->parts.clock, choice.target);
     call.currentTarget = choice.target.id;
@@ -163,7 +138,7 @@
     if (!co_await this->reserveMemory(call, choice, *attempt.lease, forwarding))
         co_return AttemptResult::NotSent;
     forwarding.remaining = this->remaining(call);
-    if (call.tries == 1)
+    if (call.tries == 1 && !(call.relayed && call.relayed->isRetry))
         this->parts.budget.recordFirstSend(call.service->name, now);
 
     const auto isOpen = [&] {
@@ -174,6 +149,8 @@
     const auto sentAt = this->parts.clock.now();
     const auto reuse = call.route->mayRunAgain() ? ConnectionReuse::Allowed : ConnectionReuse::Forbidden;
     auto request = this->parts.format.makeTargetRequest(call.exchange.request(), forwarding);
+    if (call.relayed)
+        eraseRelayHeaders(request);
     auto start
         = this->parts.client.start(choice.target.address, std::move(request), this->remaining(call), reuse, &gate);
     auto answer = co_await this->startUnlessRetried(call, choice, std::move(start));
@@ -207,7 +184,7 @@
     Call& call, const TargetChoice& choice, asio::awaitable<HttpResult<HttpCall>> start)
 {
     using namespace asio::experimental::awaitable_operators;
-    if (!this->mayRunElsewhere(call, call.runs + 1))
+    if (!this->mayRunElsewhere(call, call.allRuns() + 1))
         co_return co_await std::move(start);
     auto first = co_await (std::move(start) || this->waitForRetry(call, this->firstByteLimit(call, choice)));
     if (first.index() == 0)
@@ -218,11 +195,28 @@
 // Returns after `delay`, once a retry has been spent for the call and a target could execute it.
 asio::awaitable<void> ServingGateway::waitForRetry(Call& call, Duration delay)
 {
-    asio::steady_timer timer { this->parts.context, delay };
+    asio::steady_timer timer { this->parts.context };
+    const auto due = this->parts.clock.now() + delay;
     while (true) {
+        timer.expires_at(std::min(due, this->parts.clock.now() + RetryCheckPeriod));
+        if (this->parts.clock.now() >= due)
+            timer.expires_after(RetryCheckPeriod);
         co_await timer.async_wait(asio::use_awaitable);
-        timer.expires_after(RetryCheckPeriod);
         const auto now = this->parts.clock.now();
+        if (this->isCutOff()) {
+            // Open connections may live on: an answer may come until it is due.
+            if ((now < due && this->parts.relay->links.hasRecentBytes()) || !this->chooseRelay(call)
+                || this->isQuarantined(call))
+                continue;
+            call.hasSpentRetry = call.hasSpentRetry || this->parts.budget.trySpend(call.service->name, now);
+            if (call.hasSpentRetry)
+                co_return;
+            continue;
+        }
+        if (now < due)
+            continue;
+        if (this->parts.relay)
+            this->parts.relay->links.recordSilence();
         const auto choice = this->chooser.choose({ *call.route, *call.service, call.metadata.prompt, call.tried,
                                                      now - call.receivedAt, this->remaining(call) },
             now);
@@ -347,18 +341,19 @@
     co_return true;
 }
 
-asio::awaitable<ServingGateway::AttemptResult> ServingGateway::relayWhole(
-    Call& call, HttpCall& answer, const TargetEntry& target)
+asio::awaitable<ServingGateway::AttemptResult> ServingGateway::relayWhole(Call& call, Attempt& attempt)
 {
+    auto& answer = *attempt.answer;
+    const auto& target = attempt.choice.target;
     auto body = co_await answer.readAll(this->remaining(call));
     if (!body && body.error() == HttpError::Truncated)
-        this->recordCutBeforeEvents(call, target);
+        this->recordCutBeforeEvents(call, attempt.choice);
     if (!body) {
         this->parts.log.write("answer_broken",
             { { "id", call.metadata.attemptId }, { "target", target.id }, { "detail", name(body.error()) } });
         co_return AttemptResult::MayHaveRun;
     }
-    HttpResponse response { this->parts.format.makeCallerHeader(answer.header()).base() };
+    HttpResponse response { this->forwardedHeader(call, answer, target).base() };
     response.body() = std::move(body).value();
     response.prepare_payload();
     const auto status = response.result_int();
--- a/src/serving/ServingGatewayStream.cpp
+++ b/src/serving/ServingGatewayStream.cpp
@@ -45,11 +45,14 @@
 
 // After a longer gap between events, another target may continue the answer. A target that prefills a long prompt sends
 // nothing meanwhile, so its backlog is added.
-Duration ServingGateway::gapLimit(const Call& call, const std::string& target) const
+Duration ServingGateway::gapLimit(const Call& call, const TargetChoice& choice) const
 {
-    const auto load = this->parts.ledger.total(target, this->parts.clock.now());
+    const auto load = this->parts.ledger.total(choice.target.id, this->parts.clock.now());
     const auto reading = std::chrono::duration<double, std::milli> { 2 * load.backlogMs };
-    return std::max(NormalGapLimit, 3 * call.route->gapObjective) + std::chrono::duration_cast<Duration>(reading);
+    const auto limit
+        = std::max(NormalGapLimit, 3 * call.route->gapObjective) + std::chrono::duration_cast<Duration>(reading);
+    // A peer replaces a silent target by itself.
+    return choice.isRelay ? 2 * limit : limit;
 }
 
 // Relays a stream. A target that is silent for too long is replaced once another one has begun to continue the stream,
@@ -80,7 +83,9 @@
     else
         call.stream.emplace(call.metadata.lastEventId);
     attempt.progressAt = this->parts.clock.now();
-    attempt.nextEventBy = attempt.progressAt + this->firstByteLimit(call, attempt.choice);
+    const auto limit = this->firstByteLimit(call, attempt.choice);
+    attempt.nextEventBy
+        = attempt.progressAt + (attempt.choice.isRelay ? std::max(limit, this->gapLimit(call, attempt.choice)) : limit);
 }
 
 asio::awaitable<ServingGateway::AttemptResult> ServingGateway::relayEvents(Call& call, Attempt& attempt)
@@ -100,7 +105,7 @@
             co_return AttemptResult::MayHaveRun;
         if (!piece) {
             if (piece.error() == HttpError::Truncated && !attempt.hasEvents)
-                this->recordCutBeforeEvents(call, target);
+                this->recordCutBeforeEvents(call, attempt.choice);
             attempt.hasFailed = true;
             this->recordOutcome(call, target, SendOutcome::Failed, name(piece.error()));
             co_return co_await this->leaveToSuccessor(attempt);
@@ -119,18 +124,18 @@
         if (!call.hasResponseStarted
             && (!events.empty() || (isEnd && !stream.isBroken() && !stream.hasPartialEvent() && !hasEndedAtOnce))) {
             call.hasResponseStarted = true;
-            if (!co_await call.exchange.beginStream(this->parts.format.makeCallerHeader(answer.header())))
+            if (!co_await call.exchange.beginStream(this->forwardedHeader(call, answer, target)))
                 break;
         }
         // Whole events before the failure are delivered: the next attempt continues after them.
         if (!events.empty() && !co_await call.exchange.write(events))
             break;
         if (!events.empty())
-            attempt.nextEventBy = this->parts.clock.now() + this->gapLimit(call, target.id);
+            attempt.nextEventBy = this->parts.clock.now() + this->gapLimit(call, attempt.choice);
         if (stream.isBroken() || (isEnd && stream.hasPartialEvent()) || hasEndedAtOnce) {
             answer.discard();
             if (isEnd && !attempt.hasEvents)
-                this->recordCutBeforeEvents(call, target);
+                this->recordCutBeforeEvents(call, attempt.choice);
             attempt.hasFailed = true;
             this->recordOutcome(call, target, SendOutcome::Failed, "broken_events");
             co_return co_await this->leaveToSuccessor(attempt);
@@ -227,15 +232,14 @@
 // the stream.
 asio::awaitable<void> ServingGateway::openSuccessor(Call& call, Attempt& attempt, std::unique_ptr<Attempt>& successor)
 {
-    if (!this->mayRunElsewhere(call, call.runs)
+    if (!this->mayRunElsewhere(call, call.allRuns())
         || (!call.hasSpentRetry && this->parts.budget.remaining(call.service->name, this->parts.clock.now()) < 1))
         co_return;
     const auto seen = attempt.progress;
     auto choice = co_await this->waitForPlacement(call);
     if (!choice || attempt.progress != seen || !this->mayRetry(call, AttemptResult::MayHaveRun))
         co_return;
-    ++call.tries;
-    call.tried.insert(choice->target.id);
+    this->recordTry(call, *choice);
     auto next = std::make_unique<Attempt>(this->parts.context, std::move(*choice));
     const SuccessorRegistration registration { attempt.successor, *next };
     const auto opened = co_await this->open(call, *next);
@@ -294,6 +298,8 @@
 {
     const auto now = this->parts.clock.now();
     const auto& target = attempt.choice.target.id;
+    if (this->parts.relay && !attempt.choice.isRelay)
+        this->parts.relay->links.recordSilence();
     this->parts.log.write("stream_silent",
         { { "id", call.metadata.attemptId }, { "target", target }, { "silent_ms", now - attempt.progressAt },
             { "limit_ms", attempt.nextEventBy - attempt.progressAt },
@@ -308,11 +314,13 @@
 }
 
 // Records an answer that ended between its header and its first event: the target may have ended because of the prompt.
-void ServingGateway::recordCutBeforeEvents(const Call& call, const TargetEntry& target)
+void ServingGateway::recordCutBeforeEvents(const Call& call, const TargetChoice& choice)
 {
-    // A target that wrote events of the answer did not end under the prompt, so that no later one does.
-    if (call.isAbandoned || call.hasResponseStarted)
+    // A target that wrote events of the answer did not end under the prompt, so that no later one does. A peer records
+    // the ends of its targets by itself.
+    if (call.isAbandoned || call.hasResponseStarted || choice.isRelay)
         return;
+    const auto& target = choice.target;
     this->recordCrash(call, target);
     std::string parts;
     for (const auto& part : call.metadata.sharedParts)
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -42,6 +42,8 @@
     { "listen", "metrics", SettingKind::Text, 0, 0, "", "address of the metrics; empty for none" },
     { "listen", "ports", SettingKind::Text, 0, 0, "",
         "file for the bound ports, written once requests are accepted; - for the standard output; empty for none" },
+    { "listen", "relays", SettingKind::Text, 0, 0, "",
+        "address where instances that reach no target send their callers' requests; empty for none" },
     { "peers", "address", SettingKind::Address, 0, 0, std::nullopt, "address for other instances, UDP and TCP" },
     { "peers", "seeds", SettingKind::Text, 0, 0, "",
         "addresses of some other instances, separated by commas; their ports are replaced by that of [peers] address" },
@@ -113,6 +115,19 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double> { count });
 }
 
+// Size of the headers that a request gets on its way to a peer.
+constexpr std::size_t RelayHeaderBytes = 512;
+// A pooled connection to a peer is closed well before the peer closes it.
+constexpr Duration RelayIdleLifetime = std::chrono::seconds { 5 };
+constexpr Duration RelayIdleTimeout = std::chrono::seconds { 15 };
+
+HttpClientLimits relayClientLimits()
+{
+    auto limits = targetClientLimits();
+    limits.idleLifetime = RelayIdleLifetime;
+    return limits;
+}
+
 HttpServerLimits limitsFrom(const CallerLimits& limits)
 {
     HttpServerLimits server;
@@ -123,6 +138,14 @@
     return server;
 }
 
+HttpServerLimits relayLimitsFrom(const CallerLimits& limits)
+{
+    auto server = limitsFrom(limits);
+    server.headerBytes += RelayHeaderBytes;
+    server.idleTimeout = RelayIdleTimeout;
+    return server;
+}
+
 }
 
 std::span<const SettingSpecification> servingNodeSpecifications()
@@ -155,6 +178,7 @@
     settings.callersAddress = values.text("listen", "callers");
     settings.readyAddress = values.text("listen", "ready");
     settings.metricsAddress = values.text("listen", "metrics");
+    settings.relaysAddress = values.text("listen", "relays");
     settings.peersAddress = values.text("peers", "address");
     settings.seeds = seedsFrom(values.text("peers", "seeds"), settings.peersAddress);
     settings.storeTimeout = values.milliseconds("platform", "timeout_ms");
@@ -177,31 +201,58 @@
         , clock(clock)
         , settings(settings)
         , log(clock, { settings.instance, settings.logLinesPerSecond, 4096 })
-        , links(clock, this->log, this->metrics)
+        , links({ context, clock, this->view.targets, this->log, this->metrics },
+              std::mt19937_64 { std::random_device {}() })
         , client(context.get_executor(), targetClientLimits(), &this->links)
+        , relayPeers(settings.availabilityZone, std::mt19937_64 { std::random_device {}() })
+        , relayClient(context.get_executor(), relayClientLimits())
         , budget(settings.retries)
         , follower(context, clock, platform.store, platform.records, this->view, this->log, this->metrics,
               settings.follower, std::mt19937_64 { std::random_device {}() })
         , gateway({ context, clock, platform.format, this->view, this->ledger, this->waiting, this->health,
                       this->budget, this->client, platform.memory, this->quarantine, this->log, this->metrics,
-                      settings.instance, settings.memoryLeaseDuration },
+                      settings.instance, settings.memoryLeaseDuration,
+                      ServingGateway::RelayParts { this->links, this->relayPeers, this->relayClient } },
               TargetChooser { this->view.targets, this->ledger, this->health, settings.availabilityZone,
                   std::mt19937_64 { std::random_device {}() } })
         , peers({ context, clock, this->view, this->follower, this->ledger, this->waiting, this->quarantine,
                     this->health.limits, this->log, this->metrics,
                     [this] {
-                        this->callers.setLimits(limitsFrom(this->view.configuration()->values.limits));
+                        const auto& limits = this->view.configuration()->values.limits;
+                        this->callers.setLimits(limitsFrom(limits));
+                        this->relays.setLimits(relayLimitsFrom(limits));
+                    },
+                    &this->relayPeers,
+                    [this] {
+                        return this->relayState();
                     } },
               settings.peersAddress, settings.availabilityZone, settings.seeds, settings.follower.targetsBound)
         , readinessHandler(this->isReady)
         , metricsHandler(this->metrics)
         , callers(context, this->gateway)
+        , relays(context, this->gateway.relayHandler())
         , ready(context, this->readinessHandler)
         , exposition(context, this->metricsHandler)
     {
         this->health.pauses.setLongestPause(settings.longestTargetPause);
     }
 
+    // What peers are told about relayed requests.
+    RelayPeer relayState() const
+    {
+        const auto address = this->relaysPort > 0 ? ":" + std::to_string(this->relaysPort) : std::string {};
+        return { address, this->settings.availabilityZone, !this->links.isCutOff(), this->gateway.relayedRequests() };
+    }
+
+    void updateLinks()
+    {
+        this->health.forgetOutcomes();
+        // Idle connections may be dead without a sign of it.
+        if (this->links.isCutOff())
+            this->client.closeIdleConnections();
+        this->peers.announceNews();
+    }
+
     asio::awaitable<void> pause(Duration duration)
     {
         asio::steady_timer timer { this->context, duration };
@@ -226,6 +277,7 @@
             this->metrics.histogram("marigold_loop_delay_seconds").record(this->clock.now() - due);
             this->updateReadiness();
             this->client.closeStaleConnections();
+            this->relayClient.closeStaleConnections();
             this->health.expire(this->clock.now());
             this->quarantine.expire(this->clock.now());
             this->budget.updateInstanceCount(this->peers.livePeers() + 1);
@@ -244,6 +296,7 @@
         this->metrics.gauge("marigold_configuration_version").set(static_cast<double>(this->view.version()));
         this->metrics.gauge("marigold_suspected_prompt_parts").set(static_cast<double>(this->quarantine.size()));
         this->metrics.gauge("marigold_limited_targets").set(static_cast<double>(this->health.limits.size()));
+        this->metrics.gauge("marigold_relayed_requests").set(this->gateway.relayedRequests());
         this->metrics.gauge("marigold_live_peers").set(static_cast<double>(this->peers.livePeers()));
         this->metrics.gauge("marigold_requests_active").set(static_cast<double>(this->callers.activeExchanges()));
         this->metrics.gauge("marigold_log_lines_dropped").set(static_cast<double>(this->log.dropped()));
@@ -266,15 +319,19 @@
     PromptQuarantine quarantine;
     TargetLinks links;
     HttpClient client;
+    RelayPeers relayPeers;
+    HttpClient relayClient;
     RetryBudget budget;
     ViewFollower follower;
     ServingGateway gateway;
     PeerRunner peers;
+    std::uint16_t relaysPort { 0 }; // 0 while no requests of other instances are accepted.
     bool isReady { false };
     bool isStopping { false };
     ReadinessHandler readinessHandler;
     MetricsHandler metricsHandler;
     HttpServer callers;
+    HttpServer relays;
     HttpServer ready;
     HttpServer exposition;
 };
@@ -295,6 +352,9 @@
     ports.ready = state.ready.listen(state.settings.readyAddress);
     if (!state.settings.metricsAddress.empty())
         ports.metrics = state.exposition.listen(state.settings.metricsAddress);
+    if (!state.settings.relaysAddress.empty())
+        ports.relays = state.relays.listen(state.settings.relaysAddress);
+    state.relaysPort = ports.relays;
     state.log.write(
         "started", { { "zone", state.settings.availabilityZone }, { "callers", state.settings.callersAddress } });
     state.follower.start(state.peers);
@@ -302,6 +362,7 @@
     state.gateway.onPromptPlaced([&state] { state.peers.notifyPeersNow(); });
     state.gateway.onTargetCrash([&state] { state.peers.announceNews(); });
     state.gateway.onTargetLimitChanged([&state] { state.peers.announceNews(); });
+    state.links.onChange([&state] { state.updateLinks(); });
     asio::co_spawn(state.context, state.runHousekeeping(), asio::detached);
     return ports;
 }
@@ -311,7 +372,8 @@
     auto& state = *this->state;
     const bool needsRestart = settings.callersAddress != state.settings.callersAddress
         || settings.readyAddress != state.settings.readyAddress || settings.peersAddress != state.settings.peersAddress
-        || settings.metricsAddress != state.settings.metricsAddress;
+        || settings.metricsAddress != state.settings.metricsAddress
+        || settings.relaysAddress != state.settings.relaysAddress;
     state.settings.grace = settings.grace;
     state.health.pauses.setLongestPause(settings.longestTargetPause);
     state.settings.retries = settings.retries;
@@ -333,13 +395,17 @@
     state.isStopping = true;
     state.updateReadiness();
     state.callers.announceClose();
+    state.relays.announceClose();
     state.gateway.beginShutdown(state.clock.now() + std::min(IntakeClosePeriod, state.settings.grace / 3), killAt);
     state.peers.announceLeaving();
     state.log.write("stopping", { { "requests", std::uint64_t { state.callers.activeExchanges() } } });
     co_await state.pause(std::min(BalancerDrainPeriod, state.settings.grace / 2));
-    while (state.callers.activeExchanges() > 0 && state.clock.now() < killAt)
+    const auto activeExchanges = [&state] {
+        return state.callers.activeExchanges() + state.relays.activeExchanges();
+    };
+    while (activeExchanges() > 0 && state.clock.now() < killAt)
         co_await state.pause(std::chrono::milliseconds { 20 });
-    state.log.write("stopped", { { "cut_requests", std::uint64_t { state.callers.activeExchanges() } } });
+    state.log.write("stopped", { { "cut_requests", std::uint64_t { activeExchanges() } } });
     // Requests that arrive from now on would be cut off by the end of the process. They are refused, however short
     // their deadline is.
     state.gateway.beginShutdown(state.clock.now(), state.clock.now());
@@ -347,7 +413,8 @@
     co_await state.pause(FinalResponsePeriod);
     // Requests in progress refer to members of this node and have to end before it does.
     state.callers.closeConnections();
-    while (state.callers.activeExchanges() > 0)
+    state.relays.closeConnections();
+    while (activeExchanges() > 0)
         co_await state.pause(std::chrono::milliseconds { 1 });
     state.log.close();
     state.context.stop();
--- a/src/serving/ServingNode.h
+++ b/src/serving/ServingNode.h
@@ -28,6 +28,7 @@
     std::string callersAddress; // "IP:port" for callers.
     std::string readyAddress; // "IP:port" of the readiness checks of the load balancer.
     std::string metricsAddress; // "IP:port"; empty for none.
+    std::string relaysAddress; // "IP:port" for requests of other instances' callers; empty for none.
     std::string peersAddress; // "IP:port", UDP and TCP, for other instances.
     std::vector<std::string> seeds; // Addresses of other instances, on the same port; may be outdated.
     Duration storeTimeout {}; // Timeout of a call to the platform's store.
@@ -52,6 +53,7 @@
     std::uint16_t callers { 0 };
     std::uint16_t ready { 0 };
     std::uint16_t metrics { 0 };
+    std::uint16_t relays { 0 };
 };
 
 // Keys of the settings file, for validation and --help.
--- a/src/serving/TargetChooser.h
+++ b/src/serving/TargetChooser.h
@@ -21,7 +21,8 @@
 
 // Targets chosen for one attempt.
 struct TargetChoice {
-    TargetEntry target; // Executes the request and answers it.
+    TargetEntry target; // Executes the request and answers it. A peer if `isRelay` is set.
+    bool isRelay { false }; // A peer chooses the targets; the other fields have no meaning.
     std::vector<TargetEntry> helpers; // Prefill parts of its prompt.
     std::size_t reservations { 0 }; // Number of helpers, from the first on, that also have to reserve memory.
     std::int64_t tokensPerReservation { 0 };
--- a/src/serving/TargetHealth.cpp
+++ b/src/serving/TargetHealth.cpp
@@ -51,6 +51,11 @@
     found->second.lastActivityAt = now;
 }
 
+void TargetHealth::forgetOutcomes()
+{
+    this->records.clear();
+}
+
 bool TargetHealth::isEjected(std::string_view target, TimePoint now) const
 {
     const auto found = this->records.find(target);
--- a/src/serving/TargetHealth.h
+++ b/src/serving/TargetHealth.h
@@ -30,6 +30,9 @@
     // request gets no answer.
     void recordActivity(std::string_view target, TimePoint now);
 
+    // Drops all outcomes. While an instance reaches no target, they say nothing about the targets.
+    void forgetOutcomes();
+
     // Whether the target is ejected. After the ejection period it gets requests again, which show if it has recovered.
     bool isEjected(std::string_view target, TimePoint now) const;
 
--- a/test/GatewayWithPeers.h
+++ b/test/GatewayWithPeers.h
@@ -26,8 +26,10 @@
         , clock(clock)
         , seed(LoadLedger::hashOf(address))
         , peers({ context, clock, this->view, this->follower, this->ledger, this->waiting, this->quarantine,
-                    this->health.limits, this->log, this->metrics,
-                    [] {
+                    this->health.limits, this->log, this->metrics, [] {}, &this->relayPeers,
+                    [this] {
+                        return RelayPeer { ":" + std::to_string(this->relayPort), "a", !this->links.isCutOff(),
+                            this->gateway.relayedRequests() };
                     } },
               address, "a", seeds, 2s)
         , address("127.0.0.1:" + std::to_string(this->server.listen("127.0.0.1:0")))
@@ -37,6 +39,11 @@
             this->view.targets.upsert(target, clock.now());
         this->gateway.onTargetCrash([this] { this->peers.announceNews(); });
         this->gateway.onTargetLimitChanged([this] { this->peers.announceNews(); });
+        this->links.onChange([this] {
+            this->health.forgetOutcomes();
+            this->peers.announceNews();
+        });
+        this->relayPort = this->relays.listen(address.substr(0, address.find(':')) + ":0");
         this->peers.start();
     }
 
@@ -53,8 +60,11 @@
     RetryBudget budget { { 0.2, 10s, 1000 } };
     EventLog log { this->clock, { "test", 0, 16 } };
     MetricsRegistry metrics;
-    TargetLinks links { this->clock, this->log, this->metrics };
+    TargetLinks links { { this->context, this->clock, this->view.targets, this->log, this->metrics },
+        std::mt19937_64 { 1 } };
     HttpClient client { this->context.get_executor(), targetClientLimits(), &this->links };
+    RelayPeers relayPeers { "a", std::mt19937_64 { this->seed } };
+    HttpClient relayClient { this->context.get_executor(), targetClientLimits() };
     ScriptedMemory memory;
     PromptQuarantine quarantine;
     ViewFollower follower { this->context, this->clock, this->store, this->records, this->view, this->log,
@@ -62,9 +72,12 @@
     PeerRunner peers;
     ServingGateway gateway { { this->context, this->clock, this->format, this->view, this->ledger, this->waiting,
                                  this->health, this->budget, this->client, this->memory, this->quarantine, this->log,
-                                 this->metrics, "test", 3s },
+                                 this->metrics, "test", 3s,
+                                 ServingGateway::RelayParts { this->links, this->relayPeers, this->relayClient } },
         TargetChooser { this->view.targets, this->ledger, this->health, "a", std::mt19937_64 { this->seed } } };
     HttpServer server { this->context, this->gateway };
+    HttpServer relays { this->context, this->gateway.relayHandler() };
+    std::uint16_t relayPort { 0 };
     std::string address;
 };
 
