--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -33,22 +33,6 @@
     {
     }
 
-    ~Connection()
-    {
-        this->resetIfInUse();
-    }
-
-    Connection(const Connection&) = delete;
-    Connection& operator=(const Connection&) = delete;
-
-    // Makes the connection be reset when it is closed, if a request was written and its response is not complete.
-    void resetIfInUse()
-    {
-        error_code ignored;
-        if (this->isInUse && this->stream.socket().is_open())
-            this->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-    }
-
     // Parses the bytes that were already received, so that pieces of the body that arrived together are returned
     // together. A parse error is ignored here: the next read parses the same bytes and reports it.
     void parseBuffered()
@@ -72,7 +56,6 @@
     std::optional<http::response_parser<http::string_body>> parser;
     HttpResponseHeader header;
     TimePoint reusableUntil {};
-    bool isInUse { false }; // A request was written, and its response is not complete.
 };
 
 namespace {
@@ -211,7 +194,6 @@
         if (connections.size() >= this->connectionsPerAddress)
             return;
         connection->parser.reset();
-        connection->isInUse = false;
         connections.push_back(std::move(connection));
     }
 
@@ -258,7 +240,6 @@
 
 void HttpCall::discard()
 {
-    this->connection->resetIfInUse();
     this->connection->stream.close();
     this->connection->parser.reset();
 }
@@ -285,7 +266,6 @@
     }
     this->connection->stream.expires_never();
     this->connection->parseBuffered();
-    this->connection->isInUse = !parser.is_done();
     co_return std::exchange(body, std::string {});
 }
 
@@ -329,7 +309,6 @@
     if (request[http::field::host].empty())
         request.set(http::field::host, address);
     request.keep_alive(true);
-    connection->isInUse = true;
     connection->stream.expires_after(timeout);
     error_code failure;
     co_await http::async_write(connection->stream, request, asio::redirect_error(asio::use_awaitable, failure));
@@ -348,7 +327,6 @@
     if (connection->parser->get().result_int() < FirstFinalStatus)
         co_return HttpError::Malformed;
     connection->stream.expires_never();
-    connection->isInUse = !connection->parser->is_done();
     connection->header = HttpResponseHeader { connection->parser->get().base() };
     connection->reusableUntil
         = std::chrono::steady_clock::now() + keepAliveLifetime(connection->header, limits.idleLifetime);
@@ -386,6 +364,8 @@
         co_return HttpError::ConnectFailed;
     auto& socket = connection->stream.socket();
     socket.set_option(tcp::no_delay(true), failure);
+    if (limits.resetsOnClose)
+        socket.set_option(asio::socket_base::linger(true, 0), failure);
     if (limits.unacknowledgedTimeout > Duration::zero()) {
         const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(limits.unacknowledgedTimeout);
         socket.set_option(UserTimeout { static_cast<int>(timeout.count()) }, failure);
--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -22,6 +22,9 @@
     // Silence after which a connection is probed (TCP keep-alive), in whole seconds; 0: never. A host that has lost its
     // power sends no reset, so that nothing else ends a call that only waits for bytes.
     std::chrono::seconds probeAfter { 0 };
+    // Connections are reset in place of an orderly close. Bytes that a broken path holds up are then dropped, so that a
+    // request which was given up does not arrive later.
+    bool resetsOnClose { false };
 };
 
 enum class ConnectionReuse {
@@ -71,8 +74,7 @@
 class HttpClient;
 
 // A request that was sent and its response, which is read incrementally. The destructor returns the connection to the
-// client's pool if the whole response was read, and resets it otherwise, so that bytes of the request that a broken
-// path holds up do not arrive later.
+// client's pool if the whole response was read, and closes it otherwise, or if the client no longer exists.
 class HttpCall {
 public:
     HttpCall(HttpCall&&) noexcept;
--- a/src/serving/TargetLinks.cpp
+++ b/src/serving/TargetLinks.cpp
@@ -47,7 +47,8 @@
     return { .connectTimeout = ConnectTimeout,
         .maximumResponseBytes = MaximumAnswerBytes,
         .unacknowledgedTimeout = UnacknowledgedTimeout,
-        .probeAfter = ProbeAfter };
+        .probeAfter = ProbeAfter,
+        .resetsOnClose = true };
 }
 
 // Probes that were started together. The last one that ends decides.
