--- a/src/programs/NodeMain.cpp
+++ b/src/programs/NodeMain.cpp
@@ -109,8 +109,7 @@
     const auto boundPorts = node.start();
     if (const auto& file = values.text("listen", "ports"); !file.empty()) {
         const std::pair<std::string, std::uint16_t> ports[] { { "callers", boundPorts.callers },
-            { "ready", boundPorts.ready }, { "metrics", boundPorts.metrics },
-            { "relays", boundPorts.relays } };
+            { "ready", boundPorts.ready }, { "metrics", boundPorts.metrics }, { "relays", boundPorts.relays } };
         writePorts(file, ports);
     }
     SettingsWatcher watcher { context, path, node };
--- a/test/PlatformHarness.cpp
+++ b/test/PlatformHarness.cpp
@@ -12,6 +12,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "serving/RelayFormat.h"
+
 namespace marigoldpaddle::testing {
 
 namespace asio = boost::asio;
@@ -54,6 +56,7 @@
     settings.callersAddress = "127.0.0.1:0";
     settings.readyAddress = "127.0.0.1:0";
     settings.metricsAddress = "127.0.0.1:0";
+    settings.relaysAddress = "127.0.0.1:0";
     settings.peersAddress = "127.0.0.1:0";
     settings.storeTimeout = 1s;
     settings.memoryLeaseDuration = 3s;
@@ -219,9 +222,21 @@
     return message;
 }
 
+void PlatformHarness::beginRelayedPrompt(PlatformAnswer& answer, std::int64_t promptTokens, std::int64_t outputTokens)
+{
+    auto message = this->request("POST", "/ask/question", this->promptHeaders(promptTokens, outputTokens), "{}");
+    addRelayRequest(message, { 1, 10ms, 0, false });
+    asio::co_spawn(this->context, this->send(std::move(message), answer, this->ports.relays), asio::detached);
+}
+
 asio::awaitable<void> PlatformHarness::send(HttpRequest request, PlatformAnswer& answer)
 {
-    auto address = "127.0.0.1:" + std::to_string(this->ports.callers);
+    co_await this->send(std::move(request), answer, this->ports.callers);
+}
+
+asio::awaitable<void> PlatformHarness::send(HttpRequest request, PlatformAnswer& answer, std::uint16_t port)
+{
+    auto address = "127.0.0.1:" + std::to_string(port);
     auto call
         = co_await this->client.start(std::move(address), std::move(request), TestTimeout, ConnectionReuse::Forbidden);
     if (!call)
--- a/test/PlatformHarness.h
+++ b/test/PlatformHarness.h
@@ -76,6 +76,9 @@
     std::vector<std::pair<std::string, std::string>> promptHeaders(
         std::int64_t promptTokens, std::int64_t outputTokens = 100);
     void beginPrompt(PlatformAnswer& answer, std::int64_t promptTokens, std::int64_t outputTokens);
+
+    // Sends a prompt as an instance that reaches no target does for its caller.
+    void beginRelayedPrompt(PlatformAnswer& answer, std::int64_t promptTokens, std::int64_t outputTokens);
     std::int64_t memoryUsed() const;
     std::uint64_t runsOf(const std::string& engineId);
 
@@ -94,6 +97,7 @@
     };
 
     boost::asio::awaitable<void> send(HttpRequest request, PlatformAnswer& answer);
+    boost::asio::awaitable<void> send(HttpRequest request, PlatformAnswer& answer, std::uint16_t port);
     HttpRequest request(const std::string& method, const std::string& target,
         const std::vector<std::pair<std::string, std::string>>& headers, const std::string& body);
 
--- a/test/ServingNode_test.cpp
+++ b/test/ServingNode_test.cpp
@@ -253,6 +253,28 @@
     EXPECT_THAT(answer.eventIds(), ElementsAreArray(idsUpTo(101)));
 }
 
+TEST_F(ServingNodeTest, RequestOfAnotherInstancesCallerIsServed)
+{
+    this->startWithEngines(1);
+    PlatformAnswer answer;
+    this->harness.beginRelayedPrompt(answer, 5000, 101);
+    EXPECT_TRUE(this->harness.runUntil([&] { return answer.isWhole; }));
+    EXPECT_EQ(answer.status, 200U);
+    EXPECT_EQ(answer.headers["relay-target"], "engine-1");
+    EXPECT_THAT(answer.eventIds(), ElementsAreArray(idsUpTo(11)));
+}
+
+TEST_F(ServingNodeTest, GracefulShutdownFinishesTheAnswerForAnotherInstance)
+{
+    this->startWithEngines(1);
+    PlatformAnswer answer;
+    this->harness.beginRelayedPrompt(answer, 5000, 1001);
+    this->harness.runUntil([&] { return answer.eventIds().size() >= 2; });
+    boost::asio::co_spawn(this->harness.context, this->harness.node().stopGracefully(), boost::asio::detached);
+    EXPECT_TRUE(this->harness.runUntil([&] { return answer.isWhole; }));
+    EXPECT_THAT(answer.eventIds(), ElementsAreArray(idsUpTo(101)));
+}
+
 // Guards against a request with a short deadline that arrives between the last answer and the end of the process, is
 // forwarded and then cut off. With a grace period of 4 s this moment comes 2 s after the stop signal. Found by a
 // simulated day (mix, seed 192386026478).
--- a/test/SoakCluster.cpp
+++ b/test/SoakCluster.cpp
@@ -445,9 +445,9 @@
     for (const auto& each : this->nodes)
         seeds += (seeds.empty() ? "" : ",") + each.host + ":" + peersPort;
     return "[instance]\nname = " + node.name + "\nzone = zone-a\n[listen]\ncallers = " + node.host + ":0\nready = "
-        + node.host + ":0\nports = " + Process::portsFile(this->folder, node.name) + "\n[peers]\naddress = " + node.host
-        + ":" + peersPort + "\nseeds = " + seeds + "\n[platform]\naddress = " + node.store->address()
-        + "\n[bounds]\nconfiguration_ms = " + std::to_string(ConfigurationBound / 1ms)
+        + node.host + ":0\nports = " + Process::portsFile(this->folder, node.name) + "\nrelays = " + node.host
+        + ":0\n[peers]\naddress = " + node.host + ":" + peersPort + "\nseeds = " + seeds + "\n[platform]\naddress = "
+        + node.store->address() + "\n[bounds]\nconfiguration_ms = " + std::to_string(ConfigurationBound / 1ms)
         + "\ndrain_ms = " + std::to_string(DrainBound / 1ms) + "\ngrace_s = " + std::to_string(Grace / 1s)
         + "\nmemory_free_ms = " + std::to_string(MemoryFreeBound / 1ms) + "\n[retries]\nslack = 104\n";
 }
