Judge the reachability of each service by itself

Cause: one state stood for all services. Probes were drawn from all targets, so that the three servers of the order service, which could still be reached, ended the state again and again.

Change: TargetLinks keeps a TargetReachability for each service; notices list the services that an instance does not reach, and peers are chosen by service. An instance that is cut off from one service probes the others at once, since a service with few requests would notice its own loss late. Outcomes and idle connections are dropped for the targets of that service only.

InstanceThatReachesAnotherServiceServesItsCallers, for three kinds of cuts, and PeerThatReachesNoTargetOfOneServiceServesTheOthers are new.

--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -197,9 +197,10 @@
         connections.push_back(std::move(connection));
     }
 
-    void closeIdleConnections()
+    void closeIdleConnections(std::string_view address)
     {
-        this->idleConnections.clear();
+        if (const auto found = this->idleConnections.find(address); found != this->idleConnections.end())
+            this->idleConnections.erase(found);
     }
 
     void closeStaleConnections()
@@ -375,9 +376,9 @@
     co_return connection;
 }
 
-void HttpClient::closeIdleConnections()
+void HttpClient::closeIdleConnections(std::string_view address)
 {
-    this->pool->closeIdleConnections();
+    this->pool->closeIdleConnections(address);
 }
 
 void HttpClient::closeStaleConnections()
--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -121,8 +121,8 @@
     boost::asio::awaitable<HttpResult<HttpResponse>> call(
         std::string address, HttpRequest request, Duration timeout, ConnectionReuse reuse = ConnectionReuse::Allowed);
 
-    // Closes all pooled connections that are idle.
-    void closeIdleConnections();
+    // Closes the pooled connections to an address.
+    void closeIdleConnections(std::string_view address);
 
     // Closes pooled connections whose idle lifetime has expired or that the server has closed.
     void closeStaleConnections();
--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <iterator>
 #include <limits>
 #include <optional>
 #include <ranges>
@@ -247,10 +248,16 @@
         const auto host = splitAddress(notice.sender).host;
         const bool acceptsRelays
             = notice.relayPort > 0 && notice.relayPort <= std::numeric_limits<std::uint16_t>::max();
-        this->parts.relays->update(notice.sender,
-            { acceptsRelays ? host + ':' + std::to_string(notice.relayPort) : std::string {}, notice.availabilityZone,
-                !notice.cutOff, static_cast<unsigned>(std::max(0, notice.relayedRequests)), notice.leaving },
-            now, std::chrono::milliseconds { std::clamp<std::int64_t>(notice.validMs, 100, 60'000) });
+        RelayPeer peer;
+        if (acceptsRelays)
+            peer.address = host + ':' + std::to_string(notice.relayPort);
+        peer.availabilityZone = notice.availabilityZone;
+        peer.relayedRequests = static_cast<unsigned>(std::max(0, notice.relayedRequests));
+        peer.isLeaving = notice.leaving;
+        for (const auto service : notice.unreachableServices)
+            peer.unreachableServices.insert(static_cast<std::uint64_t>(service));
+        const auto validity = std::chrono::milliseconds { std::clamp<std::int64_t>(notice.validMs, 100, 60'000) };
+        this->parts.relays->update(notice.sender, std::move(peer), now, validity);
     }
 
     void announceNewsIfDue()
@@ -340,7 +347,8 @@
         if (this->parts.relayState) {
             const auto state = this->parts.relayState();
             notice.relayPort = splitAddress(state.address).port;
-            notice.cutOff = !state.reachesTargets;
+            std::ranges::transform(state.unreachableServices, std::back_inserter(notice.unreachableServices),
+                [](std::uint64_t service) { return static_cast<std::int64_t>(service); });
             notice.relayedRequests = static_cast<std::int32_t>(state.relayedRequests);
         }
         const auto startBy = this->parts.waiting.earliestStartBy();
--- a/src/serving/RelayPeers.cpp
+++ b/src/serving/RelayPeers.cpp
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include <xxhash.h>
+
 namespace marigoldpaddle {
 
 RelayPeers::RelayPeers(std::string availabilityZone, std::mt19937_64 random)
@@ -22,14 +24,19 @@
     this->entries[std::string { name }] = { std::move(peer), now + validity };
 }
 
-bool RelayPeers::isSound(const Entry& entry, TimePoint now)
+std::uint64_t RelayPeers::serviceHash(std::string_view service)
+{
+    return XXH3_64bits(service.data(), service.size());
+}
+
+bool RelayPeers::isSound(const Entry& entry, std::uint64_t service, TimePoint now)
 {
-    return now < entry.validUntil && entry.peer.reachesTargets;
+    return now < entry.validUntil && !entry.peer.unreachableServices.contains(service);
 }
 
-bool RelayPeers::isUsable(const Entry& entry, TimePoint now)
+bool RelayPeers::isUsable(const Entry& entry, std::uint64_t service, TimePoint now)
 {
-    return RelayPeers::isSound(entry, now) && !entry.peer.isLeaving && !entry.peer.address.empty();
+    return RelayPeers::isSound(entry, service, now) && !entry.peer.isLeaving && !entry.peer.address.empty();
 }
 
 std::size_t RelayPeers::load(const RelayPeer& peer) const
@@ -38,8 +45,10 @@
     return peer.relayedRequests + (found == this->outstanding.end() ? 0 : found->second);
 }
 
-std::optional<std::string> RelayPeers::choose(const std::set<std::string>& excluded, TimePoint now)
+std::optional<std::string> RelayPeers::choose(
+    std::string_view service, const std::set<std::string>& excluded, TimePoint now)
 {
+    const auto hash = RelayPeers::serviceHash(service);
     std::vector<const RelayPeer*> local;
     std::vector<const RelayPeer*> all;
     std::size_t livingLocal = 0;
@@ -49,7 +58,7 @@
             ++livingLocal;
         const auto avoided = this->avoidedUntil.find(entry.peer.address);
         const auto used = this->outstanding.find(entry.peer.address);
-        if (!RelayPeers::isUsable(entry, now) || excluded.contains(entry.peer.address)
+        if (!RelayPeers::isUsable(entry, hash, now) || excluded.contains(entry.peer.address)
             || (avoided != this->avoidedUntil.end() && now < avoided->second)
             || (used != this->outstanding.end() && used->second >= MaximumOutstanding))
             continue;
@@ -71,16 +80,18 @@
     return chosen->address;
 }
 
-bool RelayPeers::isSound(std::string_view address, TimePoint now) const
+bool RelayPeers::isSound(std::string_view address, std::string_view service, TimePoint now) const
 {
+    const auto hash = RelayPeers::serviceHash(service);
     return std::ranges::any_of(this->entries | std::views::values,
-        [&](const Entry& entry) { return entry.peer.address == address && RelayPeers::isSound(entry, now); });
+        [&](const Entry& entry) { return entry.peer.address == address && RelayPeers::isSound(entry, hash, now); });
 }
 
-std::size_t RelayPeers::soundPeers(TimePoint now) const
+std::size_t RelayPeers::soundPeers(std::string_view service, TimePoint now) const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        this->entries | std::views::values, [&](const Entry& entry) { return RelayPeers::isUsable(entry, now); }));
+    const auto hash = RelayPeers::serviceHash(service);
+    return static_cast<std::size_t>(std::ranges::count_if(this->entries | std::views::values,
+        [&](const Entry& entry) { return RelayPeers::isUsable(entry, hash, now); }));
 }
 
 void RelayPeers::avoid(std::string_view address, TimePoint now, Duration period)
--- a/src/serving/RelayPeers.h
+++ b/src/serving/RelayPeers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <random>
@@ -16,13 +17,13 @@
 struct RelayPeer {
     std::string address; // "IP:port"; empty if it accepts none.
     std::string availabilityZone;
-    bool reachesTargets { true };
+    std::set<std::uint64_t> unreachableServices {}; // Hashes of the names of services of which it reaches no target.
     unsigned relayedRequests { 0 }; // Requests of other instances in progress there.
     bool isLeaving { false }; // It accepts no new requests and ends those in progress.
 };
 
-// Chooses the peers through which an instance without a path to any target serves its callers. Pure computation, no
-// I/O.
+// Chooses the peers through which an instance without a path to any target of a service serves its callers. Pure
+// computation, no I/O.
 //
 // Peers of the local availability zone come first, unless most of them are cut off as well: the few others would then
 // carry the whole zone. Of two peers drawn at random the one with fewer relayed requests is chosen, and the number of
@@ -41,15 +42,18 @@
     // Records what the peer `name` states; it holds for `validity`.
     void update(std::string_view name, RelayPeer peer, TimePoint now, Duration validity);
 
-    // Returns the address of a peer that is not in `excluded`. Empty if no peer reaches targets and accepts requests.
-    std::optional<std::string> choose(const std::set<std::string>& excluded, TimePoint now);
+    // Returns the address of a peer that is not in `excluded`. Empty if no peer reaches targets of the service and
+    // accepts requests.
+    std::optional<std::string> choose(std::string_view service, const std::set<std::string>& excluded, TimePoint now);
 
-    // Whether the peer with this address ends the requests that it has accepted, as far as is known: it is alive and
-    // reaches targets.
-    bool isSound(std::string_view address, TimePoint now) const;
+    // Whether the peer with this address ends the requests for the service that it has accepted, as far as is known: it
+    // is alive and reaches targets.
+    bool isSound(std::string_view address, std::string_view service, TimePoint now) const;
 
-    // Number of peers through which requests could be served.
-    std::size_t soundPeers(TimePoint now) const;
+    // Number of peers through which requests for the service could be served.
+    std::size_t soundPeers(std::string_view service, TimePoint now) const;
+
+    static std::uint64_t serviceHash(std::string_view service);
 
     // Makes choose() avoid the peer for a time.
     void avoid(std::string_view address, TimePoint now, Duration period);
@@ -73,8 +77,8 @@
         TimePoint validUntil {};
     };
 
-    static bool isSound(const Entry& entry, TimePoint now);
-    static bool isUsable(const Entry& entry, TimePoint now);
+    static bool isSound(const Entry& entry, std::uint64_t service, TimePoint now);
+    static bool isUsable(const Entry& entry, std::uint64_t service, TimePoint now);
     std::size_t load(const RelayPeer& peer) const;
 
     std::string availabilityZone;
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -204,13 +204,13 @@
     while (true) {
         if (this->isQuarantined(call))
             co_return std::nullopt;
-        if (this->isCutOff()) {
+        if (this->isCutOff(call)) {
             auto relay = this->chooseRelay(call);
             if (relay)
                 co_return relay;
             // Open connections may live on while new ones are refused, also by targets that are all full.
             const bool mayTryTargets = !call.relayed && call.tries < MaximumTries;
-            if (!mayTryTargets || !this->parts.relay->links.hasRecentBytes()) {
+            if (!mayTryTargets || !this->parts.relay->links.hasRecentBytes(call.service->name)) {
                 this->recordCutOff(call);
                 co_return std::nullopt;
             }
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -126,7 +126,7 @@
     boost::asio::awaitable<void> forward(Call& call);
     boost::asio::awaitable<std::optional<TargetChoice>> waitForPlacement(Call& call);
     void recordTry(Call& call, const TargetChoice& choice);
-    bool isCutOff() const;
+    bool isCutOff(const Call& call) const;
     bool mayRelay(const Call& call) const;
     std::optional<TargetChoice> chooseRelay(const Call& call);
     void recordCutOff(Call& call);
--- a/src/serving/ServingGatewayPeers.cpp
+++ b/src/serving/ServingGatewayPeers.cpp
@@ -115,8 +115,6 @@
 // Why this instance does not serve a request of another one; empty if it does.
 std::string_view ServingGateway::relayedRefusal(const RelayRequest& relayed) const
 {
-    if (this->parts.relay && this->parts.relay->links.isCutOff())
-        return relay_refusals::CutOff;
     if (this->relayedInProgress > MaximumRelayedRequests)
         return relay_refusals::Busy;
     if (this->parts.view.version() < relayed.configurationVersion)
@@ -124,15 +122,16 @@
     return {};
 }
 
-bool ServingGateway::isCutOff() const
+// Whether this instance reaches no target of the call's service.
+bool ServingGateway::isCutOff(const Call& call) const
 {
-    return this->parts.relay && this->parts.relay->links.isCutOff();
+    return this->parts.relay && this->parts.relay->links.isCutOff(call.service->name);
 }
 
 // Whether the request may be sent through a peer that it has not been sent through.
 bool ServingGateway::mayRelay(const Call& call) const
 {
-    return this->isCutOff() && !call.relayed && call.triedPeers.size() < MaximumRelays;
+    return this->isCutOff(call) && !call.relayed && call.triedPeers.size() < MaximumRelays;
 }
 
 // Empty if no peer serves the request.
@@ -140,7 +139,7 @@
 {
     if (!this->mayRelay(call))
         return std::nullopt;
-    const auto peer = this->parts.relay->peers.choose(call.triedPeers, this->parts.clock.now());
+    const auto peer = this->parts.relay->peers.choose(call.service->name, call.triedPeers, this->parts.clock.now());
     if (!peer)
         return std::nullopt;
     TargetChoice choice;
@@ -161,7 +160,7 @@
     const auto now = this->parts.clock.now();
     this->parts.log.write("not_relayed",
         { { "id", call.metadata.attemptId },
-            { "sound_peers", std::uint64_t { this->parts.relay->peers.soundPeers(now) } },
+            { "sound_peers", std::uint64_t { this->parts.relay->peers.soundPeers(call.service->name, now) } },
             { "tried_peers", std::uint64_t { call.triedPeers.size() } }, { "relayed", call.relayed.has_value() },
             { "retry_after_ms", call.retryAfter.value_or(Duration::zero()) } });
 }
@@ -227,8 +226,9 @@
         timer.expires_after(RetryCheckPeriod);
         co_await timer.async_wait(asio::use_awaitable);
         const auto now = this->parts.clock.now();
-        const bool hasOtherWay = !this->isCutOff() || this->chooseRelay(call);
-        if (this->parts.relay->peers.isSound(peer, now) || !hasOtherWay || this->isQuarantined(call))
+        const bool hasOtherWay = !this->isCutOff(call) || this->chooseRelay(call);
+        if (this->parts.relay->peers.isSound(peer, call.service->name, now) || !hasOtherWay
+            || this->isQuarantined(call))
             continue;
         call.hasSpentRetry = call.hasSpentRetry || this->parts.budget.trySpend(call.service->name, now);
         if (call.hasSpentRetry)
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -155,6 +155,8 @@
         = this->parts.client.start(choice.target.address, std::move(request), this->remaining(call), reuse, &gate);
     auto answer = co_await this->startUnlessRetried(call, choice, std::move(start));
     if (answer) {
+        if (this->parts.relay)
+            this->parts.relay->links.recordBytes(call.service->name);
         const auto response = this->parts.format.responseMetadata(answer.value().header());
         this->advice.targetAnswered(choice.target, response, call.metadata.attemptId, sentAt);
     }
@@ -203,9 +205,9 @@
             timer.expires_after(RetryCheckPeriod);
         co_await timer.async_wait(asio::use_awaitable);
         const auto now = this->parts.clock.now();
-        if (this->isCutOff()) {
+        if (this->isCutOff(call)) {
             // Open connections may live on: an answer may come until it is due.
-            if ((now < due && this->parts.relay->links.hasRecentBytes()) || !this->chooseRelay(call)
+            if ((now < due && this->parts.relay->links.hasRecentBytes(call.service->name)) || !this->chooseRelay(call)
                 || this->isQuarantined(call))
                 continue;
             call.hasSpentRetry = call.hasSpentRetry || this->parts.budget.trySpend(call.service->name, now);
@@ -216,7 +218,7 @@
         if (now < due)
             continue;
         if (this->parts.relay)
-            this->parts.relay->links.recordSilence();
+            this->parts.relay->links.recordSilence(call.service->name);
         const auto choice = this->chooser.choose({ *call.route, *call.service, call.metadata.prompt, call.tried,
                                                      now - call.receivedAt, this->remaining(call) },
             now);
--- a/src/serving/ServingGatewayStream.cpp
+++ b/src/serving/ServingGatewayStream.cpp
@@ -116,6 +116,8 @@
             call.longestGap = std::max(call.longestGap, now - call.lastEventAt);
         call.lastEventAt = now;
         this->parts.health.recordActivity(target.id, now);
+        if (this->parts.relay && !attempt.choice.isRelay)
+            this->parts.relay->links.recordBytes(call.service->name);
         const auto events = stream.feed(piece.value());
         // Only whole events count as progress: a target that sends a byte now and then is stalled.
         if (!events.empty())
@@ -299,7 +301,7 @@
     const auto now = this->parts.clock.now();
     const auto& target = attempt.choice.target.id;
     if (this->parts.relay && !attempt.choice.isRelay)
-        this->parts.relay->links.recordSilence();
+        this->parts.relay->links.recordSilence(call.service->name);
     this->parts.log.write("stream_silent",
         { { "id", call.metadata.attemptId }, { "target", target }, { "silent_ms", now - attempt.progressAt },
             { "limit_ms", attempt.nextEventBy - attempt.progressAt },
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -240,16 +240,24 @@
     // What peers are told about relayed requests.
     RelayPeer relayState() const
     {
-        const auto address = this->relaysPort > 0 ? ":" + std::to_string(this->relaysPort) : std::string {};
-        return { address, this->settings.availabilityZone, !this->links.isCutOff(), this->gateway.relayedRequests() };
+        RelayPeer state;
+        if (this->relaysPort > 0)
+            state.address = ":" + std::to_string(this->relaysPort);
+        state.relayedRequests = this->gateway.relayedRequests();
+        for (const auto& service : this->links.unreachableServices())
+            state.unreachableServices.insert(RelayPeers::serviceHash(service));
+        return state;
     }
 
-    void updateLinks()
+    // Applies that this instance has lost or regained its paths to the targets of a service.
+    void updateLinks(const std::string& service)
     {
-        this->health.forgetOutcomes();
-        // Idle connections may be dead without a sign of it.
-        if (this->links.isCutOff())
-            this->client.closeIdleConnections();
+        for (const auto* target : this->view.targets.available(service)) {
+            this->health.forgetOutcomes(target->id);
+            // Idle connections may be dead without a sign of it.
+            if (this->links.isCutOff(service))
+                this->client.closeIdleConnections(target->address);
+        }
         this->peers.announceNews();
     }
 
@@ -362,7 +370,7 @@
     state.gateway.onPromptPlaced([&state] { state.peers.notifyPeersNow(); });
     state.gateway.onTargetCrash([&state] { state.peers.announceNews(); });
     state.gateway.onTargetLimitChanged([&state] { state.peers.announceNews(); });
-    state.links.onChange([&state] { state.updateLinks(); });
+    state.links.onChange([&state](const std::string& service) { state.updateLinks(service); });
     asio::co_spawn(state.context, state.runHousekeeping(), asio::detached);
     return ports;
 }
--- a/src/serving/TargetDirectory.cpp
+++ b/src/serving/TargetDirectory.cpp
@@ -1,7 +1,6 @@
 #include "serving/TargetDirectory.h"
 
 #include <algorithm>
-#include <iterator>
 #include <set>
 
 namespace marigoldpaddle {
@@ -171,14 +170,6 @@
     return tracked.entry.incarnation == entry.incarnation && !tracked.entry.isLeaving;
 }
 
-std::vector<std::string> TargetDirectory::addresses() const
-{
-    std::vector<std::string> addresses;
-    std::ranges::transform(
-        this->tracked, std::back_inserter(addresses), [](const auto& item) { return item.second.entry.address; });
-    return addresses;
-}
-
 std::size_t TargetDirectory::size() const
 {
     return this->tracked.size();
--- a/src/serving/TargetDirectory.h
+++ b/src/serving/TargetDirectory.h
@@ -69,9 +69,6 @@
     bool acceptsWork(const TargetEntry& entry) const;
     std::size_t size() const;
 
-    // Addresses of all registered targets, of any service.
-    std::vector<std::string> addresses() const;
-
     std::optional<Duration> age(TimePoint now) const;
 
 private:
--- a/src/serving/TargetHealth.cpp
+++ b/src/serving/TargetHealth.cpp
@@ -51,9 +51,10 @@
     found->second.lastActivityAt = now;
 }
 
-void TargetHealth::forgetOutcomes()
+void TargetHealth::forgetOutcomes(std::string_view target)
 {
-    this->records.clear();
+    if (const auto found = this->records.find(target); found != this->records.end())
+        this->records.erase(found);
 }
 
 bool TargetHealth::isEjected(std::string_view target, TimePoint now) const
--- a/src/serving/TargetHealth.h
+++ b/src/serving/TargetHealth.h
@@ -30,8 +30,8 @@
     // request gets no answer.
     void recordActivity(std::string_view target, TimePoint now);
 
-    // Drops all outcomes. While an instance reaches no target, they say nothing about the targets.
-    void forgetOutcomes();
+    // Drops the outcomes of a target. While an instance has no path to it, they say nothing about it.
+    void forgetOutcomes(std::string_view target);
 
     // Whether the target is ejected. After the ejection period it gets requests again, which show if it has recovered.
     bool isEjected(std::string_view target, TimePoint now) const;
--- a/src/serving/TargetLinks.cpp
+++ b/src/serving/TargetLinks.cpp
@@ -56,6 +56,7 @@
     std::shared_ptr<TargetLinks*> links;
     asio::io_context& context;
     const Clock& clock;
+    std::string service;
     TimePoint startedAt;
     std::size_t running { 0 };
     bool isConclusive { true };
@@ -75,33 +76,71 @@
     *this->self = nullptr;
 }
 
-void TargetLinks::onChange(std::function<void()> notify)
+void TargetLinks::onChange(std::function<void(const std::string&)> notify)
 {
     this->notify = std::move(notify);
 }
 
-bool TargetLinks::isCutOff() const
+bool TargetLinks::isCutOff(std::string_view service) const
 {
-    return this->reachability.isCutOff();
+    const auto found = this->services.find(service);
+    return found != this->services.end() && found->second.reachability.isCutOff();
 }
 
-bool TargetLinks::hasRecentBytes() const
+std::vector<std::string> TargetLinks::unreachableServices() const
 {
-    return this->parts.clock.now() - this->receivedAt < RecentBytesPeriod;
+    std::vector<std::string> names;
+    for (const auto& [name, service] : this->services) {
+        if (service.reachability.isCutOff())
+            names.push_back(name);
+    }
+    return names;
 }
 
-void TargetLinks::recordSilence()
+void TargetLinks::recordBytes(std::string_view service)
 {
-    if (this->parts.clock.now() - this->receivedAt >= SilencePeriod)
-        this->recordFailure(ConnectTimeout);
+    this->serviceNamed(service).receivedAt = this->parts.clock.now();
 }
 
-void TargetLinks::connected(std::string_view)
+bool TargetLinks::hasRecentBytes(std::string_view service) const
 {
-    const auto now = this->parts.clock.now();
-    this->connectedAt = now;
-    if (this->reachability.recordConnected(now))
-        this->recordChange("connected");
+    const auto found = this->services.find(service);
+    return found != this->services.end() && this->parts.clock.now() - found->second.receivedAt < RecentBytesPeriod;
+}
+
+void TargetLinks::recordSilence(std::string_view service)
+{
+    if (this->parts.clock.now() - this->serviceNamed(service).receivedAt >= SilencePeriod)
+        this->recordFailure(std::string { service }, ConnectTimeout);
+}
+
+std::set<std::string> TargetLinks::servicesAt(std::string_view address) const
+{
+    std::set<std::string> names;
+    for (const auto& target : this->parts.targets.atAddress(address))
+        names.insert(target.service);
+    return names;
+}
+
+TargetLinks::Service& TargetLinks::serviceNamed(std::string_view name)
+{
+    const auto found = this->services.find(name);
+    return found != this->services.end() ? found->second : this->services[std::string { name }];
+}
+
+void TargetLinks::connected(std::string_view address)
+{
+    this->connectedAt = this->parts.clock.now();
+    for (const auto& name : this->servicesAt(address))
+        this->recordConnected(name);
+}
+
+void TargetLinks::recordConnected(const std::string& name)
+{
+    auto& service = this->serviceNamed(name);
+    service.connectedAt = this->parts.clock.now();
+    if (service.reachability.recordConnected(service.connectedAt))
+        this->recordChange(name, "connected");
 }
 
 void TargetLinks::connectFailed(std::string_view address, ConnectFailure failure)
@@ -113,7 +152,7 @@
         { { "address", address }, { "reason", name(failure) }, { "since_any_connect_ms", now - this->connectedAt },
             { "since_any_bytes_ms", now - this->receivedAt } });
     if (failure != ConnectFailure::Local)
-        this->recordFailure(failure == ConnectFailure::TimedOut ? ConnectTimeout : RoundTripBound);
+        this->recordFailures(address, failure == ConnectFailure::TimedOut ? ConnectTimeout : RoundTripBound);
 }
 
 void TargetLinks::connectionLost(std::string_view address)
@@ -123,7 +162,7 @@
     this->parts.log.write("connection_lost",
         { { "address", address }, { "since_any_connect_ms", now - this->connectedAt },
             { "since_any_bytes_ms", now - this->receivedAt } });
-    this->recordFailure(RoundTripBound);
+    this->recordFailures(address, RoundTripBound);
 }
 
 void TargetLinks::received(std::string_view)
@@ -131,42 +170,52 @@
     this->receivedAt = this->parts.clock.now();
 }
 
+void TargetLinks::recordFailures(std::string_view address, Duration window)
+{
+    for (const auto& name : this->servicesAt(address))
+        this->recordFailure(name, window);
+}
+
 // A target that accepted a connection in the last `window`, in which the failed one was attempted, refutes the
 // suspicion.
-void TargetLinks::recordFailure(Duration window)
+void TargetLinks::recordFailure(const std::string& name, Duration window)
 {
-    if (this->parts.clock.now() - this->connectedAt < window)
+    auto& service = this->serviceNamed(name);
+    if (this->parts.clock.now() - service.connectedAt < window)
         return;
-    this->reachability.recordFailure();
-    this->startRoundIfDue();
+    service.reachability.recordFailure();
+    this->startRoundIfDue(name);
 }
 
 // Starts a round of probes, and returns for the next one for as long as targets may be out of reach.
-void TargetLinks::startRoundIfDue()
+void TargetLinks::startRoundIfDue(const std::string& name)
 {
     const auto now = this->parts.clock.now();
-    if (const auto count = this->reachability.startRound(now); count > 0) {
-        std::vector<std::string> addresses;
-        const auto all = this->parts.targets.addresses();
-        std::ranges::sample(all, std::back_inserter(addresses), static_cast<std::ptrdiff_t>(count), this->random);
-        auto round = std::make_shared<Round>(this->self, this->parts.context, this->parts.clock, now, addresses.size());
-        for (auto& address : addresses)
-            asio::co_spawn(this->parts.context, TargetLinks::probe(round, std::move(address)), asio::detached);
+    auto& service = this->serviceNamed(name);
+    if (const auto count = service.reachability.startRound(now); count > 0) {
+        std::vector<const TargetEntry*> drawn;
+        std::ranges::sample(this->parts.targets.available(name), std::back_inserter(drawn),
+            static_cast<std::ptrdiff_t>(count), this->random);
+        auto round
+            = std::make_shared<Round>(this->self, this->parts.context, this->parts.clock, name, now, drawn.size());
+        for (const auto* target : drawn)
+            asio::co_spawn(this->parts.context, TargetLinks::probe(round, target->address), asio::detached);
     }
-    if (!std::exchange(this->isWaitingForRound, true))
-        asio::co_spawn(this->parts.context, this->waitForRound(), asio::detached);
+    if (!std::exchange(service.isWaitingForRound, true))
+        asio::co_spawn(this->parts.context, this->waitForRound(name), asio::detached);
 }
 
-asio::awaitable<void> TargetLinks::waitForRound()
+asio::awaitable<void> TargetLinks::waitForRound(std::string name)
 {
     const auto links = this->self;
     asio::steady_timer timer { this->parts.context, TargetReachability::RecoverInterval / 2 };
     co_await timer.async_wait(asio::use_awaitable);
     if (!*links)
         co_return;
-    this->isWaitingForRound = false;
-    if (this->reachability.needsRounds())
-        this->startRoundIfDue();
+    auto& service = this->serviceNamed(name);
+    service.isWaitingForRound = false;
+    if (service.reachability.needsRounds())
+        this->startRoundIfDue(name);
 }
 
 asio::awaitable<void> TargetLinks::probe(std::shared_ptr<Round> round, std::string address)
@@ -192,24 +241,33 @@
 {
     using enum TargetReachability::RoundOutcome;
     if (isConnected)
-        this->connected({});
+        this->recordConnected(round.service);
     round.isConclusive = round.isConclusive && isConclusive;
     if (--round.running > 0)
         return;
-    if (this->reachability.recordRound(round.isConclusive ? AllFailed : Inconclusive, round.startedAt))
-        this->recordChange("probes_failed");
+    auto& reachability = this->serviceNamed(round.service).reachability;
+    if (reachability.recordRound(round.isConclusive ? AllFailed : Inconclusive, round.startedAt))
+        this->recordChange(round.service, "probes_failed");
 }
 
-void TargetLinks::recordChange(std::string_view reason)
+void TargetLinks::recordChange(const std::string& name, std::string_view reason)
 {
     const auto now = this->parts.clock.now();
-    const bool isCutOff = this->isCutOff();
-    this->parts.metrics.gauge("marigold_cut_off").set(isCutOff ? 1 : 0);
+    const bool isCutOff = this->isCutOff(name);
+    this->parts.metrics.gauge("marigold_cut_off", "service=\"" + name + "\"").set(isCutOff ? 1 : 0);
     this->parts.log.write(isCutOff ? "targets_unreachable" : "targets_reachable",
-        { { "reason", reason }, { "targets", std::uint64_t { this->parts.targets.size() } },
+        { { "service", name }, { "reason", reason },
+            { "targets", std::uint64_t { this->parts.targets.available(name).size() } },
             { "since_any_connect_ms", now - this->connectedAt }, { "since_any_bytes_ms", now - this->receivedAt } });
     if (this->notify)
-        this->notify();
+        this->notify(name);
+    if (!isCutOff)
+        return;
+    // What cut the paths to one service may have cut those to others, which get fewer requests.
+    for (const auto& [other, service] : this->services) {
+        if (!service.reachability.isCutOff())
+            this->recordFailure(other, RoundTripBound);
+    }
 }
 
 }
--- a/src/serving/TargetLinks.h
+++ b/src/serving/TargetLinks.h
@@ -2,10 +2,13 @@
 
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -24,7 +27,8 @@
 HttpClientLimits targetClientLimits();
 
 // Observes the connections of this instance to targets, over all requests, and probes targets to tell the loss of all
-// paths from the failure of single targets.
+// paths from the failure of single targets. Each service is judged by itself: an instance may reach one and not
+// another.
 class TargetLinks final : public ConnectionObserver {
 public:
     struct Parts {
@@ -41,17 +45,23 @@
     TargetLinks(const TargetLinks&) = delete;
     TargetLinks& operator=(const TargetLinks&) = delete;
 
-    // `notify` is called when isCutOff() changes.
-    void onChange(std::function<void()> notify);
+    // `notify` is called with the name of a service when isCutOff() changes for it.
+    void onChange(std::function<void(const std::string&)> notify);
 
-    // Whether no target accepts a new connection of this instance, though probably of others.
-    bool isCutOff() const;
+    // Whether no target of the service accepts a new connection of this instance, though probably of others.
+    bool isCutOff(std::string_view service) const;
 
-    // Whether any target has sent bytes lately. Open connections may live on while new ones are refused.
-    bool hasRecentBytes() const;
+    // Names of the services that this instance is cut off from.
+    std::vector<std::string> unreachableServices() const;
 
-    // Records that an answer is overdue, or a stream silent. Ignored if other targets send.
-    void recordSilence();
+    // Records bytes of a target of the service.
+    void recordBytes(std::string_view service);
+
+    // Whether any target of the service has sent bytes lately. Open connections may live on while new ones are refused.
+    bool hasRecentBytes(std::string_view service) const;
+
+    // Records that an answer is overdue, or a stream silent. Ignored if other targets of the service send.
+    void recordSilence(std::string_view service);
 
     void connected(std::string_view address) override;
     void connectFailed(std::string_view address, ConnectFailure failure) override;
@@ -60,20 +70,31 @@
 
 private:
     struct Round;
-    void recordFailure(Duration window);
-    void startRoundIfDue();
-    boost::asio::awaitable<void> waitForRound();
+
+    struct Service {
+        TargetReachability reachability;
+        TimePoint connectedAt {}; // When a target last accepted a connection; the epoch if none did.
+        TimePoint receivedAt {}; // When a target last sent bytes; the epoch if none did.
+        bool isWaitingForRound { false };
+    };
+
+    std::set<std::string> servicesAt(std::string_view address) const;
+    Service& serviceNamed(std::string_view name);
+    void recordFailures(std::string_view address, Duration window);
+    void recordFailure(const std::string& name, Duration window);
+    void recordConnected(const std::string& name);
+    void startRoundIfDue(const std::string& name);
+    boost::asio::awaitable<void> waitForRound(std::string name);
     static boost::asio::awaitable<void> probe(std::shared_ptr<Round> round, std::string address);
     void recordProbe(Round& round, bool isConnected, bool isConclusive);
-    void recordChange(std::string_view reason);
+    void recordChange(const std::string& name, std::string_view reason);
 
     Parts parts;
     std::mt19937_64 random;
-    TargetReachability reachability;
-    std::function<void()> notify;
-    TimePoint connectedAt; // When a target last accepted a connection; the start of this instance if none did.
-    TimePoint receivedAt; // When a target last sent bytes; the start of this instance if none did.
-    bool isWaitingForRound { false };
+    std::map<std::string, Service, std::less<>> services;
+    std::function<void(const std::string&)> notify;
+    TimePoint connectedAt; // When any target last accepted a connection; the start of this instance if none did.
+    TimePoint receivedAt; // When any target last sent bytes; the start of this instance if none did.
     std::shared_ptr<TargetLinks*> self; // Null in coroutines that outlive the object.
 };
 
--- a/test/FaultsTargetPartition_test.cpp
+++ b/test/FaultsTargetPartition_test.cpp
@@ -16,8 +16,8 @@
     }
     this->callFor(1s, this->all(), this->late);
     for (const auto& instance : this->instances) {
-        EXPECT_FALSE(instance->links.isCutOff());
-        EXPECT_EQ(instance->relayPeers.soundPeers(this->clock.now()), Instances - 1);
+        EXPECT_FALSE(instance->links.isCutOff("s"));
+        EXPECT_EQ(instance->relayPeers.soundPeers("s", this->clock.now()), Instances - 1);
     }
     EXPECT_EQ(this->late.answered, this->late.sent);
 }
@@ -34,7 +34,7 @@
     for (int round = 0; round < 20; ++round) {
         this->callEachKind(0, this->late);
         this->runFor(100ms);
-        EXPECT_FALSE(this->instances[0]->links.isCutOff());
+        EXPECT_FALSE(this->instances[0]->links.isCutOff("s"));
     }
     this->callFor(0ms, { 0 }, this->late);
     EXPECT_EQ(this->late.served, this->late.sent);
@@ -62,6 +62,22 @@
     EXPECT_EQ(this->late.served, this->late.sent);
 }
 
+// One of 24 targets that was reached kept the instance from knowing that it reached no other service's.
+TEST_P(FaultsTargetPartitionKindTest, InstanceThatReachesAnotherServiceServesItsCallers)
+{
+    this->callFor(300ms, { 0 }, this->early);
+    this->cutOff(0, this->GetParam());
+    for (int round = 0; round < 30; ++round) {
+        ASSERT_EQ(this->statusOf(0, "/other/x"), 200U);
+        this->callEachKind(0, this->late);
+        this->runFor(30ms);
+        EXPECT_TRUE(this->instances[0]->links.isCutOff("s"));
+        EXPECT_FALSE(this->instances[0]->links.isCutOff("t"));
+    }
+    this->callFor(0ms, { 0 }, this->late);
+    EXPECT_EQ(this->late.served, this->late.sent);
+}
+
 // Nothing can be served then. Callers must not wait for their deadlines, and an order that was refused as not executed
 // must not run after the cut.
 TEST_P(FaultsTargetPartitionKindTest, RequestsAreRefusedAtOnceWhileAllInstancesAreCutOff)
@@ -100,7 +116,7 @@
     this->callFor(500ms, this->all(), this->late);
     EXPECT_EQ(this->late.served, this->late.sent);
     for (const auto& instance : this->instances)
-        EXPECT_FALSE(instance->links.isCutOff());
+        EXPECT_FALSE(instance->links.isCutOff("s"));
 }
 
 // A request whose connection hung was sent again through a peer. What the path held up must not run afterwards.
--- a/test/GatewayWithPeers.h
+++ b/test/GatewayWithPeers.h
@@ -29,8 +29,12 @@
         , peers({ context, clock, this->view, this->follower, this->ledger, this->waiting, this->quarantine,
                     this->health.limits, this->log, this->metrics, [] {}, &this->relayPeers,
                     [this] {
-                        return RelayPeer { this->relayLink->address(), "a", !this->links.isCutOff(),
-                            this->gateway.relayedRequests() };
+                        RelayPeer state;
+                        state.address = this->relayLink->address();
+                        state.relayedRequests = this->gateway.relayedRequests();
+                        for (const auto& service : this->links.unreachableServices())
+                            state.unreachableServices.insert(RelayPeers::serviceHash(service));
+                        return state;
                     } },
               address, "a", seeds, 2s)
         , address("127.0.0.1:" + std::to_string(this->server.listen("127.0.0.1:0")))
@@ -40,8 +44,9 @@
             this->view.targets.upsert(target, clock.now());
         this->gateway.onTargetCrash([this] { this->peers.announceNews(); });
         this->gateway.onTargetLimitChanged([this] { this->peers.announceNews(); });
-        this->links.onChange([this] {
-            this->health.forgetOutcomes();
+        this->links.onChange([this](const std::string& service) {
+            for (const auto* target : this->view.targets.available(service))
+                this->health.forgetOutcomes(target->id);
             this->peers.announceNews();
         });
         const auto host = address.substr(0, address.find(':'));
@@ -110,10 +115,13 @@
         ServingConfiguration values;
         values.version = 1;
         values.services["s"].name = "s";
+        values.services["t"].name = "t";
         values.requiresKeys = true;
         values.workspaceByKey = { { "key", "workspace" } };
         values.routes = { route("safe", RouteKind::Repeatable), route("unsafe", RouteKind::Unrepeatable),
-            route("stream", RouteKind::Stream), route("keyed", RouteKind::Repeatable) };
+            route("stream", RouteKind::Stream), route("keyed", RouteKind::Repeatable),
+            route("other", RouteKind::Repeatable) };
+        values.routes[4].shares = { { "t", 1 } };
         values.routes[2].isResumable = true;
         values.routes[3].isPublic = false;
         const auto port = ":" + std::to_string(20'000 + ::getpid() % 10'000);
--- a/test/RelayPeers_test.cpp
+++ b/test/RelayPeers_test.cpp
@@ -17,7 +17,10 @@
 
     void add(const std::string& name, const std::string& zone = "a", bool reachesTargets = true, unsigned load = 0)
     {
-        this->peers.update(name, { addressOf(name), zone, reachesTargets, load }, this->clock.now(), Validity);
+        RelayPeer peer { addressOf(name), zone, {}, load };
+        if (!reachesTargets)
+            peer.unreachableServices.insert(RelayPeers::serviceHash("s"));
+        this->peers.update(name, peer, this->clock.now(), Validity);
     }
 
     static std::string addressOf(const std::string& name)
@@ -30,7 +33,7 @@
     {
         std::map<std::string, unsigned> chosen;
         for (unsigned index = 0; index < count; ++index) {
-            if (const auto peer = this->peers.choose({}, this->clock.now()))
+            if (const auto peer = this->peers.choose("s", {}, this->clock.now()))
                 ++chosen[*peer];
         }
         return chosen;
@@ -42,7 +45,7 @@
 
 TEST_F(RelayPeersTest, NothingIsChosenWithoutPeers)
 {
-    EXPECT_FALSE(this->peers.choose({}, this->clock.now()));
+    EXPECT_FALSE(this->peers.choose("s", {}, this->clock.now()));
 }
 
 TEST_F(RelayPeersTest, PeerThatReachesNoTargetIsNotChosen)
@@ -51,30 +54,39 @@
     this->add("sound");
     EXPECT_EQ(this->choices().size(), 1U);
     EXPECT_EQ(this->choices().count(addressOf("sound")), 1U);
-    EXPECT_FALSE(this->peers.isSound(addressOf("cut"), this->clock.now()));
+    EXPECT_FALSE(this->peers.isSound(addressOf("cut"), "s", this->clock.now()));
+}
+
+TEST_F(RelayPeersTest, PeerThatReachesNoTargetOfOneServiceServesTheOthers)
+{
+    this->add("cut", "a", false);
+    EXPECT_FALSE(this->peers.choose("s", {}, this->clock.now()));
+    EXPECT_TRUE(this->peers.choose("t", {}, this->clock.now()));
+    EXPECT_EQ(this->peers.soundPeers("s", this->clock.now()), 0U);
+    EXPECT_EQ(this->peers.soundPeers("t", this->clock.now()), 1U);
 }
 
 // An instance of an older version, or one without the listener.
 TEST_F(RelayPeersTest, PeerWithoutAnAddressIsNotChosen)
 {
-    this->peers.update("old", { "", "a", true, 0 }, this->clock.now(), Validity);
-    EXPECT_FALSE(this->peers.choose({}, this->clock.now()));
+    this->peers.update("old", { "", "a", {}, 0 }, this->clock.now(), Validity);
+    EXPECT_FALSE(this->peers.choose("s", {}, this->clock.now()));
 }
 
 TEST_F(RelayPeersTest, PeerThatIsNotHeardOfAnyMoreIsNotChosen)
 {
     this->add("frozen");
     this->clock.advance(Validity);
-    EXPECT_FALSE(this->peers.choose({}, this->clock.now()));
-    EXPECT_FALSE(this->peers.isSound(addressOf("frozen"), this->clock.now()));
+    EXPECT_FALSE(this->peers.choose("s", {}, this->clock.now()));
+    EXPECT_FALSE(this->peers.isSound(addressOf("frozen"), "s", this->clock.now()));
 }
 
 // A peer that shuts down ends the requests that it has accepted, so that they must not be given up.
 TEST_F(RelayPeersTest, PeerThatLeavesGetsNoNewRequestsAndKeepsItsOwn)
 {
-    this->peers.update("leaving", { addressOf("leaving"), "a", true, 0, true }, this->clock.now(), Validity);
-    EXPECT_FALSE(this->peers.choose({}, this->clock.now()));
-    EXPECT_TRUE(this->peers.isSound(addressOf("leaving"), this->clock.now()));
+    this->peers.update("leaving", { addressOf("leaving"), "a", {}, 0, true }, this->clock.now(), Validity);
+    EXPECT_FALSE(this->peers.choose("s", {}, this->clock.now()));
+    EXPECT_TRUE(this->peers.isSound(addressOf("leaving"), "s", this->clock.now()));
 }
 
 TEST_F(RelayPeersTest, PeersOfTheZoneComeFirst)
@@ -126,17 +138,17 @@
 {
     this->add("only");
     std::vector<std::unique_ptr<RelayPeers::Permit>> permits;
-    while (const auto peer = this->peers.choose({}, this->clock.now()))
+    while (const auto peer = this->peers.choose("s", {}, this->clock.now()))
         permits.push_back(std::make_unique<RelayPeers::Permit>(this->peers, *peer));
     EXPECT_EQ(permits.size(), RelayPeers::MaximumOutstanding);
     permits.pop_back();
-    EXPECT_TRUE(this->peers.choose({}, this->clock.now()));
+    EXPECT_TRUE(this->peers.choose("s", {}, this->clock.now()));
 }
 
 TEST_F(RelayPeersTest, PeerThatWasTriedIsNotChosenAgain)
 {
     this->add("first");
-    EXPECT_FALSE(this->peers.choose({ addressOf("first") }, this->clock.now()));
+    EXPECT_FALSE(this->peers.choose("s", { addressOf("first") }, this->clock.now()));
 }
 
 TEST_F(RelayPeersTest, PeerIsAvoidedForATime)
@@ -145,9 +157,9 @@
     this->peers.avoid(addressOf("first"), this->clock.now(), RelayPeers::FailureAvoidance);
     this->peers.avoid(addressOf("first"), this->clock.now(), RelayPeers::BusyAvoidance);
     this->clock.advance(RelayPeers::BusyAvoidance);
-    EXPECT_FALSE(this->peers.choose({}, this->clock.now()));
+    EXPECT_FALSE(this->peers.choose("s", {}, this->clock.now()));
     this->clock.advance(RelayPeers::FailureAvoidance);
-    EXPECT_TRUE(this->peers.choose({}, this->clock.now()));
+    EXPECT_TRUE(this->peers.choose("s", {}, this->clock.now()));
 }
 
 }
--- a/test/TargetPartition.h
+++ b/test/TargetPartition.h
@@ -30,6 +30,7 @@
 
     FaultsTargetPartitionTest()
     {
+        this->other.script = { respondWith(200, "whole") };
         for (std::size_t index = 0; index < Targets; ++index) {
             auto& target = this->targets.emplace_back(std::make_unique<ScriptedTarget>(this->context));
             target->script = { [this](HttpExchange& exchange) -> asio::awaitable<void> {
@@ -50,6 +51,8 @@
                 entries.push_back(entryOf("t" + std::to_string(index), *this->targets[index]));
                 entries.back().address = links.back()->address();
             }
+            entries.push_back(entryOf("other", this->other));
+            entries.back().service = "t";
             return entries;
         });
     }
@@ -97,9 +100,9 @@
         Counts ignored;
         this->callFor(100ms, { instance }, ignored);
         const auto giveUpAt = this->clock.now() + DetectionTime;
-        while (!this->instances[instance]->links.isCutOff() && this->clock.now() < giveUpAt)
+        while (!this->instances[instance]->links.isCutOff("s") && this->clock.now() < giveUpAt)
             this->runFor(20ms);
-        ASSERT_TRUE(this->instances[instance]->links.isCutOff());
+        ASSERT_TRUE(this->instances[instance]->links.isCutOff("s"));
         this->runFor(200ms); // The peers hear of it.
     }
 
@@ -137,6 +140,7 @@
             this->runFor(20ms);
     }
 
+    ScriptedTarget other { this->context }; // Of another service, whose path is never cut.
     std::vector<std::unique_ptr<ScriptedTarget>> targets;
     std::vector<std::vector<std::unique_ptr<PartitionedLink>>> links; // By instance and target.
     std::map<std::string, unsigned> runs; // At targets, by attempt id.
--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -366,7 +366,7 @@
     20: list<SoundPartRecord> soundParts // Those that were cleared of crashes lately.
     21: list<TargetLimitRecord> limits // Those that the sender learned of lately; all of them for a new peer.
     22: i32 relayPort // Where the sender accepts callers' requests from other instances; 0 if it does not.
-    23: bool cutOff // The sender reaches no target.
+    23: list<i64> unreachableServices // Hashes of the services of which the sender reaches no target.
     24: i32 relayedRequests // Requests of other instances in progress at the sender.
 }
 
