Keep the port of a test link while nothing listens on it

ServiceIsBackAsSoonAsTheCutEnds/RefuseNew failed once beside five parallel tests, with 'bind: Address already in use': the link closes its listener to refuse connections, and another test process was given the port meanwhile. A bound socket that does not listen keeps it now.

--- a/test/PartitionedLink.h
+++ b/test/PartitionedLink.h
@@ -38,8 +38,8 @@
     PartitionedLink(boost::asio::io_context& context, std::string server, const std::string& host = "127.0.0.1")
         : state(std::make_shared<State>(context, std::move(server)))
     {
-        this->state->listen({ boost::asio::ip::make_address(host), 0 });
-        this->state->local = this->state->acceptor.local_endpoint();
+        this->state->reserve({ boost::asio::ip::make_address(host), 0 });
+        this->state->listen();
         boost::asio::co_spawn(
             context, PartitionedLink::accept(this->state, this->state->acceptances), boost::asio::detached);
     }
@@ -74,7 +74,7 @@
         if (accepts) {
             state.fillers.clear();
             if (previous != Cut::Hang)
-                state.listen(state.local);
+                state.listen();
             else
                 ::listen(state.acceptor.native_handle(), SOMAXCONN);
             boost::asio::co_spawn(
@@ -94,6 +94,7 @@
 private:
     using Socket = boost::asio::ip::tcp::socket;
     using ErrorCode = boost::system::error_code;
+    using ReusePort = boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
     struct Pair {
         Socket client;
@@ -104,16 +105,27 @@
         State(boost::asio::io_context& context, std::string server)
             : context(context)
             , server(std::move(server))
+            , reservation(context)
             , acceptor(context)
             , changed(context, TimePoint::max())
         {
         }
 
-        void listen(const boost::asio::ip::tcp::endpoint& endpoint)
+        // Keeps the port while nothing listens on it. Another process could take it otherwise.
+        void reserve(const boost::asio::ip::tcp::endpoint& endpoint)
         {
-            this->acceptor.open(endpoint.protocol());
+            this->reservation.open(endpoint.protocol());
+            this->reservation.set_option(ReusePort { true });
+            this->reservation.bind(endpoint);
+            this->local = this->reservation.local_endpoint();
+        }
+
+        void listen()
+        {
+            this->acceptor.open(this->local.protocol());
             this->acceptor.set_option(boost::asio::socket_base::reuse_address(true));
-            this->acceptor.bind(endpoint);
+            this->acceptor.set_option(ReusePort { true });
+            this->acceptor.bind(this->local);
             this->acceptor.listen();
         }
 
@@ -150,6 +162,7 @@
 
         boost::asio::io_context& context;
         std::string server;
+        Socket reservation;
         boost::asio::ip::tcp::acceptor acceptor;
         boost::asio::ip::tcp::endpoint local;
         boost::asio::steady_timer changed; // Cancelled when `cut` changes.
