Take back a pause that loosened a test, and a cause that was not shown

QuarantinedRequestIsNotSent had got a pause of 250 ms between its attempts, which did not make it pass and asked less of the code.

--- a/test/FaultsRelay_test.cpp
+++ b/test/FaultsRelay_test.cpp
@@ -199,11 +199,8 @@
     const auto send = [this] {
         return this->callOnce(0, this->request("ends targets", "/safe/x")).value().result_int();
     };
-    // Ends of targets are announced to all instances at most once in a tenth of a second.
-    for (int attempt = 0; attempt < 10; ++attempt) {
+    for (int attempt = 0; attempt < 10; ++attempt)
         send();
-        this->runFor(250ms);
-    }
     const auto before = this->received.size();
     EXPECT_EQ(send(), 503U);
     EXPECT_EQ(this->received.size(), before);
