--- a/review/lib.sh
+++ b/review/lib.sh
@@ -43,14 +43,14 @@
     ) 2>/dev/null &
     pids+=("$!")
 }
-# start_node NUMBER ZONE: all nodes listen for peers on the same port, each at its own loopback address.
-start_node() {
+# write_settings NUMBER ZONE [PORT]: all nodes listen for peers on the same port, each at its own loopback address.
+write_settings() {
     cat >"$work/node-$1.ini" <<END
 [instance]
 name = node-$1
 zone = $2
 [listen]
-callers = 127.0.1.$1:0
+callers = 127.0.1.$1:${3:-0}
 ready = 127.0.1.$1:0
 metrics = 127.0.1.$1:0
 relays = 127.0.1.$1:0
@@ -70,6 +70,10 @@
 slack = 104
 window_s = 10
 END
+}
+# start_node NUMBER ZONE
+start_node() {
+    write_settings "$1" "$2"
     "$node" --config "$work/node-$1.ini" >"$work/node-$1.log" 2>&1 &
     pids+=("$!")
     eval "node_pid_$1=$!"
--- a/review/standins/Http.h
+++ b/review/standins/Http.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cctype>
+#include <cerrno>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -236,6 +237,8 @@
 {
     while (true) {
         const int connection = ::accept(server, nullptr, nullptr);
+        if (connection < 0 && (errno == EBADF || errno == EINVAL))
+            return; // Nobody listens any more.
         if (connection < 0)
             continue;
         const int on = 1;
--- a/review/standins/engine.cpp
+++ b/review/standins/engine.cpp
@@ -2,7 +2,9 @@
 //   engine ID PORTFILE ZONE STOREPORT RECORD [CRASHPART [EVENTS]]
 // Registers itself under ID, writes its entry every 1.2 s, and streams ten events for each prompt. It listens on the
 // port in PORTFILE, or on a free one that it writes there. A prompt with the part CRASHPART that is not its last one
-// kills the process as it begins to write the answer: after its header, and after EVENTS whole events (0).
+// kills the process as it begins to write the answer: after its header, and after EVENTS whole events (0). With
+// ENDLESS_MB_S in the environment it answers every call with a body that has no end, of so many megabytes a second.
+// With SERVICE it is of another service than `model`. A request under /orders/ gets a whole answer after 110 ms.
 #include "Http.h"
 
 #include <csignal>
@@ -12,11 +14,13 @@
 constexpr int Events = 10;
 constexpr double EventMs = 43; // 46 tokens at 0.93 ms.
 constexpr double TokensPerMs = 256;
+constexpr double OrderMs = 110;
 
 std::string id;
 std::string recordFile;
 std::string crashPart;
 int eventsBeforeCrash = 0;
+double endlessMbPerSecond = 0;
 
 // Whether a part of the prompt, except the last one, crashes this server.
 bool crashes(std::string prefix)
@@ -44,8 +48,26 @@
     return ::poll(&state, 1, 0) > 0;
 }
 
+// Answers with bytes that have no end, until the caller closes.
+bool answerEndlessly(int connection, const Message& request)
+{
+    record(recordFile, "endless " + request.target() + " " + id);
+    if (!sendAll(connection, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"))
+        return false;
+    const auto piece = chunkOf(std::string(100'000, 'x'));
+    auto next = now();
+    while (sendAll(connection, piece)) {
+        next += std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+            std::chrono::duration<double> { 0.1 / endlessMbPerSecond });
+        std::this_thread::sleep_until(next);
+    }
+    return false;
+}
+
 bool answer(int connection, const Message& request)
 {
+    if (endlessMbPerSecond > 0)
+        return answerEndlessly(connection, request);
     const auto attempt = request.header("marigoldpaddle-attempt-id");
     const auto expected = request.header("marigoldpaddle-expect-instance");
     if (request.target().rfind("/api/order", 0) == 0)
@@ -54,6 +76,13 @@
         return sendAll(connection,
             answerOf("421 Misdirected Request",
                 "Marigoldpaddle-Attempt-Id: " + attempt + "\r\nMarigoldpaddle-Instance-Id: " + id + "\r\n", ""));
+    if (request.target().rfind("/orders/", 0) == 0) {
+        record(recordFile, "run " + attempt + ' ' + id);
+        sleepMs(OrderMs);
+        return sendAll(connection,
+            answerOf("200 OK",
+                "Marigoldpaddle-Attempt-Id: " + attempt + "\r\nMarigoldpaddle-Server-Seal: " + id + "\r\n", "{}"));
+    }
     sleepMs(1 + std::atof(request.header("marigoldpaddle-token-usage").c_str()) / TokensPerMs);
     if (hasLeft(connection))
         return false;
@@ -114,6 +143,8 @@
     recordFile = arguments[5];
     crashPart = count > 6 ? arguments[6] : "";
     eventsBeforeCrash = count > 7 ? std::atoi(arguments[7]) : 0;
+    if (const char* endless = std::getenv("ENDLESS_MB_S"))
+        endlessMbPerSecond = std::atof(endless);
     int port = 0;
     if (std::FILE* in = std::fopen(portFile.c_str(), "r")) {
         if (std::fscanf(in, "%d", &port) != 1)
@@ -127,7 +158,9 @@
         std::fclose(out);
         std::rename((portFile + ".new").c_str(), portFile.c_str());
     }
-    const auto entry = "{\"service\":\"model\",\"address\":\"127.0.0.1:" + std::to_string(port) + "\",\"zone\":\""
+    const char* named = std::getenv("SERVICE");
+    const std::string service = named ? named : "model";
+    const auto entry = "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + std::to_string(port) + "\",\"zone\":\""
         + arguments[3] + "\",\"version\":\"v1\",\"slots\":16,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":"
         + std::to_string(unixMs()) + '}';
     std::thread(keepRegistered, std::atoi(arguments[4]), entry).detach();
--- a/review/standins/store.cpp
+++ b/review/standins/store.cpp
@@ -1,5 +1,6 @@
 // Stand-in for the platform's store: the topics of the operator and of the servers, as PROTOCOL tells them.
-//   store PORTFILE
+//   store PORTFILE [MOVEDFILE]
+// With MOVEDFILE it listens at a second port too, which PORTFILE.old holds, until that file exists.
 // Writes of the operator and of servers come as `PUT /write?topic=T&key=K`. An entry of a server lapses after three
 // heartbeat intervals of 1.2 s without a write; a write that changes nothing but `sequence` adds no record.
 #include "Http.h"
@@ -27,6 +28,7 @@
 std::mutex mutex;
 std::condition_variable changed;
 std::map<std::string, Topic> topics;
+std::set<int> oldConnections; // Open ones at the address that is given up.
 
 std::string bigEndian(std::uint64_t number, int bytes)
 {
@@ -127,16 +129,50 @@
     }
 }
 
-}
-
-int main(int, char** arguments)
+void writePort(const std::string& file, int server)
 {
-    const int server = listenOn("127.0.0.1", 0);
-    const std::string file = arguments[1];
     std::FILE* out = std::fopen((file + ".new").c_str(), "w");
     std::fprintf(out, "%d\n", portOf(server));
     std::fclose(out);
     std::rename((file + ".new").c_str(), file.c_str());
+}
+
+void serveAtOldAddress(int connection)
+{
+    {
+        const std::lock_guard lock { mutex };
+        oldConnections.insert(connection);
+    }
+    serve(connection);
+    const std::lock_guard lock { mutex };
+    oldConnections.erase(connection);
+}
+
+// Waits for the file and then stops to listen at the old address: new connections are refused, open ones are reset.
+void closeOldAddress(int server, std::string file)
+{
+    while (::access(file.c_str(), F_OK) != 0)
+        sleepMs(20);
+    ::shutdown(server, SHUT_RDWR);
+    ::close(server);
+    const std::lock_guard lock { mutex };
+    for (const int connection : oldConnections)
+        ::shutdown(connection, SHUT_RDWR);
+}
+
+}
+
+int main(int count, char** arguments)
+{
+    const int server = listenOn("127.0.0.1", 0);
+    const std::string file = arguments[1];
+    if (count > 2) {
+        const int old = listenOn("127.0.0.1", 0);
+        writePort(file + ".old", old);
+        std::thread(closeOldAddress, old, std::string { arguments[2] }).detach();
+        std::thread([old] { acceptForever(old, serveAtOldAddress); }).detach();
+    }
+    writePort(file, server);
     std::thread(removeLapsed).detach();
     acceptForever(server, serve);
 }
