--- a/review/1/clients.cpp
+++ b/review/standins/prompts.cpp
@@ -1,9 +1,9 @@
-// Clients of case 1.
-//   clients RECORD CRASHPART PARTS SOUNDPERSECOND BADPERSECOND QUIET_S TROUBLE_S NODE...
+// Clients of the cases on prompts that crash servers.
+//   prompts RECORD CRASHPART PARTS SOUNDPERSECOND BADPERSECOND QUIET_S TROUBLE_S NODE...
 // For QUIET_S, then for TROUBLE_S, sound prompts come at any node. In TROUBLE_S prompts with the part CRASHPART come as
 // well. All prompts have the same key and PARTS shared parts before their own; in the bad ones CRASHPART stands in place
 // of the last shared part. Then judges LOST from the record. Exit status: 0 kept, 1 broken, 2 not enough requests.
-#include "../standins/Http.h"
+#include "Http.h"
 
 #include <atomic>
 #include <fstream>
