--- a/review/standins/engine.cpp
+++ b/review/standins/engine.cpp
@@ -4,7 +4,8 @@
 // port in PORTFILE, or on a free one that it writes there. A prompt with the part CRASHPART that is not its last one
 // kills the process as it begins to write the answer: after its header, and after EVENTS whole events (0). With
 // ENDLESS_MB_S in the environment it answers every call with a body that has no end, of so many megabytes a second.
-// With SERVICE it is of another service than `model`. A request under /orders/ gets a whole answer after 110 ms.
+// With SERVICE it is of another service than `model`. A request under /orders/ gets a whole answer after 110 ms;
+// one for the path CRASHPATH, whatever its query, kills the process instead.
 #include "Http.h"
 
 #include <csignal>
@@ -78,6 +79,9 @@
                 "Marigoldpaddle-Attempt-Id: " + attempt + "\r\nMarigoldpaddle-Instance-Id: " + id + "\r\n", ""));
     if (request.target().rfind("/orders/", 0) == 0) {
         record(recordFile, "run " + attempt + ' ' + id);
+        const char* deadly = std::getenv("CRASHPATH");
+        if (deadly && request.target().substr(0, request.target().find('?')) == deadly)
+            die(attempt);
         sleepMs(OrderMs);
         return sendAll(connection,
             answerOf("200 OK",
