--- a/review/standins/Http.h
+++ b/review/standins/Http.h
@@ -28,7 +28,8 @@
 
 inline SteadyTime after(double seconds)
 {
-    return now() + std::chrono::duration_cast<std::chrono::steady_clock::duration>(std::chrono::duration<double> { seconds });
+    return now()
+        + std::chrono::duration_cast<std::chrono::steady_clock::duration>(std::chrono::duration<double> { seconds });
 }
 
 // Milliseconds since 1970. All processes of a case run on one machine, so that their records are comparable.
--- a/review/standins/engine.cpp
+++ b/review/standins/engine.cpp
@@ -164,8 +164,9 @@
     }
     const char* named = std::getenv("SERVICE");
     const std::string service = named ? named : "model";
-    const auto entry = "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + std::to_string(port) + "\",\"zone\":\""
-        + arguments[3] + "\",\"version\":\"v1\",\"slots\":32,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":"
+    const auto entry = "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + std::to_string(port)
+        + "\",\"zone\":\"" + arguments[3]
+        + "\",\"version\":\"v1\",\"slots\":32,\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":"
         + std::to_string(unixMs()) + '}';
     std::thread(keepRegistered, std::atoi(arguments[4]), entry).detach();
     acceptForever(server, serve);
--- a/review/standins/prompts.cpp
+++ b/review/standins/prompts.cpp
@@ -1,8 +1,9 @@
 // Clients of the cases on prompts that crash servers.
 //   prompts RECORD CRASHPART PARTS SOUNDPERSECOND BADPERSECOND QUIET_S TROUBLE_S NODE...
 // For QUIET_S, then for TROUBLE_S, sound prompts come at any node. In TROUBLE_S prompts with the part CRASHPART come as
-// well. All prompts have the same key and PARTS shared parts before their own; in the bad ones CRASHPART stands in place
-// of the last shared part. Then judges LOST from the record. Exit status: 0 kept, 1 broken, 2 not enough requests.
+// well. All prompts have the same key and PARTS shared parts before their own; in the bad ones CRASHPART stands in
+// place of the last shared part. Then judges LOST from the record. Exit status: 0 kept, 1 broken, 2 not enough
+// requests.
 #include "Http.h"
 
 #include <atomic>
@@ -50,10 +51,13 @@
             "POST /kerb/ask HTTP/1.1\r\nHost: rounds.example\r\nAuthorization: Token drivers-key\r\n"
             "Marigoldpaddle-Attempt-Id: "
                 + id + "\r\nMarigoldpaddle-Deadline-Remaining: " + std::to_string(DeadlineMs)
-                + "\r\nMarigoldpaddle-Model: m\r\nMarigoldpaddle-Token-Usage: 2000,460\r\nMarigoldpaddle-Prompt-Prefix: "
+                + "\r\nMarigoldpaddle-Model: m\r\nMarigoldpaddle-Token-Usage: "
+                  "2000,460\r\nMarigoldpaddle-Prompt-Prefix: "
                 + prefix + "\r\nContent-Length: " + std::to_string(id.size()) + "\r\n\r\n" + id);
-    const auto answer = connection >= 0 ? receiveMessage(connection, buffer, after(DeadlineMs / 1000.0 + 1)) : Message {};
-    record(recordFile, "answered " + id + ' ' + std::to_string(answer.status()) + (answer.isComplete ? " whole" : " broken"));
+    const auto answer
+        = connection >= 0 ? receiveMessage(connection, buffer, after(DeadlineMs / 1000.0 + 1)) : Message {};
+    record(recordFile,
+        "answered " + id + ' ' + std::to_string(answer.status()) + (answer.isComplete ? " whole" : " broken"));
     if (connection >= 0)
         ::close(connection);
     --running;
@@ -94,7 +98,8 @@
         else if (what == "answered")
             ++answers[id.substr(0, id.find('-')) + ' ' + more];
     }
-    const auto from = crashes.empty() ? troubleAt : crashes[std::min<std::size_t>(crashes.size(), 5) - 1] + 2 * StableWindowMs;
+    const auto from
+        = crashes.empty() ? troubleAt : crashes[std::min<std::size_t>(crashes.size(), 5) - 1] + 2 * StableWindowMs;
     Share quiet;
     Share trouble;
     int lateBad = 0;
@@ -103,7 +108,9 @@
             lateBad += crashes.size() >= 5 && one.at > crashes[4] + StableWindowMs && begun.contains(one.id) ? 1 : 0;
             continue;
         }
-        auto* share = one.at < troubleAt - StableWindowMs ? &quiet : one.at >= from && one.at < endAt ? &trouble : nullptr;
+        auto* share = one.at < troubleAt - StableWindowMs ? &quiet
+            : one.at >= from && one.at < endAt            ? &trouble
+                                                          : nullptr;
         if (!share)
             continue;
         ++share->sent;
@@ -146,9 +153,11 @@
     const auto troubleAt = unixMs() + static_cast<long long>(quietFor * 1000);
     const auto endAt = troubleAt + static_cast<long long>(troubleFor * 1000);
     auto nextSound = startedAt;
-    auto nextBad = startedAt + std::chrono::duration_cast<std::chrono::steady_clock::duration>(std::chrono::duration<double> { quietFor });
+    auto nextBad = startedAt
+        + std::chrono::duration_cast<std::chrono::steady_clock::duration>(std::chrono::duration<double> { quietFor });
     const auto period = [](double perSecond) {
-        return std::chrono::duration_cast<std::chrono::steady_clock::duration>(std::chrono::duration<double> { 1 / perSecond });
+        return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+            std::chrono::duration<double> { 1 / perSecond });
     };
     for (int number = 1; unixMs() < endAt; ++number) {
         const bool isBad = nextBad < nextSound;
