--- a/review/lib.sh
+++ b/review/lib.sh
@@ -28,6 +28,12 @@
 }
 # put KEY VALUE: the operator writes a record.
 put() { curl -sS -X PUT "http://127.0.0.1:$store/write?topic=keyed.op&key=$1" --data-binary "$2" >/dev/null || fail "the store does not answer"; }
+# pause SECONDS FILE: sleeps; the process that does is in FILE.
+pause() {
+    sleep "$1" &
+    echo "$!" >"$2"
+    wait "$!" 2>/dev/null
+}
 # keep NAME COMMAND...: runs a program, and again 4 s after each end, under the ids NAME-1, NAME-2 and so on.
 keep() {
     local name=$1 start=0
@@ -38,7 +44,7 @@
             "${@/@/$name-$start}" >>"$work/$name.log" 2>&1 &
             echo "$!" >"$work/$name.pid"
             wait "$!" 2>/dev/null
-            sleep 4
+            pause 4 "$work/$name-pause.pid"
         done
     ) 2>/dev/null &
     pids+=("$!")
