Add evacuated zones, cold targets and ranks to the notices

Cause: notices between instances have no fields for the evacuated availability zones, the cold targets and the rank of a waiting prompt, which the parts described in docs/HARD-LOAD.md pass on.

Change: four fields of LoadNotice and one record. Nothing reads them yet. One commit for all of them, so that the parts do not each regenerate the codecs.

A notice is some 10 bytes longer; a receiver of an older build ignores the fields.

--- a/thrift/marigold.thrift
+++ b/thrift/marigold.thrift
@@ -344,6 +344,14 @@
     5: i64 zone // Hash of the target's availability zone.
 }
 
+// A target that is slow after its start, or became so again.
+struct ColdTargetRecord {
+    1: i64 target // Hash of its id.
+    2: i64 incarnation
+    3: i64 remainingMs // Until it is no longer cold.
+    4: i64 zone // Hash of the target's availability zone.
+}
+
 struct LoadNotice {
     1: string sender
     2: i64 incarnation
@@ -370,6 +378,10 @@
     23: list<i64> unreachableServices // Hashes of the services of which the sender reaches no target.
     24: i32 relayedRequests // Requests of other instances in progress at the sender.
     25: i64 sentAtMs // On the sender's clock, since its machine was started; 0 if unknown.
+    26: i64 operatorOffset // Offset in the store up to which the operator's records were read; negative if unknown.
+    27: list<string> evacuatedZones // Availability zones whose targets get nothing more, as of `operatorOffset`.
+    28: list<ColdTargetRecord> coldTargets // Those that the sender learned of lately; all of them for a new peer.
+    29: i32 waitingRank // Of the sender's most urgent queued prompt, 0 is the highest; negative if none is queued.
 }
 
 // Asks for the part that begins at `offset` of an encoded configuration. Digests are XXH3 hashes of configurations;
