Send nothing to targets of an evacuated zone

Cause: the operator's record evacuate/ZONE had no reader.

Ruled out: a record that each instance reads by itself (69 to 300 more long polls), and a union of all that is heard, which a late notice would bring back (docs/design/EVACUATION.md).

Change: EvacuatedZones keeps the set as of a position in the operator's records. ViewFollower reads it with the configuration, notices pass it on, and a change is sent to all peers at once. Where no target is left, requests are refused at once with zones_evacuated. A notice without a position, of an earlier build, no longer confirms the age of the configuration.

--- a/src/serving/PeerFormat.cpp
+++ b/src/serving/PeerFormat.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 
 #include "serving/WireTime.h"
 
@@ -12,8 +13,27 @@
 // Bounds of a load that a peer reports, far above any real one, so that sums over peers neither overflow nor are
 // infinite.
 constexpr double MaximumReportedLoad = 1e12;
+// Bounds of what a peer says of evacuated zones, far above any real one.
+constexpr std::size_t MaximumEvacuatedZones = 256;
+constexpr std::size_t MaximumZoneBytes = 255;
 constexpr std::int64_t MaximumReportedTokens = 1'000'000'000'000'000;
 
+// Empty for a sender that does not follow the evacuated zones.
+std::optional<std::uint64_t> toOperatorOffset(const wire::LoadNotice& notice)
+{
+    if (!notice.__isset.operatorOffset || notice.operatorOffset < 0)
+        return std::nullopt;
+    return static_cast<std::uint64_t>(notice.operatorOffset);
+}
+
+ZoneNames toZones(const std::vector<std::string>& names)
+{
+    ZoneNames zones;
+    std::ranges::copy_if(names | std::views::take(MaximumEvacuatedZones), std::inserter(zones, zones.end()),
+        [](const std::string& name) { return name.size() <= MaximumZoneBytes; });
+    return zones;
+}
+
 std::size_t toSize(std::int64_t number)
 {
     return static_cast<std::size_t>(std::max<std::int64_t>(0, number));
@@ -91,7 +111,8 @@
 {
     return { static_cast<std::uint64_t>(notice.storeEra), static_cast<std::uint64_t>(notice.configurationVersion),
         toAge(notice.configurationAgeMs), static_cast<std::uint64_t>(notice.targetsDigest),
-        static_cast<std::uint64_t>(notice.targetsOffset), toAge(notice.targetsAgeMs) };
+        static_cast<std::uint64_t>(notice.targetsOffset), toAge(notice.targetsAgeMs), toOperatorOffset(notice),
+        toZones(notice.evacuatedZones) };
 }
 
 std::vector<wire::KeyValueRecord> toWire(std::span<const KeyedRecord> records)
--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -265,6 +265,8 @@
         notice.targetsDigest = static_cast<std::int64_t>(summary.targetsDigest);
         notice.targetsOffset = static_cast<std::int64_t>(summary.targetsOffset);
         notice.storeEra = static_cast<std::int64_t>(summary.era);
+        notice.operatorOffset = summary.operatorOffset ? static_cast<std::int64_t>(*summary.operatorOffset) : -1;
+        notice.evacuatedZones.assign(summary.evacuatedZones.begin(), summary.evacuatedZones.end());
         notice.leaving = this->isLeaving;
         notice.sentAtMs = milliseconds(this->parts.clock.bootTime().time_since_epoch());
         if (this->parts.relayState) {
@@ -483,6 +485,12 @@
     state.perform(state.exchange.announceView(state.parts.clock.now()));
 }
 
+void PeerRunner::evacuationChanged()
+{
+    auto& state = *this->state;
+    state.perform(state.exchange.notifyAll(state.parts.clock.now()));
+}
+
 void PeerRunner::targetsRead(std::span<const KeyedRecord> changes)
 {
     auto& state = *this->state;
--- a/src/serving/PeerRunner.h
+++ b/src/serving/PeerRunner.h
@@ -71,6 +71,7 @@
 
     std::size_t readerRank() const override;
     void configurationInstalled() override;
+    void evacuationChanged() override;
     void targetsRead(std::span<const KeyedRecord> changes) override;
 
     boost::asio::awaitable<std::optional<wire::Payload>> handle(
--- a/src/serving/PlatformStore.h
+++ b/src/serving/PlatformStore.h
@@ -12,6 +12,7 @@
 
 #include "serving/ServingConfiguration.h"
 #include "serving/TargetDirectory.h"
+#include "serving/view/EvacuatedZones.h"
 
 namespace marigoldpaddle {
 
@@ -65,6 +66,10 @@
     virtual std::optional<ServingConfiguration> configuration(const KeyedRecord& record, std::string& problem) const
         = 0;
     virtual std::optional<TargetEntry> target(const KeyedRecord& record, std::string& problem) const = 0;
+
+    // What a record of the configuration's stream says about the evacuation of a zone. Empty without a problem for a
+    // record of another kind.
+    virtual std::optional<ZoneEvacuation> zoneEvacuation(const KeyedRecord& record, std::string& problem) const = 0;
     virtual std::optional<InstanceDescription> instance(const KeyedRecord& record, std::string& problem) const = 0;
 };
 
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -533,6 +533,18 @@
     return call.deadline - this->parts.clock.now();
 }
 
+// Whether all targets of the service are in evacuated zones. Their callers return spread over time, as all of them are
+// refused at once.
+bool ServingGateway::isEvacuated(Call& call)
+{
+    const auto& targets = this->parts.view.targets;
+    if (!targets.available(call.service->name).empty() || !targets.hasEvacuatedTargets(call.service->name))
+        return false;
+    if (this->callerMayRetry(call))
+        call.retryAfter = this->jitteredRetryAfter(call);
+    return true;
+}
+
 // Sends the final answer of a call without a successful attempt. Status 503 guarantees that the request was not
 // executed.
 asio::awaitable<void> ServingGateway::finishWithoutAnswer(Call& call)
@@ -567,6 +579,7 @@
             : !throttled.empty()       ? throttled
             : call.hasNoCapacity       ? "no_place"
             : call.tries > 0           ? "targets_declined"
+            : this->isEvacuated(call)  ? "zones_evacuated"
                                        : "no_target");
 }
 
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -199,6 +199,7 @@
     std::set<std::string> triedOrEnded(const Call& call, TimePoint now) const;
     std::optional<TargetChoice> chooseTarget(const Call& call, TimePoint now);
     bool isIntakeClosedFor(const Call& call) const;
+    bool isEvacuated(Call& call);
     bool callerMayRetry(const Call& call) const;
     Duration jitteredRetryAfter(const Call& call);
     bool mayRetry(Call& call, AttemptResult last);
--- a/src/serving/ServingGatewayRelay.cpp
+++ b/src/serving/ServingGatewayRelay.cpp
@@ -408,11 +408,14 @@
 {
     const auto now = this->parts.clock.now();
     const auto pauseEnd = this->parts.health.pauses.end(target.id, now);
-    const bool hasLeft = !this->parts.view.targets.acceptsWork(target);
+    const auto& targets = this->parts.view.targets;
+    const bool isEvacuated = targets.isEvacuated(target);
+    const bool hasLeft = !targets.acceptsWork(target);
     this->parts.log.write("held_back",
         { { "id", call.metadata.attemptId }, { "target", target.id }, { "born", target.incarnation },
             { "reason",
-                hasLeft        ? "left"
+                isEvacuated    ? "evacuated"
+                    : hasLeft  ? "left"
                     : pauseEnd ? "paused"
                                : "limited" },
             { "pause_left_ms", pauseEnd.value_or(now) - now },
--- a/src/serving/TargetDirectory.cpp
+++ b/src/serving/TargetDirectory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace marigoldpaddle {
 
@@ -135,11 +136,29 @@
     return true;
 }
 
+void TargetDirectory::setEvacuatedZones(ZoneNames zones)
+{
+    this->evacuatedZones = std::move(zones);
+}
+
+bool TargetDirectory::isEvacuated(const TargetEntry& entry) const
+{
+    return this->evacuatedZones.contains(entry.availabilityZone);
+}
+
+bool TargetDirectory::hasEvacuatedTargets(std::string_view service) const
+{
+    return std::ranges::any_of(this->tracked, [&](const auto& item) {
+        const auto& entry = item.second.entry;
+        return entry.service == service && !entry.isLeaving && this->isEvacuated(entry);
+    });
+}
+
 std::vector<const TargetEntry*> TargetDirectory::available(std::string_view service) const
 {
     std::vector<const TargetEntry*> targets;
     for (const auto& [id, tracked] : this->tracked) {
-        if (tracked.entry.service == service && !tracked.entry.isLeaving)
+        if (tracked.entry.service == service && !tracked.entry.isLeaving && !this->isEvacuated(tracked.entry))
             targets.push_back(&tracked.entry);
     }
     return targets;
@@ -167,7 +186,8 @@
     if (found == this->tracked.end())
         return false;
     const auto& tracked = found->second;
-    return tracked.entry.incarnation == entry.incarnation && !tracked.entry.isLeaving;
+    return tracked.entry.incarnation == entry.incarnation && !tracked.entry.isLeaving
+        && !this->isEvacuated(tracked.entry);
 }
 
 std::size_t TargetDirectory::size() const
--- a/src/serving/TargetDirectory.h
+++ b/src/serving/TargetDirectory.h
@@ -9,6 +9,8 @@
 
 #include <marigoldpaddle/Clock.h>
 
+#include "serving/view/EvacuatedZones.h"
+
 namespace marigoldpaddle {
 
 // A target as registered with the platform.
@@ -58,6 +60,15 @@
     // Returns false if that was known.
     bool markLeaving(const TargetEntry& target, BootTime now);
 
+    // Sets the availability zones whose targets accept no new work. The zones and the targets in them are independent:
+    // a target that is registered later in such a zone accepts none either.
+    void setEvacuatedZones(ZoneNames zones);
+
+    bool isEvacuated(const TargetEntry& entry) const;
+
+    // Whether a service has targets that accept no new work only because their zone is evacuated.
+    bool hasEvacuatedTargets(std::string_view service) const;
+
     // Targets of a service that accept new work, ordered by id.
     std::vector<const TargetEntry*> available(std::string_view service) const;
     const TargetEntry* find(std::string_view id) const;
@@ -65,7 +76,8 @@
     // All registered targets with this address, of any service.
     std::vector<TargetEntry> atAddress(std::string_view address) const;
 
-    // Whether a target accepts new work: it is registered, not leaving, and has not restarted.
+    // Whether a target accepts new work: it is registered, not leaving, has not restarted, and its zone is not
+    // evacuated.
     bool acceptsWork(const TargetEntry& entry) const;
     std::size_t size() const;
 
@@ -90,6 +102,7 @@
 
     std::map<std::string, TrackedTarget, std::less<>> tracked;
     std::map<std::string, Departure, std::less<>> departures;
+    ZoneNames evacuatedZones;
     Duration readGapThreshold { std::chrono::milliseconds { 2500 } };
     std::optional<BootTime> lastRead;
     BootTime graceUntil {};
--- a/src/serving/ViewFollower.cpp
+++ b/src/serving/ViewFollower.cpp
@@ -29,6 +29,8 @@
 // The complete reads after a rise of the store's era are spread over this share of the bound.
 constexpr double RecoverySpreadShareOfBound = 0.2;
 constexpr std::size_t MaximumLoggedKeyBytes = 64;
+// A peer that has never known its configuration to be the newest counts as one that knew it this long ago.
+constexpr Duration OldestConfirmation = std::chrono::hours { 24 };
 
 std::string_view streamName(KeyedStream stream)
 {
@@ -106,7 +108,15 @@
 ViewSummary ViewFollower::summary(BootTime now) const
 {
     return { this->era.current(), this->view.version(), this->configurationAge(now), this->records.digest(),
-        this->targetsPosition ? this->targetsPosition->next : 0, this->targetsAge(now) };
+        this->targetsPosition ? this->targetsPosition->next : 0, this->targetsAge(now), this->operatorOffset(),
+        this->evacuation.listed() };
+}
+
+// Empty if the evacuated zones are of an earlier era of the store than the rest of the view.
+std::optional<std::uint64_t> ViewFollower::operatorOffset() const
+{
+    const auto position = this->evacuation.position();
+    return position && position->era == this->era.current() ? std::optional { position->offset } : std::nullopt;
 }
 
 asio::awaitable<void> ViewFollower::followConfiguration()
@@ -139,6 +149,8 @@
     const auto wait = rank == 0 && this->configurationPosition ? pollWait(this->settings) : Duration::zero();
     const auto startedAt = this->clock.bootTime();
     this->dropOutdated(this->configurationPosition);
+    // A configuration of a peer that is installed meanwhile resets the position.
+    const bool isListing = !this->configurationPosition;
     const auto from = this->configurationPosition ? this->configurationPosition->next : 0;
     const auto era = this->era.current();
     auto page = co_await this->read(KeyedStream::Configuration, this->configurationPosition, wait);
@@ -159,8 +171,12 @@
         co_return true;
     }
     const auto version = this->view.version();
+    this->applyEvacuations(content, isListing, startedAt);
     this->applyConfiguration(content);
     this->configurationPosition = { content.era, content.next };
+    // Changes of a new era do not continue the zones of the one before, which takes a listing.
+    if (!this->operatorOffset())
+        this->configurationPosition.reset();
     if (!this->view.configuration())
         co_return false;
     // A long poll that returns without a record shows that there was none for its whole wait.
@@ -323,8 +339,10 @@
 {
     const auto previous = this->era.current();
     const auto verdict = this->era.acceptFromStore(era, whenAsked);
-    if (verdict == StoreEra::Verdict::Refuted)
+    if (verdict == StoreEra::Verdict::Refuted) {
         this->log.write("store_era_refuted", { { "era", era }, { "previous", previous } });
+        this->evacuation.forgetPosition(this->clock.bootTime());
+    }
     if (verdict == StoreEra::Verdict::Risen)
         this->beginRecovery("platform", previous);
     return verdict;
@@ -358,6 +376,59 @@
     }
 }
 
+// Takes the evacuated zones from a page of the operator's records, which is a complete listing or the changes since the
+// last read.
+void ViewFollower::applyEvacuations(const KeyedPage& page, bool isListing, BootTime readAt)
+{
+    std::vector<ZoneEvacuation> changes;
+    for (const auto& record : page.records) {
+        std::string problem;
+        if (auto change = this->decoder.zoneEvacuation(record, problem))
+            changes.push_back(std::move(*change));
+        if (!problem.empty())
+            this->log.write("zone_evacuation_rejected",
+                { { "key", truncateUtf8(record.key, MaximumLoggedKeyBytes) }, { "problem", problem } });
+    }
+    const EvacuatedZones::Position position { page.era, page.next };
+    bool isChanged = false;
+    if (isListing) {
+        ZoneNames listed;
+        for (auto& change : changes) {
+            if (change.isEvacuated)
+                listed.insert(std::move(change.availabilityZone));
+        }
+        isChanged = this->evacuation.replace(std::move(listed), position, readAt);
+    } else {
+        isChanged = this->evacuation.applyChanges(changes, position, readAt);
+    }
+    if (isChanged)
+        this->installEvacuation("platform");
+}
+
+// Puts the evacuated zones in force.
+void ViewFollower::installEvacuation(std::string_view source)
+{
+    const auto& zones = this->evacuation.inForce();
+    const auto record = [&](std::string_view event, std::string_view zone) {
+        this->log.write(event,
+            { { "zone", zone }, { "source", source }, { "offset", this->evacuation.position()->offset },
+                { "era", this->evacuation.position()->era } });
+    };
+    for (const auto& zone : zones) {
+        if (!this->installedZones.contains(zone))
+            record("zone_evacuated", zone);
+    }
+    for (const auto& zone : this->installedZones) {
+        if (!zones.contains(zone))
+            record("zone_evacuation_ended", zone);
+    }
+    this->installedZones = zones;
+    this->view.targets.setEvacuatedZones(zones);
+    this->metrics.gauge("marigold_evacuated_zones").set(static_cast<double>(zones.size()));
+    if (this->audience)
+        this->audience->evacuationChanged();
+}
+
 bool ViewFollower::installConfiguration(const KeyedRecord& record, std::string_view source)
 {
     const auto startedAt = this->clock.bootTime();
@@ -397,8 +468,13 @@
     this->view.recordKnownVersion(peer.configurationVersion, now);
     if (!this->acceptPeerEra(peer.era, "peer"))
         return;
-    if (peer.configurationVersion == this->view.version() && peer.configurationAge < Duration::max()) {
-        this->view.confirmConfiguration(now - peer.configurationAge - TransitAllowance);
+    if (peer.operatorOffset) {
+        const auto knownAt = now - std::min(peer.configurationAge, OldestConfirmation) - TransitAllowance;
+        if (this->evacuation.replace(peer.evacuatedZones, { peer.era, *peer.operatorOffset }, knownAt))
+            this->installEvacuation("peer");
+        // A peer that does not follow the evacuated zones confirms nothing: this instance would rely on it for them.
+        if (peer.configurationVersion == this->view.version() && peer.configurationAge < Duration::max())
+            this->view.confirmConfiguration(knownAt);
     }
     if (peer.targetsAge == Duration::max() || peer.targetsAge + TransitAllowance >= this->targetsAge(now))
         return;
--- a/src/serving/ViewFollower.h
+++ b/src/serving/ViewFollower.h
@@ -38,6 +38,10 @@
     std::uint64_t targetsDigest { 0 };
     std::uint64_t targetsOffset { 0 }; // Up to which the registrations were read.
     Duration targetsAge { Duration::max() }; // Since the registrations were known to be the newest.
+    // Up to which the operator's records were read: the configuration and the evacuated zones. Empty if that is not
+    // known, as of a peer that does not follow the evacuated zones.
+    std::optional<std::uint64_t> operatorOffset {};
+    ZoneNames evacuatedZones {}; // As of `operatorOffset`.
 };
 
 // Other instances that share what one of them has read.
@@ -51,6 +55,9 @@
     // Called after a configuration was installed.
     virtual void configurationInstalled() = 0;
 
+    // Called after the evacuated zones changed.
+    virtual void evacuationChanged() = 0;
+
     // Called after this instance has read the registrations of the targets; `changes` are those that differ.
     virtual void targetsRead(std::span<const KeyedRecord> changes) = 0;
 };
@@ -119,10 +126,13 @@
     StoreEra::Verdict acceptStoreEra(std::uint64_t era, std::uint64_t whenAsked);
     bool acceptPeerEra(std::uint64_t era, std::string_view source);
     void beginRecovery(std::string_view source, std::uint64_t previousEra);
+    std::optional<std::uint64_t> operatorOffset() const;
     Duration configurationAge(BootTime now) const;
     Duration targetsAge(BootTime now) const;
     std::vector<KeyedRecord> applyTargets(const std::vector<KeyedRecord>& records, bool isComplete, BootTime readAt);
     void applyConfiguration(const KeyedPage& page);
+    void applyEvacuations(const KeyedPage& page, bool isListing, BootTime readAt);
+    void installEvacuation(std::string_view source);
     void recordException(KeyedStream stream, std::string_view problem);
     void recordCall(KeyedStream stream, std::optional<PlatformError> failure);
     void recordConfigurationRead(std::size_t rank, BootTime startedAt, const PlatformResult<KeyedPage>& page) const;
@@ -144,6 +154,8 @@
     std::optional<Position> targetsPosition;
     std::optional<Listing> listing;
     TargetRecords records;
+    EvacuatedZones evacuation;
+    ZoneNames installedZones; // Of `evacuation`, as put in force last.
     StoreEra era;
     std::map<KeyedStream, bool> connected;
 };
--- a/test/FaultsOddRegistration_test.cpp
+++ b/test/FaultsOddRegistration_test.cpp
@@ -89,6 +89,11 @@
         return this->format.target(record, problem);
     }
 
+    std::optional<ZoneEvacuation> zoneEvacuation(const KeyedRecord& record, std::string& problem) const override
+    {
+        return this->format.zoneEvacuation(record, problem);
+    }
+
     std::optional<InstanceDescription> instance(const KeyedRecord& record, std::string& problem) const override
     {
         return this->format.instance(record, problem);
@@ -106,6 +111,7 @@
     }
 
     void configurationInstalled() override { }
+    void evacuationChanged() override { }
 
     void targetsRead(std::span<const KeyedRecord> changes) override
     {
--- a/test/ServingGateway_test.cpp
+++ b/test/ServingGateway_test.cpp
@@ -124,6 +124,18 @@
     EXPECT_TRUE(this->first.received.empty());
 }
 
+// Guards against a request whose target was chosen before its zone was evacuated, and waited for a connection.
+TEST_F(ServingGatewayTest, RequestIsNotWrittenToATargetWhoseZoneWasEvacuatedMeanwhile)
+{
+    const auto chosen = *this->view.targets.find("t1");
+    this->view.targets.setEvacuatedZones({ chosen.availabilityZone });
+    EXPECT_FALSE(this->view.targets.acceptsWork(chosen));
+    EXPECT_EQ(this->status("/unsafe/x"), 503U) << "no zone is left";
+    EXPECT_TRUE(this->first.received.empty());
+    this->view.targets.setEvacuatedZones({});
+    EXPECT_EQ(this->status("/unsafe/x"), 200U);
+}
+
 // A helper of a long prompt is gone. The engine that asked it declines the prompt and names the helper; the next
 // attempt excluded that sound engine and asked the same helper again.
 TEST_F(ServingGatewayTest, HelperThatADecliningEngineNamesIsAvoidedInsteadOfTheEngine)
--- a/test/TargetDirectory_test.cpp
+++ b/test/TargetDirectory_test.cpp
@@ -37,6 +37,30 @@
     EXPECT_TRUE(this->directory.available("s").empty());
 }
 
+TEST_F(TargetDirectoryTest, TargetOfAnEvacuatedZoneAcceptsNoWork)
+{
+    auto target = entry("t");
+    target.availabilityZone = "a";
+    this->directory.upsert(target, this->now);
+    this->directory.setEvacuatedZones({ "a" });
+    EXPECT_TRUE(this->directory.available("s").empty());
+    EXPECT_FALSE(this->directory.acceptsWork(target));
+    EXPECT_TRUE(this->directory.hasEvacuatedTargets("s"));
+    EXPECT_NE(this->directory.find("t"), nullptr) << "its memory reservations are still released";
+    this->directory.setEvacuatedZones({});
+    EXPECT_EQ(this->directory.available("s").size(), 1U);
+}
+
+// Guards against a target that starts in a zone after its evacuation began.
+TEST_F(TargetDirectoryTest, TargetRegisteredDuringTheEvacuationOfItsZoneAcceptsNoWork)
+{
+    this->directory.setEvacuatedZones({ "a" });
+    auto target = entry("t");
+    target.availabilityZone = "a";
+    this->directory.upsert(target, this->now);
+    EXPECT_FALSE(this->directory.acceptsWork(target));
+}
+
 TEST_F(TargetDirectoryTest, RemovalBetweenRegularReadsTakesEffectAtOnce)
 {
     this->directory.upsert(entry("t"), this->now);
--- a/test/TargetRecords_test.cpp
+++ b/test/TargetRecords_test.cpp
@@ -26,6 +26,11 @@
         return entry;
     }
 
+    std::optional<ZoneEvacuation> zoneEvacuation(const KeyedRecord&, std::string&) const override
+    {
+        return std::nullopt;
+    }
+
     std::optional<InstanceDescription> instance(const KeyedRecord&, std::string&) const override
     {
         return std::nullopt;
--- a/test/ViewFollower_test.cpp
+++ b/test/ViewFollower_test.cpp
@@ -28,6 +28,11 @@
 
     void configurationInstalled() override { }
 
+    void evacuationChanged() override
+    {
+        ++this->evacuationChanges;
+    }
+
     void targetsRead(std::span<const KeyedRecord> changes) override
     {
         ++this->reads;
@@ -36,6 +41,7 @@
 
     std::size_t rank { 0 };
     unsigned reads { 0 };
+    unsigned evacuationChanges { 0 };
     std::vector<KeyedRecord> changes;
 };
 
