Bound the requests to cold targets over all instances

Cause: coldRemainingMs was decoded and read by nobody; Marigoldpaddle-Cold-Ms, coldStartS and coldPerS were not decoded. Nothing bounded what all instances together send a cold target within a second.

Ruled out: the token bucket of TargetLimits, which lets pass its content plus its rate within one second, and shares among the live instances, which both halves of a partition would deal out in full (docs/design/COLD-TARGETS.md).

Change: ColdTargets deals the requests of a second to instances that all draw alike, and counts exactly what was sent within the last second. TargetLimits asks it, so that choosing, permits and the time of the next request keep both bounds. A permit counts from the first byte. Cold periods are learned from registrations, starts, answers and peers. The bound applies where the settings state cold_overage and the configuration coldPerS.

--- a/src/serving/CallFormat.h
+++ b/src/serving/CallFormat.h
@@ -62,6 +62,8 @@
     std::optional<Duration> retryAfter;
     // Requests a second that the target takes from all instances together, for as long as it says so.
     std::optional<double> requestLimit;
+    // For how long the target states to be cold; at most LongestRetryAfter.
+    std::optional<Duration> coldRemaining;
     bool hasContentEncoding { false }; // The body has a content encoding, so it is not as the target sent it.
 };
 
--- a/src/serving/PeerNews.cpp
+++ b/src/serving/PeerNews.cpp
@@ -15,6 +15,7 @@
 // A target takes the requests that wait for their answers with it, each of which is a crash.
 constexpr std::size_t MaximumCrashesPerNotice = 32;
 constexpr std::size_t MaximumLimitsPerNotice = 64;
+constexpr std::size_t MaximumColdTargetsPerNotice = 64;
 constexpr std::size_t MaximumAnswersPerNotice = 32;
 // Instances that do not state for how long a request ran name no more parts of it, and do not say that there are
 // others.
@@ -91,6 +92,7 @@
     if (this->answers)
         this->learnAnswers(notice, now);
     this->learnLimits(notice, now);
+    this->learnColdTargets(notice, now);
 }
 
 void PeerNews::addTo(wire::LoadNotice& notice, TimePoint now) const
@@ -99,6 +101,7 @@
     if (this->answers)
         this->addAnswers(notice, now);
     this->addLimits(notice, now);
+    this->addColdTargets(notice, now);
 }
 
 void PeerNews::learnCrashes(const wire::LoadNotice& notice, TimePoint now)
@@ -202,4 +205,30 @@
     }
 }
 
+void PeerNews::learnColdTargets(const wire::LoadNotice& notice, TimePoint now)
+{
+    for (const auto& record : notice.coldTargets) {
+        const ColdTargetStatement statement { static_cast<std::uint64_t>(record.target),
+            static_cast<std::uint64_t>(record.incarnation), now + toDuration(record.remainingMs),
+            static_cast<std::uint64_t>(record.zone) };
+        if (!this->limits.cold.learn(statement, now))
+            continue;
+        this->log.write("target_cold_learned",
+            { { "source", notice.sender }, { "born", statement.incarnation }, { "remaining_ms", statement.until - now },
+                { "cold_targets", std::uint64_t { this->limits.cold.size(now) } } });
+    }
+}
+
+void PeerNews::addColdTargets(wire::LoadNotice& notice, TimePoint now) const
+{
+    const auto news = this->limits.cold.newsSince(this->newsSince(now), now);
+    for (const auto& statement : news | std::views::take(MaximumColdTargetsPerNotice)) {
+        auto& record = notice.coldTargets.emplace_back();
+        record.target = static_cast<std::int64_t>(statement.target);
+        record.incarnation = static_cast<std::int64_t>(statement.incarnation);
+        record.remainingMs = milliseconds(statement.until - now);
+        record.zone = static_cast<std::int64_t>(statement.zone);
+    }
+}
+
 }
--- a/src/serving/PeerNews.h
+++ b/src/serving/PeerNews.h
@@ -12,8 +12,8 @@
 
 namespace marigoldpaddle {
 
-// What instances tell each other of targets, besides their loads: ends under requests, which do not answer, and limits.
-// Translates both between notices and what this instance knows. No I/O.
+// What instances tell each other of targets, besides their loads: ends under requests, which do not answer, limits, and
+// which are cold. Translates both between notices and what this instance knows. No I/O.
 class PeerNews {
 public:
     // Everything that is passed by reference must outlive the object.
@@ -32,9 +32,11 @@
     void addCrashes(wire::LoadNotice& notice, TimePoint now) const;
     void addAnswers(wire::LoadNotice& notice, TimePoint now) const;
     void addLimits(wire::LoadNotice& notice, TimePoint now) const;
+    void addColdTargets(wire::LoadNotice& notice, TimePoint now) const;
     void learnCrashes(const wire::LoadNotice& notice, TimePoint now);
     void learnAnswers(const wire::LoadNotice& notice, TimePoint now);
     void learnLimits(const wire::LoadNotice& notice, TimePoint now);
+    void learnColdTargets(const wire::LoadNotice& notice, TimePoint now);
     TimePoint newsSince(TimePoint now) const;
 
     PromptQuarantine& quarantine;
--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -329,6 +329,7 @@
         notice.crashes.clear();
         notice.soundParts.clear();
         notice.limits.clear();
+        notice.coldTargets.clear();
         return encode(notice);
     }
 
--- a/src/serving/ServingConfiguration.h
+++ b/src/serving/ServingConfiguration.h
@@ -59,6 +59,8 @@
 struct ServiceProfile {
     std::string name;
     unsigned maximumConnections { 64 }; // Maximum per target, from all instances together.
+    Duration coldPeriod {}; // For which a target that has just started is cold.
+    double coldRequestsPerSecond { 0 }; // That a cold target tolerates; 0 for any number.
     std::optional<EngineProfile> engine; // Absent for plain services.
     Duration tightestGap { Duration::max() }; // Smallest of the streaming routes to the service; see complete().
 };
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -93,6 +93,11 @@
     this->advice.onLimitChanged(std::move(notify));
 }
 
+void ServingGateway::recordColdTarget(const TargetEntry& target, Duration remaining)
+{
+    this->advice.recordCold(target, remaining, "registration");
+}
+
 void ServingGateway::setConfigurationBound(Duration bound)
 {
     this->denials.setConfigurationBound(bound);
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -87,6 +87,9 @@
     // it before they send to the target.
     void onTargetLimitChanged(std::function<void()> notify);
 
+    // Records that a registration says that its target is cold.
+    void recordColdTarget(const TargetEntry& target, Duration remaining);
+
     // Time within which a change of the configuration must take effect.
     void setConfigurationBound(Duration bound);
 
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -59,6 +59,8 @@
         "time within which memory that no request uses must be freed" },
     { "bounds", "target_pause_ms", SettingKind::Milliseconds, 1000, 600'000, "60000",
         "longest time for which a target's Retry-After is followed" },
+    { "bounds", "cold_overage", SettingKind::Real, 0, 1000, "0",
+        "factor on the requests a second that cold targets tolerate, which they get at most; 0 for no bound" },
     { "retries", "ratio", SettingKind::Real, 0, 10, "0.2", "retries for each first send" },
     { "retries", "window_s", SettingKind::Real, 0.1, 600, "10", "window of the retry budget, in seconds" },
     { "retries", "slack", SettingKind::Real, 0, 1'000'000, "0",
@@ -187,6 +189,7 @@
     settings.grace = seconds(values.real("bounds", "grace_s"));
     settings.follower.configurationBound = values.milliseconds("bounds", "configuration_ms");
     settings.follower.targetsBound = values.milliseconds("bounds", "drain_ms");
+    settings.coldOverage = values.real("bounds", "cold_overage");
     settings.retries.ratio = values.real("retries", "ratio");
     settings.retries.window = seconds(values.real("retries", "window_s"));
     settings.retries.slack = values.real("retries", "slack");
@@ -222,6 +225,7 @@
                         const auto& limits = this->view.configuration()->values.limits;
                         this->callers.setLimits(limitsFrom(limits));
                         this->relays.setLimits(relayLimitsFrom(limits));
+                        this->updateColdAllowances();
                     },
                     &this->relayPeers, [this] { return this->relayState(); }, &this->health.answers },
               settings.peersAddress, settings.availabilityZone, settings.seeds, settings.follower.targetsBound)
@@ -247,6 +251,28 @@
         return state;
     }
 
+    // The slack that the platform allows on top covers instances whose lists of peers differ.
+    void updateColdAllowances()
+    {
+        std::map<std::string, double, std::less<>> perSecond;
+        if (this->view.configuration() && this->settings.coldOverage > 0) {
+            for (const auto& [name, service] : this->view.configuration()->values.services) {
+                if (service.coldRequestsPerSecond > 0)
+                    perSecond.emplace(name, service.coldRequestsPerSecond * this->settings.coldOverage);
+            }
+        }
+        this->health.limits.cold.setAllowances(std::move(perSecond));
+    }
+
+    // A target that has just started is cold whether or not its registration says so.
+    void recordColdTarget(const TargetEntry& target, Duration remaining)
+    {
+        const auto& configuration = this->view.configuration();
+        const auto* service = configuration ? configuration->values.service(target.service) : nullptr;
+        if (service)
+            this->gateway.recordColdTarget(target, remaining > Duration::zero() ? remaining : service->coldPeriod);
+    }
+
     // Applies that this instance has lost or regained its paths to the targets of a service.
     void updateLinks(const std::string& service)
     {
@@ -304,6 +330,7 @@
         this->metrics.gauge("marigold_mute_targets")
             .set(static_cast<double>(this->health.answers.muteTargets(this->clock.now())));
         this->metrics.gauge("marigold_limited_targets").set(static_cast<double>(this->health.limits.size()));
+        this->metrics.gauge("marigold_cold_targets").set(static_cast<double>(this->health.limits.cold.size(now)));
         this->metrics.gauge("marigold_relayed_requests").set(this->gateway.relayedRequests());
         this->metrics.gauge("marigold_live_peers").set(static_cast<double>(this->peers.livePeers()));
         this->metrics.gauge("marigold_requests_active").set(static_cast<double>(this->callers.activeExchanges()));
@@ -369,6 +396,8 @@
     state.peers.start();
     state.gateway.onPromptPlaced([&state] { state.peers.notifyPeersNow(); });
     state.gateway.onTargetCrash([&state] { state.peers.announceNews(); });
+    state.follower.onColdTarget(
+        [&state](const TargetEntry& target, Duration remaining) { state.recordColdTarget(target, remaining); });
     state.gateway.onTargetLimitChanged([&state] { state.peers.announceNews(); });
     state.links.onChange([&state](const std::string& service) { state.updateLinks(service); });
     asio::co_spawn(state.context, state.runHousekeeping(), asio::detached);
--- a/src/serving/ServingNode.h
+++ b/src/serving/ServingNode.h
@@ -35,6 +35,7 @@
     Duration memoryLeaseDuration {}; // How long an engine keeps a reservation that is not renewed.
     Duration longestTargetPause { TargetPauses::DefaultLongestPause }; // Limit of a target's Retry-After.
     Duration grace {}; // Time from the stop signal until the process is killed.
+    double coldOverage { 0 }; // Factor on the requests a second that cold targets tolerate; 0 for no bound.
     ViewFollowerSettings follower;
     RetryBudgetSettings retries;
     unsigned logLinesPerSecond { 0 };
--- a/src/serving/TargetAdvice.cpp
+++ b/src/serving/TargetAdvice.cpp
@@ -25,6 +25,8 @@
     if (response.retryAfter)
         this->recordPause(target, *response.retryAfter, requestId);
     this->recordLimit(target, response, requestId, sentAt);
+    if (response.coldRemaining && !response.isMisdirected)
+        this->recordCold(target, *response.coldRemaining, "answer");
     if (!response.isLeaving)
         return;
     if (!response.isMisdirected)
@@ -70,6 +72,18 @@
         this->notifyLimit();
 }
 
+void TargetAdvice::recordCold(const TargetEntry& target, Duration remaining, std::string_view source)
+{
+    if (!this->health.limits.cold.record(target, remaining, this->clock.now()))
+        return;
+    this->log.write("target_cold",
+        { { "target", target.id }, { "born", target.incarnation }, { "remaining_ms", remaining },
+            { "source", source } });
+    this->metrics.counter("marigold_cold_periods_total").increment();
+    if (this->notifyLimit)
+        this->notifyLimit();
+}
+
 void TargetAdvice::recordLeaving(const TargetEntry& target, std::string_view requestId)
 {
     if (!this->targets.markLeaving(target, this->clock.bootTime()))
--- a/src/serving/TargetAdvice.h
+++ b/src/serving/TargetAdvice.h
@@ -27,20 +27,23 @@
 };
 
 // Applies what targets say of themselves in their answers: that they leave, want nothing from this instance for some
-// time, or take only so many requests a second from all instances. Logs and counts every change.
+// time, or take only so many requests a second from all instances, or are cold. Logs and counts every change.
 class TargetAdvice final : public TargetAnswerObserver {
 public:
     // Everything that is passed by reference must outlive the object.
     TargetAdvice(
         const Clock& clock, TargetDirectory& targets, TargetHealth& health, EventLog& log, MetricsRegistry& metrics);
 
-    // `notify` is called when a target has a limit that is new or lower, or no longer has one, so that peers learn of
-    // it before they send to the target.
+    // `notify` is called when a target has a limit that is new or lower, or no longer has one, or is cold, so that
+    // peers learn of it before they send to the target.
     void onLimitChanged(std::function<void()> notify);
 
     void targetAnswered(const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId,
         std::optional<TimePoint> sentAt) override;
 
+    // Records that a target is cold, as its answer or its registration says. `source` is logged.
+    void recordCold(const TargetEntry& target, Duration remaining, std::string_view source);
+
 private:
     void recordPause(const TargetEntry& target, Duration requested, std::string_view requestId);
     void recordLimit(const TargetEntry& target, const ResponseMetadata& response, std::string_view requestId,
--- a/src/serving/TargetLimits.cpp
+++ b/src/serving/TargetLimits.cpp
@@ -39,7 +39,7 @@
 
 }
 
-TargetLimits::Instance TargetLimits::instanceOf(const LimitSharer& sharer)
+InstanceIdentity TargetLimits::instanceOf(const LimitSharer& sharer)
 {
     return { hashOf(sharer.address), hashOf(sharer.availabilityZone) };
 }
@@ -53,6 +53,7 @@
         refill(limit, now);
         this->updateShare(target, limit);
     }
+    this->cold.setInstances(this->self, this->peers, now);
 }
 
 // The share is zero unless this instance is among the first of the target's order.
@@ -63,12 +64,12 @@
         return;
     const auto instances = static_cast<double>(this->peers.size() + 1);
     const auto sharers = std::clamp(std::ceil(*limit.perSecond * SharersPerRequestRate), 1.0, instances);
-    const auto order = [&](const Instance& instance) {
+    const auto order = [&](const InstanceIdentity& instance) {
         return std::pair { instance.zone != limit.zone, rankOf(target, instance.address) };
     };
     const auto own = order(this->self);
     const auto before
-        = std::ranges::count_if(this->peers, [&](const Instance& instance) { return order(instance) < own; });
+        = std::ranges::count_if(this->peers, [&](const InstanceIdentity& instance) { return order(instance) < own; });
     if (static_cast<double>(before) < sharers)
         limit.share = *limit.perSecond / sharers;
 }
@@ -174,23 +175,24 @@
 bool TargetLimits::mayTake(const TargetEntry& target, TimePoint now) const
 {
     const auto* limit = this->find(target);
-    return !limit || tokensAt(*limit, now) >= 1;
+    return (!limit || tokensAt(*limit, now) >= 1) && this->cold.mayTake(target, now);
 }
 
 bool TargetLimits::tryTake(const TargetEntry& target, TimePoint now)
 {
-    if (!this->find(target))
-        return true;
-    auto& limit = this->limits.at(LoadLedger::hashOf(target.id));
-    refill(limit, now);
-    if (limit.tokens < 1)
+    if (!this->mayTake(target, now))
         return false;
-    limit.tokens -= 1;
-    return true;
+    if (this->find(target)) {
+        auto& limit = this->limits.at(LoadLedger::hashOf(target.id));
+        refill(limit, now);
+        limit.tokens -= 1;
+    }
+    return this->cold.tryTake(target, now);
 }
 
-void TargetLimits::giveBack(const TargetEntry& target, TimePoint now)
+void TargetLimits::giveBack(const TargetEntry& target, TimePoint takenAt, TimePoint now)
 {
+    this->cold.giveBack(target, takenAt);
     if (!this->find(target))
         return;
     auto& limit = this->limits.at(LoadLedger::hashOf(target.id));
@@ -201,12 +203,13 @@
 TimePoint TargetLimits::nextAt(const TargetEntry& target, TimePoint now) const
 {
     const auto* limit = this->find(target);
+    const auto coldUntil = this->cold.nextAt(target, now);
     if (!limit)
-        return now;
+        return coldUntil;
     if (limit->share <= 0)
-        return now + durationOf(Seconds { 1 / *limit->perSecond });
+        return std::max(coldUntil, now + durationOf(Seconds { 1 / *limit->perSecond }));
     const auto missing = std::max(0.0, 1 - tokensAt(*limit, now));
-    return now + durationOf(Seconds { missing / limit->share });
+    return std::max(coldUntil, now + durationOf(Seconds { missing / limit->share }));
 }
 
 std::vector<TargetLimitStatement> TargetLimits::newsSince(TimePoint since) const
@@ -232,6 +235,7 @@
         const bool isShared = !limit.perSecond || limit.share > 0;
         return limit.statedAt + (isShared ? Lifetime : 2 * Lifetime) <= now;
     });
+    this->cold.expire(now);
 }
 
 RequestPermit::RequestPermit(TargetLimits& limits, const Clock& clock, TargetEntry target)
@@ -244,22 +248,25 @@
 
 RequestPermit::~RequestPermit()
 {
-    if (this->isTaken && !this->isUsed)
-        this->limits.giveBack(this->target, this->clock.now());
+    if (this->takenAt && !this->isUsed)
+        this->limits.giveBack(this->target, *this->takenAt, this->clock.now());
 }
 
+// The request counts from the moment at which it is sent: while it waited for a connection, a second may have begun in
+// which the target got its share.
 bool RequestPermit::use()
 {
-    this->isUsed = this->isTaken || this->take();
+    if (this->takenAt)
+        this->limits.giveBack(this->target, *this->takenAt, this->clock.now());
+    this->take();
+    this->isUsed = this->takenAt.has_value();
     return this->isUsed;
 }
 
-bool RequestPermit::take()
+void RequestPermit::take()
 {
-    if (!this->limits.limit(this->target))
-        return true;
-    this->isTaken = this->limits.tryTake(this->target, this->clock.now());
-    return this->isTaken;
+    const auto now = this->clock.now();
+    this->takenAt = this->limits.tryTake(this->target, now) ? std::optional { now } : std::nullopt;
 }
 
 }
--- a/src/serving/TargetLimits.h
+++ b/src/serving/TargetLimits.h
@@ -12,6 +12,7 @@
 #include <marigoldpaddle/Clock.h>
 
 #include "serving/TargetDirectory.h"
+#include "serving/targets/ColdTargets.h"
 
 namespace marigoldpaddle {
 
@@ -76,6 +77,9 @@
     // Stated limit of the target; empty for none.
     std::optional<double> limit(const TargetEntry& target) const;
 
+    // The same for targets that are cold. The calls below keep both bounds.
+    ColdTargets cold;
+
     // Whether a request may be sent to the target now.
     bool mayTake(const TargetEntry& target, TimePoint now) const;
 
@@ -83,8 +87,8 @@
     // without a limit.
     bool tryTake(const TargetEntry& target, TimePoint now);
 
-    // Returns a request that was taken and not sent.
-    void giveBack(const TargetEntry& target, TimePoint now);
+    // Returns a request that was taken at `takenAt` and not sent.
+    void giveBack(const TargetEntry& target, TimePoint takenAt, TimePoint now);
 
     // When the next request may be sent to the target; for an instance without a share, by another one. At most `now`
     // if that is possible at once.
@@ -119,38 +123,32 @@
     static double tokensAt(const Limit& limit, TimePoint now);
     static void refill(Limit& limit, TimePoint now);
 
-    // Hashes of an instance's address and zone.
-    struct Instance {
-        std::uint64_t address { 0 };
-        std::uint64_t zone { 0 };
-    };
-
-    static Instance instanceOf(const LimitSharer& sharer);
+    static InstanceIdentity instanceOf(const LimitSharer& sharer);
 
-    Instance self;
-    std::vector<Instance> peers;
+    InstanceIdentity self;
+    std::vector<InstanceIdentity> peers;
     std::map<std::uint64_t, Limit> limits; // By hash of the target's id.
 };
 
 // Holds a request of this instance's share for one attempt, and returns it unless it was sent.
 class RequestPermit {
 public:
-    // Takes the request if the target has a limit. Both references must outlive the permit.
+    // Takes the request if the target's bounds allow it. Both references must outlive the permit.
     RequestPermit(TargetLimits& limits, const Clock& clock, TargetEntry target);
     ~RequestPermit();
     RequestPermit(const RequestPermit&) = delete;
     RequestPermit& operator=(const RequestPermit&) = delete;
 
-    // Returns whether the request may be sent now. A limit that became known meanwhile counts.
+    // Returns whether the request may be sent now. What became known meanwhile counts.
     bool use();
 
 private:
-    bool take();
+    void take();
 
     TargetLimits& limits;
     const Clock& clock;
     TargetEntry target;
-    bool isTaken { false };
+    std::optional<TimePoint> takenAt; // Empty if it may not be sent.
     bool isUsed { false };
 };
 
--- a/src/serving/TargetRecords.cpp
+++ b/src/serving/TargetRecords.cpp
@@ -92,7 +92,8 @@
             this->rejected.erase(hash(key));
         this->combined ^= previous ^ next;
         const bool changesList = previous != next || wasHeld != entry.has_value();
-        if (!changesList && problem.empty())
+        const bool isCold = entry && entry->warmUpPeriod > Duration::zero();
+        if (!changesList && problem.empty() && !isCold)
             continue;
         auto changed = entry ? *record : KeyedRecord { record->key, std::nullopt };
         changes.push_back({ std::move(changed), std::move(entry), std::move(problem), changesList });
--- a/src/serving/TargetRecords.h
+++ b/src/serving/TargetRecords.h
@@ -23,7 +23,7 @@
         KeyedRecord record; // Without a value if it was removed or cannot be decoded.
         std::optional<TargetEntry> entry; // Set if the record has a value.
         std::string problem; // Why the registration cannot be decoded; empty otherwise.
-        bool changesList { true }; // Not for one that cannot be decoded and was not held.
+        bool changesList { true }; // Not for one that cannot be decoded and was not held, or is only cold.
     };
 
     // `decoder` must outlive this object.
@@ -31,7 +31,8 @@
 
     // Applies records in the order in which they were written and returns the registrations that differ afterwards. A
     // complete listing also removes the registrations that are not in it. A registration that cannot be decoded is
-    // returned once for each of its contents.
+    // returned once for each of its contents, and one of a cold target each time: the remaining time counts down with
+    // every heartbeat.
     std::vector<Change> apply(const std::vector<KeyedRecord>& records, bool isComplete);
 
     // All registrations that name a target, by id.
--- a/src/serving/ViewFollower.cpp
+++ b/src/serving/ViewFollower.cpp
@@ -77,6 +77,11 @@
     asio::co_spawn(this->context, this->followTargets(), asio::detached);
 }
 
+void ViewFollower::onColdTarget(std::function<void(const TargetEntry&, Duration)> notify)
+{
+    this->notifyCold = std::move(notify);
+}
+
 void ViewFollower::setSettings(const ViewFollowerSettings& settings)
 {
     this->settings = settings;
@@ -506,7 +511,13 @@
     const std::vector<KeyedRecord>& records, bool isComplete, BootTime readAt)
 {
     std::vector<KeyedRecord> changed;
+    const bool isFirstListing = !this->view.targets.age(readAt);
     for (auto& change : this->records.apply(records, isComplete)) {
+        const auto* known = change.entry ? this->view.targets.find(change.entry->id) : nullptr;
+        const bool isNewStart
+            = change.entry && !isFirstListing && (!known || known->incarnation < change.entry->incarnation);
+        if (change.entry)
+            this->reportCold(*change.entry, isNewStart, readAt);
         if (change.entry && this->view.targets.upsert(*change.entry, readAt))
             this->log.write("target_changed",
                 { { "target", change.entry->id }, { "service", change.entry->service },
@@ -525,6 +536,16 @@
     return changed;
 }
 
+// The registration was read some time ago if a peer has passed it on.
+void ViewFollower::reportCold(const TargetEntry& entry, bool isNewStart, BootTime readAt) const
+{
+    if (!this->notifyCold || (entry.warmUpPeriod <= Duration::zero() && !isNewStart))
+        return;
+    const auto remaining = entry.warmUpPeriod - (this->clock.bootTime() - readAt);
+    if (remaining > Duration::zero() || isNewStart)
+        this->notifyCold(entry, std::max(Duration::zero(), remaining));
+}
+
 // Logs a read of the configuration that failed or brought records. Most reads find no change.
 void ViewFollower::recordConfigurationRead(
     std::size_t rank, BootTime startedAt, const PlatformResult<KeyedPage>& page) const
--- a/src/serving/ViewFollower.h
+++ b/src/serving/ViewFollower.h
@@ -73,6 +73,10 @@
     // `audience` must outlive the follower.
     void start(ViewAudience& audience);
 
+    // `notify` is called for each registration read that says that its target is cold, with the time that remains, and
+    // for each new start of a target after the first listing, with none if the registration does not say so.
+    void onColdTarget(std::function<void(const TargetEntry&, Duration)> notify);
+
     // Takes effect with the next call to the platform.
     void setSettings(const ViewFollowerSettings& settings);
 
@@ -130,6 +134,7 @@
     Duration configurationAge(BootTime now) const;
     Duration targetsAge(BootTime now) const;
     std::vector<KeyedRecord> applyTargets(const std::vector<KeyedRecord>& records, bool isComplete, BootTime readAt);
+    void reportCold(const TargetEntry& entry, bool isNewStart, BootTime readAt) const;
     void applyConfiguration(const KeyedPage& page);
     void applyEvacuations(const KeyedPage& page, bool isListing, BootTime readAt);
     void installEvacuation(std::string_view source);
@@ -149,6 +154,7 @@
     ReadSchedule configurationSchedule;
     ReadSchedule targetsSchedule;
     ViewAudience* audience { nullptr };
+    std::function<void(const TargetEntry&, Duration)> notifyCold;
     ConfigurationArchive archive;
     std::optional<Position> configurationPosition;
     std::optional<Position> targetsPosition;
--- a/test/TargetLimits_test.cpp
+++ b/test/TargetLimits_test.cpp
@@ -144,7 +144,7 @@
     this->limits.recordLimit(this->target, 1, this->now);
     this->now += 1s;
     EXPECT_TRUE(this->limits.tryTake(this->target, this->now));
-    this->limits.giveBack(this->target, this->now);
+    this->limits.giveBack(this->target, this->now, this->now);
     EXPECT_EQ(this->takeAll(), 1U);
 }
 
