Announce placed prompts also at the rate of a crest

Cause: instances announced placed prompts to the peers of their zone within 50 datagrams a second. A crest of short prompts needs 77 a second and more with 25 peers. What the budget did not cover was not announced, so that several instances placed on the same engines.

Change: 150 datagrams a second with a burst of 400, in place of 50 and 200. The mean need stays at some 45 a second.

--- a/src/serving/PeerExchange.h
+++ b/src/serving/PeerExchange.h
@@ -64,8 +64,8 @@
     static constexpr Duration IdlePeriod = std::chrono::milliseconds { 500 };
     // Token bucket, in datagrams, for notices sent at once after a prompt was placed; refilled at the rate of the
     // traffic budget.
-    static constexpr double NoticeBurst = 200;
-    static constexpr double NoticesPerSecond = 50;
+    static constexpr double NoticeBurst = 400;
+    static constexpr double NoticesPerSecond = 150;
     // Interval between notices to known addresses without a live peer.
     static constexpr Duration ContactPeriod = std::chrono::seconds { 1 };
     // Shorter interval right after the start, when peers may be starting as well.
