Bound the memory and connections of all requests together

Cause: HttpServer bounds a header and a body, not their sum. Forty bodies of 4 MiB that stop one byte short of their end took a process from 13 to 182 MB, in chunks to 216 MB; 500 headers of 15 KB in fields of one character took 168 MB; 900 connections that send nothing took 922 descriptors. The addresses for readiness and metrics took bodies of 32 MiB.

Change: MemoryBudget counts the bytes of each request until it is answered. When it is used up, the request that is not yet read, holds most and has made no progress for longest is refused with 503 no_memory. At the limit of connections a new one takes the place of the one that has been idle for longest.

--- a/src/base/HttpServer.cpp
+++ b/src/base/HttpServer.cpp
@@ -35,22 +35,35 @@
 
 // A pipelined request and a piece of a body fit into it.
 constexpr std::size_t MinimumBufferBytes = 128 * 1024;
+// Memory of a header field beside its name and value.
+constexpr std::size_t FieldOverheadBytes = 64;
+
+// The clock of the timers.
+TimePoint timerNow()
+{
+    return asio::steady_timer::clock_type::now();
+}
 
 }
 
 struct HttpServer::State {
-    State(asio::io_context& context, HttpHandler& handler, HttpServerLimits limits)
+    State(
+        asio::io_context& context, HttpHandler& handler, HttpServerLimits limits, std::shared_ptr<MemoryBudget> budget)
         : context(context)
         , handler(handler)
         , limits(limits)
+        , budget(budget ? std::move(budget) : std::make_shared<MemoryBudget>())
         , acceptor(context)
         , exchangeEnded(context, TimePoint::max())
     {
     }
 
+    bool closeLongestIdle();
+
     asio::io_context& context;
     HttpHandler& handler;
     HttpServerLimits limits;
+    std::shared_ptr<MemoryBudget> budget;
     tcp::acceptor acceptor;
     asio::steady_timer exchangeEnded; // Never expires; cancelled whenever an exchange ends.
     std::unordered_set<Session*> sessions;
@@ -64,6 +77,7 @@
     Session(tcp::socket socket, std::shared_ptr<State> state)
         : stream(std::move(socket))
         , state(std::move(state))
+        , held(*this->state->budget, [this] { this->reclaim(); })
     {
         this->state->sessions.insert(this);
     }
@@ -93,6 +107,19 @@
         this->stream.close();
     }
 
+    // Since when the connection waits for the first byte of a request; empty while it does not.
+    std::optional<TimePoint> idleSince() const
+    {
+        return this->waitingSince;
+    }
+
+    // Closes the connection, which is no longer idle then.
+    void closeIdle()
+    {
+        this->waitingSince.reset();
+        this->stream.close();
+    }
+
     void closeIfIdle()
     {
         if (!this->isHandling)
@@ -231,13 +258,21 @@
     asio::awaitable<bool> receive()
     {
         this->parser.emplace();
+        this->headerBytes = 0;
+        this->held.force(0);
         const auto failure = co_await this->read();
+        this->held.setReclaimable(false, timerNow());
         if (!failure)
             co_return true;
         const auto fault = this->faultOf(failure);
         if (!fault)
             co_return false;
         this->isReusable = false;
+        // What was read of the request is not needed for the response.
+        this->parser.emplace();
+        this->buffer.clear();
+        this->buffer.shrink_to_fit();
+        this->held.force(0);
         this->stream.expires_never();
         co_await this->respond(this->state->handler.makeFaultResponse(*fault));
         co_return false;
@@ -262,7 +297,10 @@
             co_return beast::error::timeout;
         this->applyLimits();
         asio::steady_timer timer { this->state->context, this->state->limits.receiveTimeout };
+        this->held.setReclaimable(true, timerNow());
         const auto first = co_await (this->readMessage(failure) || timer.async_wait(asio::use_awaitable));
+        if (this->isReclaimed)
+            co_return asio::error::no_memory;
         co_return first.index() == 1 ? beast::error::timeout : failure;
     }
 
@@ -270,10 +308,12 @@
     asio::awaitable<bool> waitForRequest()
     {
         using namespace asio::experimental::awaitable_operators;
+        this->waitingSince = timerNow();
         asio::steady_timer timer { this->state->context, this->state->limits.idleTimeout };
         const auto first
             = co_await (this->stream.socket().async_wait(tcp::socket::wait_read, asio::as_tuple(asio::use_awaitable))
                 || timer.async_wait(asio::use_awaitable));
+        this->waitingSince.reset();
         co_return first.index() == 0;
     }
 
@@ -285,9 +325,37 @@
             failure = http::error::bad_transfer_encoding;
         if (!failure && this->parser->get()[http::field::expect] == "100-continue")
             co_await this->sendContinue(failure);
-        if (!failure)
-            co_await http::async_read(
+        if (!failure && !this->chargeMessage())
+            failure = asio::error::no_memory;
+        while (!failure && !this->parser->is_done()) {
+            co_await http::async_read_some(
                 this->stream, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, failure));
+            if (!failure && !this->chargeMessage())
+                failure = asio::error::no_memory;
+        }
+    }
+
+    // Counts the memory of what was read. A short field takes several times its bytes. Returns false if the budget does
+    // not allow it.
+    bool chargeMessage()
+    {
+        if (this->isReclaimed)
+            return false;
+        const auto& message = this->parser->get();
+        if (this->headerBytes == 0 && this->parser->is_header_done()) {
+            for (const auto& field : message)
+                this->headerBytes += FieldOverheadBytes + field.name_string().size() + field.value().size();
+        }
+        // A body with a stated length is reserved as a whole, which takes memory only as it is filled.
+        const auto body = this->parser->content_length() ? message.body().size() : message.body().capacity();
+        return this->held.resize(this->headerBytes + body + this->buffer.capacity(), timerNow());
+    }
+
+    // Ends the read of the request, whose memory others need.
+    void reclaim()
+    {
+        this->isReclaimed = true;
+        this->stream.cancel();
     }
 
     // The end of a body with a transfer coding other than chunked cannot be determined, so bytes of the body could be
@@ -312,6 +380,8 @@
             return HttpFault::HeaderTooLarge;
         if (failure == http::error::body_limit)
             return HttpFault::BodyTooLarge;
+        if (failure == asio::error::no_memory)
+            return HttpFault::NoMemory;
         if (failure == beast::error::timeout)
             return this->parser->got_some() ? std::optional { HttpFault::TooSlow } : std::nullopt;
         if (failure == http::error::end_of_stream || failure.category() == asio::error::get_system_category()
@@ -336,14 +406,32 @@
     std::shared_ptr<State> state;
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
+    MemoryBudget::Holding held;
+    std::size_t headerBytes { 0 }; // Memory of the request's header.
+    bool isReclaimed { false };
+    std::optional<TimePoint> waitingSince;
     bool isReusable { true };
     bool isHandling { false };
     bool isResponseComplete { false };
     bool isStreamChunked { true }; // Otherwise the stream ends with the connection.
 };
 
-HttpServer::HttpServer(asio::io_context& context, HttpHandler& handler, HttpServerLimits limits)
-    : state(std::make_shared<State>(context, handler, limits))
+// Makes room for a new connection, whose client is likely to send a request. Returns false if no connection is idle.
+bool HttpServer::State::closeLongestIdle()
+{
+    const auto idleSince = [](const Session* session) {
+        return session->idleSince().value_or(TimePoint::max());
+    };
+    const auto longest = std::ranges::min_element(this->sessions, {}, idleSince);
+    if (longest == this->sessions.end() || !(*longest)->idleSince())
+        return false;
+    (*longest)->closeIdle();
+    return true;
+}
+
+HttpServer::HttpServer(
+    asio::io_context& context, HttpHandler& handler, HttpServerLimits limits, std::shared_ptr<MemoryBudget> budget)
+    : state(std::make_shared<State>(context, handler, limits, std::move(budget)))
 {
 }
 
@@ -369,7 +457,7 @@
         auto socket = co_await acceptNext(state->acceptor);
         if (!socket)
             co_return;
-        if (state->sessions.size() >= state->limits.connections)
+        if (state->sessions.size() >= state->limits.connections && !state->closeLongestIdle())
             continue;
         error_code ignored;
         socket->set_option(
--- a/src/base/HttpServer.h
+++ b/src/base/HttpServer.h
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/Http.h"
+#include "base/MemoryBudget.h"
 
 namespace marigoldpaddle {
 
@@ -34,6 +35,7 @@
     BodyTooLarge,
     TooSlow, // It did not arrive within HttpServerLimits::receiveTimeout.
     TooManyConnections,
+    NoMemory, // The memory for requests is used up. The request was not handled.
 };
 
 // A request and the operations to respond to it. Valid until HttpHandler::handle() returns.
@@ -79,8 +81,10 @@
 // Serves HTTP/1.1 on one address. Not thread-safe: all calls must be made on the thread of the io_context.
 class HttpServer {
 public:
-    // `handler` must outlive the server.
-    HttpServer(boost::asio::io_context& context, HttpHandler& handler, HttpServerLimits limits = {});
+    // `handler` must outlive the server. All bytes of requests draw on `budget` until they are answered. Without one,
+    // only the limits of the single request hold.
+    HttpServer(boost::asio::io_context& context, HttpHandler& handler, HttpServerLimits limits = {},
+        std::shared_ptr<MemoryBudget> budget = nullptr);
     ~HttpServer();
 
     // Binds to "IP:port" and starts to accept connections. Returns the bound port; throws boost::system::system_error
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -39,6 +39,7 @@
         return RefusalReason::RequestTooLarge;
     case HttpFault::TooSlow:
         return RefusalReason::RequestTimeout;
+    case HttpFault::NoMemory:
     case HttpFault::TooManyConnections:
         return RefusalReason::Overloaded;
     case HttpFault::Malformed:
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -666,6 +666,16 @@
     return this->parts.format.makeOwnResponse(isFinal ? status : 503, reason, retryAfter);
 }
 
+// Refuses a request that was not read to its end for lack of memory. The time that the caller has left is not known.
+HttpResponse ServingGateway::makeMemoryRefusal()
+{
+    std::uniform_real_distribution<double> share { 0, 1 };
+    const auto spread
+        = std::chrono::duration_cast<Duration>((MaximumRetryAfter - MinimumRetryAfter) * share(this->random));
+    this->parts.metrics.counter("marigold_refusals_total", "reason=\"no_memory\"").increment();
+    return this->parts.format.makeOwnResponse(503, "no_memory", MinimumRetryAfter + spread);
+}
+
 HttpResponse ServingGateway::makeFaultResponse(HttpFault fault)
 {
     switch (fault) {
@@ -679,6 +689,8 @@
         return this->parts.format.makeOwnResponse(408, "request_too_slow", std::nullopt);
     case HttpFault::TooManyConnections:
         return this->parts.format.makeOwnResponse(503, "too_many_connections", DefaultRetryAfter);
+    case HttpFault::NoMemory:
+        return this->makeMemoryRefusal();
     }
     return this->parts.format.makeOwnResponse(500, "internal", std::nullopt);
 }
--- a/src/serving/ServingGateway.h
+++ b/src/serving/ServingGateway.h
@@ -145,6 +145,7 @@
     boost::asio::awaitable<void> waitWhileDenied(Call& call, std::optional<Denial>& denial, TimePoint since);
     boost::asio::awaitable<void> waitUntil(TimePoint end);
     boost::asio::awaitable<void> deny(Call& call, Denial denial);
+    HttpResponse makeMemoryRefusal();
     HttpResponse makeSizeDenial(unsigned status, std::string_view reason);
     boost::asio::awaitable<void> forward(Call& call);
     boost::asio::awaitable<std::optional<TargetChoice>> waitForPlacement(Call& call);
--- a/src/serving/ServingNode.cpp
+++ b/src/serving/ServingNode.cpp
@@ -1,6 +1,7 @@
 #include "serving/ServingNode.h"
 
 #include <algorithm>
+#include <limits>
 #include <random>
 #include <ranges>
 
@@ -65,6 +66,11 @@
     { "retries", "window_s", SettingKind::Real, 0.1, 600, "10", "window of the retry budget, in seconds" },
     { "retries", "slack", SettingKind::Real, 0, 1'000'000, "0",
         "retries in a window regardless of the load, all instances together" },
+    { "limits", "memory_mb", SettingKind::Integer, 0, 1'000'000, "0",
+        "memory of the machine, of which requests that are read, wait or are answered get a quarter; 0 for no bound" },
+    { "limits", "descriptors", SettingKind::Integer, 0, 10'000'000, "0",
+        "descriptors of the process, of which connections of callers get half of what is not reserved; 0 for no "
+        "bound" },
     { "log", "lines_per_second", SettingKind::Integer, 1, 1'000'000, "2000", "maximum log lines per second" },
 };
 
@@ -140,6 +146,17 @@
     return server;
 }
 
+// Limits of the addresses for the readiness check and the metrics, whose requests have no body.
+HttpServerLimits probeLimits()
+{
+    HttpServerLimits server;
+    server.headerBytes = std::size_t { 8 } * 1024;
+    server.bodyBytes = std::size_t { 4 } * 1024;
+    server.connections = 64;
+    server.receiveTimeout = std::chrono::seconds { 3 };
+    return server;
+}
+
 HttpServerLimits relayLimitsFrom(const CallerLimits& limits)
 {
     auto server = limitsFrom(limits);
@@ -172,6 +189,26 @@
 
 }
 
+namespace {
+
+// The rest is for the program, the answers of targets and of the store, and what the system holds for connections.
+std::size_t requestMemoryFrom(std::int64_t megabytes)
+{
+    constexpr std::size_t BytesPerMegabyte = std::size_t { 1024 } * 1024;
+    return static_cast<std::size_t>(megabytes) * BytesPerMegabyte / 4;
+}
+
+// A request takes a connection of its caller and one to a target. Peers, the store, the load balancer and files have
+// the reserve.
+std::size_t callerConnectionsFrom(std::int64_t descriptors)
+{
+    constexpr std::int64_t ReservedDescriptors = 300;
+    return static_cast<std::size_t>(
+        descriptors > 0 ? std::max<std::int64_t>(1, (descriptors - ReservedDescriptors) / 2) : 0);
+}
+
+}
+
 ServingNodeSettings servingNodeSettingsFrom(const Settings& values)
 {
     ServingNodeSettings settings;
@@ -193,6 +230,8 @@
     settings.retries.ratio = values.real("retries", "ratio");
     settings.retries.window = seconds(values.real("retries", "window_s"));
     settings.retries.slack = values.real("retries", "slack");
+    settings.requestMemory = requestMemoryFrom(values.integer("limits", "memory_mb"));
+    settings.callerConnections = callerConnectionsFrom(values.integer("limits", "descriptors"));
     settings.logLinesPerSecond = static_cast<unsigned>(values.integer("log", "lines_per_second"));
     return settings;
 }
@@ -223,7 +262,7 @@
                     this->health.limits, this->log, this->metrics,
                     [this] {
                         const auto& limits = this->view.configuration()->values.limits;
-                        this->callers.setLimits(limitsFrom(limits));
+                        this->callers.setLimits(this->callerLimits(limits));
                         this->relays.setLimits(relayLimitsFrom(limits));
                         this->updateColdAllowances();
                     },
@@ -231,14 +270,24 @@
               settings.peersAddress, settings.availabilityZone, settings.seeds, settings.follower.targetsBound)
         , readinessHandler(this->isReady)
         , metricsHandler(this->metrics)
-        , callers(context, this->gateway)
-        , relays(context, this->gateway.relayHandler())
-        , ready(context, this->readinessHandler)
-        , exposition(context, this->metricsHandler)
+        , requestMemory(std::make_shared<MemoryBudget>(
+              settings.requestMemory > 0 ? settings.requestMemory : std::numeric_limits<std::size_t>::max()))
+        , callers(context, this->gateway, this->callerLimits({}), this->requestMemory)
+        , relays(context, this->gateway.relayHandler(), {}, this->requestMemory)
+        , ready(context, this->readinessHandler, probeLimits(), this->requestMemory)
+        , exposition(context, this->metricsHandler, probeLimits(), this->requestMemory)
     {
         this->health.pauses.setLongestPause(settings.longestTargetPause);
     }
 
+    HttpServerLimits callerLimits(const CallerLimits& limits) const
+    {
+        auto server = limitsFrom(limits);
+        if (this->settings.callerConnections > 0)
+            server.connections = std::min(server.connections, this->settings.callerConnections);
+        return server;
+    }
+
     // What peers are told about relayed requests.
     RelayPeer relayState() const
     {
@@ -317,6 +366,20 @@
         }
     }
 
+    // One line a second at most: a crowd of clients causes many reclaims.
+    void recordReclaims()
+    {
+        const auto ended = this->requestMemory->reclaimed() + this->requestMemory->refused();
+        if (ended == this->recordedReclaims)
+            return;
+        this->metrics.counter("marigold_memory_refusals_total").increment(ended - this->recordedReclaims);
+        this->log.write("request_memory_used_up",
+            { { "refused", std::uint64_t { ended - this->recordedReclaims } },
+                { "used_bytes", std::uint64_t { this->requestMemory->used() } },
+                { "limit_bytes", std::uint64_t { this->settings.requestMemory } } });
+        this->recordedReclaims = ended;
+    }
+
     void updateGauges()
     {
         const auto now = this->clock.now();
@@ -331,6 +394,8 @@
             .set(static_cast<double>(this->health.answers.muteTargets(this->clock.now())));
         this->metrics.gauge("marigold_limited_targets").set(static_cast<double>(this->health.limits.size()));
         this->metrics.gauge("marigold_cold_targets").set(static_cast<double>(this->health.limits.cold.size(now)));
+        this->metrics.gauge("marigold_request_memory_bytes").set(static_cast<double>(this->requestMemory->used()));
+        this->recordReclaims();
         this->metrics.gauge("marigold_relayed_requests").set(this->gateway.relayedRequests());
         this->metrics.gauge("marigold_live_peers").set(static_cast<double>(this->peers.livePeers()));
         this->metrics.gauge("marigold_requests_active").set(static_cast<double>(this->callers.activeExchanges()));
@@ -361,10 +426,12 @@
     ServingGateway gateway;
     PeerRunner peers;
     std::uint16_t relaysPort { 0 }; // 0 while no requests of other instances are accepted.
+    std::size_t recordedReclaims { 0 };
     bool isReady { false };
     bool isStopping { false };
     ReadinessHandler readinessHandler;
     MetricsHandler metricsHandler;
+    std::shared_ptr<MemoryBudget> requestMemory;
     HttpServer callers;
     HttpServer relays;
     HttpServer ready;
--- a/src/serving/ServingNode.h
+++ b/src/serving/ServingNode.h
@@ -38,6 +38,8 @@
     double coldOverage { 0 }; // Factor on the requests a second that cold targets tolerate; 0 for no bound.
     ViewFollowerSettings follower;
     RetryBudgetSettings retries;
+    std::size_t requestMemory { 0 }; // Bytes that the requests of callers and peers may take together; 0 for no bound.
+    std::size_t callerConnections { 0 }; // Maximum; 0 for the default of HttpServerLimits.
     unsigned logLinesPerSecond { 0 };
 };
 
--- a/test/ProcessHarness.cpp
+++ b/test/ProcessHarness.cpp
@@ -217,6 +217,34 @@
         ::kill(this->pid, number);
 }
 
+std::size_t Process::memory() const
+{
+    return this->statusBytes("VmRSS:");
+}
+
+std::size_t Process::peakMemory() const
+{
+    return this->statusBytes("VmHWM:");
+}
+
+// Reads a field of the process's status, which is in kB.
+std::size_t Process::statusBytes(std::string_view field) const
+{
+    std::ifstream status { "/proc/" + std::to_string(this->pid) + "/status" };
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(field))
+            return std::stoul(line.substr(field.size())) * 1024;
+    }
+    return 0;
+}
+
+std::size_t Process::openDescriptors() const
+{
+    std::error_code ended;
+    const std::filesystem::directory_iterator descriptors { "/proc/" + std::to_string(this->pid) + "/fd", ended };
+    return static_cast<std::size_t>(std::distance(begin(descriptors), end(descriptors)));
+}
+
 bool Process::hasEnded()
 {
     int status = 0;
--- a/test/ProcessHarness.h
+++ b/test/ProcessHarness.h
@@ -41,6 +41,12 @@
     std::string address(std::string_view port, const std::string& host = "127.0.0.1") const;
     void signal(int number) const;
 
+    // Resident memory in bytes, now and at its peak so far, and the number of open descriptors. 0 once the process has
+    // ended.
+    std::size_t memory() const;
+    std::size_t peakMemory() const;
+    std::size_t openDescriptors() const;
+
     // Whether the process has ended; then wait() returns its exit code at once.
     bool hasEnded();
 
@@ -48,6 +54,7 @@
     int wait();
 
 private:
+    std::size_t statusBytes(std::string_view field) const;
     void start(const std::string& folder, const std::string& name, const std::string& program,
         const std::string& settings, int output);
 
