Order waiting prompts by the rank of their route or workspace

Cause: priority of routes and workspaces was not decoded. Long prompts waited in the order of their latest start alone, so that a crest of a less urgent kind delayed a more urgent one.

Change: Route::rank and rankByWorkspace, of which the workspace's goes first; PromptUrgency orders by rank, then by the latest start; notices state the rank of the most urgent waiting prompt. The line not_placed has rank, work and time left.

--- a/src/serving/PeerFormat.cpp
+++ b/src/serving/PeerFormat.cpp
@@ -16,6 +16,8 @@
 // Bounds of what a peer says of evacuated zones, far above any real one.
 constexpr std::size_t MaximumEvacuatedZones = 256;
 constexpr std::size_t MaximumZoneBytes = 255;
+// No prompt waits for longer: that is the longest time limit of a route.
+constexpr std::int64_t LongestWaitMs = std::int64_t { 24 } * 3600 * 1000;
 constexpr std::int64_t MaximumReportedTokens = 1'000'000'000'000'000;
 
 // Empty for a sender that does not follow the evacuated zones.
@@ -115,6 +117,15 @@
         toZones(notice.evacuatedZones) };
 }
 
+std::optional<PromptUrgency> toUrgency(const wire::LoadNotice& notice, TimePoint now)
+{
+    if (notice.waitingStartByMs < 0 || notice.waitingStartByMs > LongestWaitMs)
+        return std::nullopt;
+    const bool hasRank = notice.__isset.waitingRank && notice.waitingRank >= 0;
+    return PromptUrgency { hasRank ? static_cast<unsigned>(notice.waitingRank) : DefaultRank,
+        now + toDuration(notice.waitingStartByMs) };
+}
+
 std::vector<wire::KeyValueRecord> toWire(std::span<const KeyedRecord> records)
 {
     std::vector<wire::KeyValueRecord> converted;
--- a/src/serving/PeerFormat.h
+++ b/src/serving/PeerFormat.h
@@ -9,6 +9,7 @@
 #include "serving/LoadLedger.h"
 #include "serving/PlatformStore.h"
 #include "serving/ViewFollower.h"
+#include "serving/WaitingPrompts.h"
 
 namespace marigoldpaddle {
 
@@ -21,6 +22,10 @@
 // The state of the view that a peer states with a notice.
 ViewSummary toSummary(const wire::LoadNotice& notice);
 
+// The sender's most urgent waiting prompt. One whose rank a sender of an earlier build does not state has the default
+// rank.
+std::optional<PromptUrgency> toUrgency(const wire::LoadNotice& notice, TimePoint now);
+
 std::vector<wire::KeyValueRecord> toWire(std::span<const KeyedRecord> records);
 std::vector<KeyedRecord> fromWire(std::span<const wire::KeyValueRecord> records);
 
--- a/src/serving/PeerRunner.cpp
+++ b/src/serving/PeerRunner.cpp
@@ -132,8 +132,7 @@
         std::unordered_map<std::uint64_t, TargetLoad> loads;
         for (const auto& record : notice->loads)
             loads.emplace(static_cast<std::uint64_t>(record.target), toLoad(record));
-        this->parts.waiting.updatePeer(notice->sender,
-            notice->waitingStartByMs < 0 ? TimePoint::max() : now + toDuration(notice->waitingStartByMs), now);
+        this->parts.waiting.updatePeer(notice->sender, toUrgency(*notice, now), now);
         this->parts.ledger.updatePeer(notice->sender, loads, now, toDuration(notice->validMs),
             notice->partial ? LoadLedger::ReportScope::Partial : LoadLedger::ReportScope::Complete);
         if (notice->zoneOccupancy >= 0)
@@ -276,9 +275,9 @@
                 [](std::uint64_t service) { return static_cast<std::int64_t>(service); });
             notice.relayedRequests = static_cast<std::int32_t>(state.relayedRequests);
         }
-        const auto startBy = this->parts.waiting.earliestStartBy();
-        notice.waitingStartByMs
-            = startBy == TimePoint::max() ? -1 : std::max<std::int64_t>(0, milliseconds(startBy - now));
+        const auto urgency = this->parts.waiting.mostUrgent();
+        notice.waitingStartByMs = urgency ? std::max<std::int64_t>(0, milliseconds(urgency->startBy - now)) : -1;
+        notice.waitingRank = urgency ? static_cast<std::int32_t>(urgency->rank) : -1;
         return notice;
     }
 
--- a/src/serving/ServingConfiguration.cpp
+++ b/src/serving/ServingConfiguration.cpp
@@ -12,6 +12,12 @@
     return found == this->services.end() ? nullptr : &found->second;
 }
 
+unsigned ServingConfiguration::rank(const Route& route, const std::string& workspace) const
+{
+    const auto found = this->rankByWorkspace.find(workspace);
+    return found == this->rankByWorkspace.end() ? route.rank : found->second;
+}
+
 void ServingConfiguration::complete()
 {
     for (const auto& route : this->routes) {
--- a/src/serving/ServingConfiguration.h
+++ b/src/serving/ServingConfiguration.h
@@ -19,6 +19,10 @@
     Stream, // Answers with events; may be sent again only if the route is resumable.
 };
 
+// Rank of requests for which neither the route nor the workspace states one, as that of engines' requests. 0 is the
+// highest rank.
+inline constexpr unsigned DefaultRank = 5;
+
 struct ServiceShare {
     std::string service;
     double weight { 1 }; // Relative to the other shares of the route.
@@ -35,6 +39,7 @@
     Duration timeout {}; // Maximum time until the request is answered or refused.
     Duration objective {}; // Time to the answer; for streams, to the first event.
     Duration gapObjective {}; // Between two events of a stream.
+    unsigned rank { DefaultRank }; // Order among requests when there is too little room; 0 is the highest.
     unsigned maximumAttempts { 1 }; // Maximum number of targets that may execute one call.
     std::vector<ServiceShare> shares;
 
@@ -79,11 +84,15 @@
     std::vector<Route> routes;
     std::map<std::string, ServiceProfile, std::less<>> services;
     std::unordered_map<std::string, std::string> workspaceByKey;
+    std::unordered_map<std::string, unsigned> rankByWorkspace; // Of workspaces that state one.
     CallerLimits limits;
     bool requiresKeys { false }; // Whether any workspaces are declared.
 
     const ServiceProfile* service(std::string_view name) const;
 
+    // Rank of a workspace's requests on a route: that of the workspace goes before that of the route.
+    unsigned rank(const Route& route, const std::string& workspace) const;
+
     // Computes the derived values. Call it once after all declared values are set.
     void complete();
 };
--- a/src/serving/ServingGateway.cpp
+++ b/src/serving/ServingGateway.cpp
@@ -37,9 +37,9 @@
 // Keeps a prompt registered as waiting for as long as the entry exists.
 class WaitingEntry {
 public:
-    WaitingEntry(WaitingPrompts& waiting, TimePoint startBy)
+    WaitingEntry(WaitingPrompts& waiting, PromptUrgency urgency)
         : waiting(waiting)
-        , entry(waiting.add(startBy))
+        , entry(waiting.add(urgency))
     {
     }
 
@@ -309,6 +309,7 @@
     // A long prompt that misses its objective anyway yields to those that can meet theirs, and is not prefilled in
     // large parts on few engines.
     const auto lateStartBy = call.receivedAt + (call.deadline - call.receivedAt) / 2;
+    const auto rank = call.configuration->values.rank(*call.route, call.workspace);
     std::optional<WaitingEntry> waitingEntry; // Entry among the waiting long prompts.
     std::optional<TimePoint> placeableSince;
     call.isCutOff = false;
@@ -363,14 +364,15 @@
         }
         if (!choice->shouldWait) {
             placeableSince = placeableSince.value_or(now);
-            if (!choice->work.isLong || this->parts.waiting.isMostUrgent(isLateOrNetLoss ? lateStartBy : startBy, now)
+            if (!choice->work.isLong
+                || this->parts.waiting.isMostUrgent({ rank, isLateOrNetLoss ? lateStartBy : startBy }, now)
                 || now - *placeableSince >= WaitingPrompts::PeerPriorityWindow)
                 co_return choice;
         }
         if (isLateOrNetLoss)
             waitingEntry.reset();
         if (choice->work.isLong && !isLateOrNetLoss && !waitingEntry) {
-            waitingEntry.emplace(this->parts.waiting, startBy);
+            waitingEntry.emplace(this->parts.waiting, PromptUrgency { rank, startBy });
             if (this->notifyPlaced)
                 this->notifyPlaced();
         }
@@ -473,6 +475,8 @@
             { "best_target", best.target.id },
             { "running_there", std::uint64_t { this->parts.ledger.total(best.target.id, now).running } },
             { "expected_ms", best.expected }, { "waited_ms", now - call.receivedAt },
+            { "rank", std::uint64_t { call.configuration->values.rank(*call.route, call.workspace) } },
+            { "read_ms", best.work.prefillMs }, { "left_ms", this->remaining(call) },
             { "objective_ms", call.route->objective },
             { "retry_after_ms", call.retryAfter.value_or(DefaultRetryAfter) } });
 }
--- a/src/serving/WaitingPrompts.cpp
+++ b/src/serving/WaitingPrompts.cpp
@@ -4,9 +4,9 @@
 
 namespace marigoldpaddle {
 
-WaitingPrompts::Entry WaitingPrompts::add(TimePoint startBy)
+WaitingPrompts::Entry WaitingPrompts::add(PromptUrgency urgency)
 {
-    return this->waiting.insert(startBy);
+    return this->waiting.insert(urgency);
 }
 
 void WaitingPrompts::remove(Entry entry)
@@ -14,23 +14,24 @@
     this->waiting.erase(entry);
 }
 
-void WaitingPrompts::updatePeer(std::string_view peer, TimePoint startBy, TimePoint now)
+void WaitingPrompts::updatePeer(std::string_view peer, std::optional<PromptUrgency> urgency, TimePoint now)
 {
     std::erase_if(this->peers, [&](const auto& item) { return now - item.second.receivedAt > PeerLifetime; });
-    this->peers.insert_or_assign(std::string { peer }, Peer { startBy, now });
+    this->peers.insert_or_assign(std::string { peer }, Peer { urgency, now });
 }
 
-TimePoint WaitingPrompts::earliestStartBy() const
+std::optional<PromptUrgency> WaitingPrompts::mostUrgent() const
 {
-    return this->waiting.empty() ? TimePoint::max() : *this->waiting.begin();
+    return this->waiting.empty() ? std::nullopt : std::optional { *this->waiting.begin() };
 }
 
-bool WaitingPrompts::isMostUrgent(TimePoint startBy, TimePoint now) const
+bool WaitingPrompts::isMostUrgent(PromptUrgency urgency, TimePoint now) const
 {
+    const auto own = this->mostUrgent();
     const auto isAhead = [&](const auto& item) {
-        return now - item.second.receivedAt <= PeerLifetime && item.second.startBy < startBy;
+        return now - item.second.receivedAt <= PeerLifetime && item.second.urgency && *item.second.urgency < urgency;
     };
-    return startBy <= this->earliestStartBy() && std::ranges::none_of(this->peers, isAhead);
+    return (!own || urgency <= *own) && std::ranges::none_of(this->peers, isAhead);
 }
 
 }
--- a/test/FaultsOddNotice_test.cpp
+++ b/test/FaultsOddNotice_test.cpp
@@ -130,7 +130,7 @@
         limit.target = limit.incarnation = limit.zone = limit.ageMs = extreme;
         limit.perSecond = std::numeric_limits<double>::infinity();
         this->send(encode(odd));
-        EXPECT_TRUE(this->waiting.isMostUrgent(this->clock.now() + 1h, this->clock.now())) << extreme;
+        EXPECT_TRUE(this->waiting.isMostUrgent({ DefaultRank, this->clock.now() + 1h }, this->clock.now())) << extreme;
         this->ledger.total("any", this->clock.now());
         EXPECT_TRUE(this->receives());
     }
--- a/test/PlatformFormat_test.cpp
+++ b/test/PlatformFormat_test.cpp
@@ -269,6 +269,44 @@
     EXPECT_FALSE(this->format.configuration({ "config", std::nullopt }, this->problem));
 }
 
+TEST_F(RecordFormatTest, EvacuationIsDecodedFromItsKey)
+{
+    std::string problem;
+    const auto evacuated = this->format.zoneEvacuation({ "evacuate/zone-a", "{}" }, problem);
+    ASSERT_TRUE(evacuated);
+    EXPECT_EQ(evacuated->availabilityZone, "zone-a");
+    EXPECT_TRUE(evacuated->isEvacuated);
+    EXPECT_FALSE(this->format.zoneEvacuation({ "evacuate/zone-a", std::nullopt }, problem)->isEvacuated);
+    EXPECT_FALSE(this->format.zoneEvacuation({ "config", "{}" }, problem));
+    EXPECT_TRUE(problem.empty());
+    EXPECT_FALSE(this->format.zoneEvacuation({ "evacuate/", "{}" }, problem));
+    EXPECT_FALSE(problem.empty());
+}
+
+TEST_F(RecordFormatTest, RankOfAWorkspaceGoesBeforeThatOfTheRoute)
+{
+    const auto values = this->configuration(R"({"version":1,
+        "routes":[{"name":"r","priority":2},{"name":"unranked"}],
+        "tenants":[{"name":"first","apiKeys":["k1"],"priority":0},{"name":"second","apiKeys":["k2"]}]})");
+    ASSERT_TRUE(values) << this->problem;
+    EXPECT_EQ(values->rank(values->routes[0], "first"), 0U);
+    EXPECT_EQ(values->rank(values->routes[0], "second"), 2U);
+    EXPECT_EQ(values->rank(values->routes[1], "second"), DefaultRank);
+}
+
+TEST_F(RecordFormatTest, ColdPeriodOfAServiceIsDecoded)
+{
+    std::string problem;
+    const auto decoded = this->format.configuration(
+        { "config",
+            R"({"version":1,"routes":[],"services":[{"name":"engines","coldStartS":3.0,"coldPerS":14.0},{"name":"s"}]})" },
+        problem);
+    ASSERT_TRUE(decoded) << problem;
+    EXPECT_EQ(decoded->service("engines")->coldPeriod, 3s);
+    EXPECT_EQ(decoded->service("engines")->coldRequestsPerSecond, 14);
+    EXPECT_EQ(decoded->service("s")->coldRequestsPerSecond, 0);
+}
+
 TEST_F(RecordFormatTest, TargetIsDecoded)
 {
     const auto entry = this->target(R"({"service":"s","address":"10.0.0.9:8080","zone":"a","slots":16,
