Tell peers of an evacuation from the readers of the zones only

Cause: an instance that learned of a change from a peer told all peers in turn: 69 instances would send some 4,700 datagrams for one change, 300 some 90,000 (calculated). Found by reading the code again.

Change: only an instance that has read the change from the platform tells all peers; every notice repeats the zones, as before. ViewFollowerEvacuationTest.InstanceLearnsOfAnEvacuationFromAPeer has an expectation for it; that it failed before was not run.

--- a/src/serving/ViewFollower.cpp
+++ b/src/serving/ViewFollower.cpp
@@ -406,8 +406,10 @@
     } else {
         isChanged = this->evacuation.applyChanges(changes, position, readAt);
     }
-    if (isChanged)
-        this->installEvacuation("platform");
+    if (!isChanged)
+        return;
+    this->installEvacuation("platform");
+    this->audience->evacuationChanged();
 }
 
 // Puts the evacuated zones in force.
@@ -430,8 +432,6 @@
     this->installedZones = zones;
     this->view.targets.setEvacuatedZones(zones);
     this->metrics.gauge("marigold_evacuated_zones").set(static_cast<double>(zones.size()));
-    if (this->audience)
-        this->audience->evacuationChanged();
 }
 
 bool ViewFollower::installConfiguration(const KeyedRecord& record, std::string_view source)
--- a/src/serving/ViewFollower.h
+++ b/src/serving/ViewFollower.h
@@ -55,7 +55,8 @@
     // Called after a configuration was installed.
     virtual void configurationInstalled() = 0;
 
-    // Called after the evacuated zones changed.
+    // Called after this instance has read from the platform that the evacuated zones changed. What a peer tells is not
+    // passed on: the reader of each zone tells all instances, and every notice repeats it.
     virtual void evacuationChanged() = 0;
 
     // Called after this instance has read the registrations of the targets; `changes` are those that differ.
--- a/test/ViewFollowerEvacuation_test.cpp
+++ b/test/ViewFollowerEvacuation_test.cpp
@@ -166,6 +166,7 @@
     older.evacuatedZones = {};
     this->follower.applyPeerView(older, {});
     EXPECT_EQ(this->view.targets.available("engines").size(), 1U) << "an older notice takes nothing back";
+    EXPECT_EQ(this->audience.changes, 0U) << "every instance would tell every other";
 }
 
 // Guards against an instance that relies on a peer of an earlier build, which does not follow evacuations, for the age
