Give a limit back only what was taken from it

Cause: since a permit counts a request from its first byte, it returns what it took and takes it anew. A request that was taken while its target stated no limit thereby added to a limit that became known meanwhile, and was sent against it.

Change: nothing is given back to a limit that is news since the request was taken. A test of the decision by itself.

--- a/src/serving/TargetLimits.cpp
+++ b/src/serving/TargetLimits.cpp
@@ -196,6 +196,9 @@
     if (!this->find(target))
         return;
     auto& limit = this->limits.at(LoadLedger::hashOf(target.id));
+    // The request was not taken from a limit that became known later.
+    if (limit.newsAt > takenAt)
+        return;
     refill(limit, now);
     limit.tokens = std::min(capacity(limit), limit.tokens + 1);
 }
--- a/test/TargetLimits_test.cpp
+++ b/test/TargetLimits_test.cpp
@@ -148,6 +148,17 @@
     EXPECT_EQ(this->takeAll(), 1U);
 }
 
+// Guards against a request that waited for its connection while the limit became known, and was sent against it.
+TEST_F(TargetLimitsTest, RequestTakenBeforeTheLimitWasKnownGivesItNothingBack)
+{
+    const auto takenAt = this->now;
+    EXPECT_TRUE(this->limits.tryTake(this->target, takenAt));
+    this->now += 1ms;
+    this->limits.recordLimit(this->target, 1, this->now);
+    this->limits.giveBack(this->target, takenAt, this->now);
+    EXPECT_FALSE(this->limits.tryTake(this->target, this->now));
+}
+
 TEST_F(TargetLimitsTest, LimitThatNobodyConfirmsEnds)
 {
     this->limits.recordLimit(this->target, 1, this->now);
