Review: one request with a long trailer stops the event loop; cases in order of gravity

One request of 118 KB in chunks, whose trailer has some 29,500 names in a Connection field and some 14,700 short fields, keeps a process busy for some 30 s of a core, in one step of the event loop. Three such requests, one at each of three machines, stopped all three.

--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -129,3 +129,17 @@
     wait "${pid_of[$1]}" 2>/dev/null
     note "$1 held $((held / 1024)) MB, more than memoryMb = $memory_mb, and was killed"
 }
+
+# start_again N: starts the process once more with the settings in effect, as the platform does.
+start_again() {
+    rm -f "$work/node-$1.ports"
+    start "node-$1" "$node_program" --config "$work/node-$1.ini"
+    note "node-$1 starts again"
+}
+
+# has_ended NAME: whether a process that nobody stopped has ended. Notes how.
+has_ended() {
+    is_running "$1" && return 1
+    wait "${pid_of[$1]}" 2>/dev/null
+    note "$1 has ended by itself with exit code $?"
+}
--- a/review/standins-2/standin.cpp
+++ b/review/standins-2/standin.cpp
@@ -6,6 +6,9 @@
 //   standin flood STORE COUNT BYTES          writes entries of services that no route names, as another writer does,
 //                                            no faster than a partition takes them
 //   standin probe ADDRESS PATH MS            prints the status of one GET, 000 without an answer in time
+//   standin trailer ADDRESS PATH BYTES       sends one request in chunks with a trailer field of that many bytes,
+//   without
+//                                            a key; prints the status, or closed
 //   standin callers OPTIONS                  ordinary callers, one connection each (see runCallers)
 //   standin crowd OPTIONS                    many clients at once (see runCrowd)
 #include <algorithm>
@@ -228,7 +231,8 @@
             const auto field = head.substr(begin, line == std::string::npos ? line : line - begin);
             const auto colon = field.find(':');
             auto value = colon == std::string::npos ? std::string {} : field.substr(colon + 1);
-            value.erase(0, value.find_first_not_of(' ') == std::string::npos ? value.size() : value.find_first_not_of(' '));
+            value.erase(
+                0, value.find_first_not_of(' ') == std::string::npos ? value.size() : value.find_first_not_of(' '));
             request.headers[lower(field.substr(0, colon))] = value;
         }
         const auto length = static_cast<std::size_t>(std::atoll(request.header("content-length").c_str()));
@@ -270,7 +274,8 @@
 
 std::string response(const std::string& status, const std::string& headers, const std::string& body)
 {
-    return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body;
 }
 
 void serve(int listener, const std::function<void(Connection&)>& handle)
@@ -506,6 +511,8 @@
     double eventMs { 45 };
     double workMs { 15 };
     int bodyBytes { 800 };
+    std::size_t trailerBytes { 0 }; // Of the field in the trailer of a spoiled answer.
+    int spoiledEvery { 0 }; // One answer in so many is spoiled; 0 for none.
 };
 
 std::mutex runsMutex;
@@ -523,8 +530,10 @@
     if (request.path() == "/api/order")
         return connection.send(response("200 OK", "Content-Type: application/json\r\n", "{\"free\":400000}"));
     const auto attempt = request.header("marigoldpaddle-attempt-id");
-    const auto ownId = "Marigoldpaddle-Attempt-Id: " + attempt + "\r\nMarigoldpaddle-Instance-Id: " + server.id + "\r\n";
-    if (const auto expected = request.header("marigoldpaddle-expect-instance"); !expected.empty() && expected != server.id)
+    const auto ownId
+        = "Marigoldpaddle-Attempt-Id: " + attempt + "\r\nMarigoldpaddle-Instance-Id: " + server.id + "\r\n";
+    if (const auto expected = request.header("marigoldpaddle-expect-instance");
+        !expected.empty() && expected != server.id)
         return connection.send(response("421 Misdirected Request", ownId + "Marigoldpaddle-Not-Executed: 1\r\n", {}));
     const Place place { server, settings.slots, settings.queue };
     if (!place.isHeld)
@@ -533,6 +542,13 @@
         return false;
     recordRun(server, attempt);
     const auto sealed = ownId + "Marigoldpaddle-Server-Seal: " + server.id + "." + attempt + "\r\n";
+    static std::atomic<int> answers { 0 };
+    if (settings.spoiledEvery > 0 && ++answers % settings.spoiledEvery == 0) {
+        sleepMs(settings.workMs);
+        return connection.send("HTTP/1.1 200 OK\r\n" + sealed
+            + "Transfer-Encoding: chunked\r\n\r\n2\r\nxx\r\n0\r\nX-Odd: " + std::string(settings.trailerBytes, 'o')
+            + "\r\n\r\n");
+    }
     if (!settings.isEngine) {
         sleepMs(settings.workMs);
         return connection.send(
@@ -561,7 +577,8 @@
     sendAll(socket, bytes);
     std::string answer;
     char piece[4096];
-    for (ssize_t count; answer.find("\r\n\r\n") == std::string::npos && (count = ::recv(socket, piece, sizeof(piece), 0)) > 0;)
+    for (ssize_t count;
+        answer.find("\r\n\r\n") == std::string::npos && (count = ::recv(socket, piece, sizeof(piece), 0)) > 0;)
         answer.append(piece, static_cast<std::size_t>(count));
     ::close(socket);
     return answer;
@@ -570,13 +587,14 @@
 bool put(const std::string& store, const std::string& topic, const std::string& key, const std::string& value)
 {
     const auto answer = call(store,
-        "PUT /standin/records?topic=" + topic + "&key=" + key + " HTTP/1.1\r\nHost: store\r\nContent-Length: "
-            + std::to_string(value.size()) + "\r\n\r\n" + value);
+        "PUT /standin/records?topic=" + topic + "&key=" + key
+            + " HTTP/1.1\r\nHost: store\r\nContent-Length: " + std::to_string(value.size()) + "\r\n\r\n" + value);
     return answer.starts_with("HTTP/1.1 200");
 }
 
 // Options: store, runs (file), service, count, zones (comma-separated), kind (engine or plain), slots, queue, events,
-// event_ms, work_ms, body_bytes. The servers register themselves.
+// event_ms, work_ms, body_bytes, first (number of the first server), trailer_bytes and spoiled_every (a faulty server).
+// The servers register themselves.
 int runServers(const Options& options)
 {
     static ServersSettings settings;
@@ -587,6 +605,9 @@
     settings.eventMs = number(options, "event_ms", 45);
     settings.workMs = number(options, "work_ms", 15);
     settings.bodyBytes = static_cast<int>(number(options, "body_bytes", 800));
+    settings.trailerBytes = static_cast<std::size_t>(number(options, "trailer_bytes", 0));
+    settings.spoiledEvery = static_cast<int>(number(options, "spoiled_every", 0));
+    const auto first = static_cast<std::size_t>(number(options, "first", 0));
     runs.open(option(options, "runs", "/dev/null"), std::ios::app);
     std::vector<std::string> zones;
     auto rest = option(options, "zones", "zone-a");
@@ -598,7 +619,7 @@
     const auto count = static_cast<std::size_t>(number(options, "count", 3));
     for (std::size_t index = 0; index < count; ++index) {
         auto* server = new Server;
-        server->id = service + "-" + std::to_string(index);
+        server->id = service + "-" + std::to_string(first + index);
         std::uint16_t port = 0;
         const int listener = listenOn("127.0.0.1:0", port);
         std::thread { [=] {
@@ -667,6 +688,17 @@
     return status == "200" ? 0 : 1;
 }
 
+int sendTrailer(const std::string& address, const std::string& path, std::size_t bytes)
+{
+    const auto answer = call(address,
+        "POST " + path
+            + " HTTP/1.1\r\nHost: rounds.example\r\nMarigoldpaddle-Attempt-Id: odd\r\nTransfer-Encoding: "
+              "chunked\r\n\r\n2\r\n{}\r\n0\r\nX-Odd: "
+            + std::string(bytes, 'o') + "\r\n\r\n");
+    std::printf("%s\n", answer.size() > 12 ? answer.substr(9, 3).c_str() : "closed");
+    return 0;
+}
+
 std::string requestText(const std::string& method, const std::string& path, const std::string& id,
     const std::string& key, int deadlineMs, const std::string& more, const std::string& body)
 {
@@ -706,8 +738,9 @@
             char piece[4096];
             bool hasEnded = socket < 0;
             if (socket >= 0) {
-                sendAll(socket, requestText("GET", option(options, "path", "/stock/x"), id, option(options, "key", "k"),
-                                    deadline, {}, {}));
+                sendAll(socket,
+                    requestText(
+                        "GET", option(options, "path", "/stock/x"), id, option(options, "key", "k"), deadline, {}, {}));
                 while (true) {
                     const auto left = deadline - static_cast<int>(secondsSince(start) * 1000);
                     pollfd state { socket, POLLIN, 0 };
@@ -764,9 +797,20 @@
     return "Marigoldpaddle-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n";
 }
 
+// A request in chunks, whose trailer has very many short fields and as many names in a Connection field.
+std::string requestWithTrailer(
+    const std::string& path, const std::string& id, const std::string& key, int deadlineMs, std::size_t trailerBytes)
+{
+    auto text = requestText("POST", path, id, key, deadlineMs, "Transfer-Encoding: chunked\r\n", {});
+    const std::string length = "Content-Length: 0\r\n";
+    text.erase(text.find(length), length.size());
+    text += "2\r\n{}\r\n0\r\n";
+    return text + (trailerBytes > 1000 ? shapeOf("fields", trailerBytes) : "b:\r\nc:\r\n") + "\r\n";
+}
+
 // Many clients at once. Each sends `ahead` requests on its connection without reading, then reads until the connection
 // ends or `for_s` is over. Options: to, path, method, key, count, ahead, shape (parts, fields, plain), bytes, for_s,
-// deadline_ms, usage, record, name.
+// deadline_ms, usage, trailer_bytes, record, name.
 int runCrowd(const Options& options)
 {
     record.open(option(options, "record", "/dev/null"), std::ios::app);
@@ -784,6 +828,7 @@
     auto more = shapeOf(option(options, "shape", "plain"), static_cast<std::size_t>(number(options, "bytes", 15'500)));
     if (const auto usage = option(options, "usage", ""); !usage.empty())
         more += "Marigoldpaddle-Token-Usage: " + usage + "\r\n";
+    const auto trailerBytes = static_cast<std::size_t>(number(options, "trailer_bytes", 0));
     std::size_t headerBytes = 0;
     std::vector<Client> clients(count);
     const auto start = Clock::now();
@@ -796,15 +841,19 @@
         ::fcntl(client.socket, F_SETFL, O_NONBLOCK);
         for (int number = 0; number < ahead; ++number) {
             const auto id = name + "-" + std::to_string(index) + "-" + std::to_string(number);
-            const auto text = requestText(method, option(options, "path", "/kerb/x") + std::to_string(index), id,
-                option(options, "key", "k"), static_cast<int>(::atof(option(options, "deadline_ms", "10000").c_str())),
-                more, method == "POST" ? "{}" : "");
+            const auto path = option(options, "path", "/kerb/x") + std::to_string(index);
+            const auto key = option(options, "key", "k");
+            const auto deadline = static_cast<int>(::atof(option(options, "deadline_ms", "10000").c_str()));
+            const auto text = trailerBytes > 0
+                ? requestWithTrailer(path, id, key, deadline, trailerBytes)
+                : requestText(method, path, id, key, deadline, more, method == "POST" ? "{}" : "");
             headerBytes = text.find("\r\n\r\n") + 4;
             client.bytes += text;
         }
     }
     writeRecord("crowd name=" + name + " clients=" + std::to_string(count) + " requests_each=" + std::to_string(ahead)
-        + " shape=" + option(options, "shape", "plain") + " header_bytes_each=" + std::to_string(headerBytes));
+        + " shape=" + option(options, "shape", "plain") + " header_bytes_each=" + std::to_string(headerBytes)
+        + " bytes_each=" + std::to_string(clients.front().bytes.size() / static_cast<std::size_t>(std::max(1, ahead))));
     std::map<std::string, int> statuses;
     std::size_t closed = 0;
     std::vector<pollfd> states;
@@ -828,8 +877,8 @@
             const auto ready = states[position].revents;
             bool isOver = false;
             if (ready & POLLOUT) {
-                const auto sent = ::send(client.socket, client.bytes.data() + client.sent,
-                    client.bytes.size() - client.sent, MSG_NOSIGNAL);
+                const auto sent = ::send(
+                    client.socket, client.bytes.data() + client.sent, client.bytes.size() - client.sent, MSG_NOSIGNAL);
                 if (sent > 0)
                     client.sent += static_cast<std::size_t>(sent);
                 else if (errno != EAGAIN)
@@ -879,6 +928,8 @@
         return flood(argv[2], std::strtoul(argv[3], nullptr, 10), std::strtoul(argv[4], nullptr, 10));
     if (verb == "probe" && argc == 5)
         return probe(argv[2], argv[3], std::atoi(argv[4]));
+    if (verb == "trailer" && argc == 5)
+        return sendTrailer(argv[2], argv[3], std::strtoul(argv[4], nullptr, 10));
     if (verb == "callers")
         return runCallers(optionsFrom(argc, argv, 2));
     if (verb == "crowd")
