Check and drop the trailer of a request

Cause: the parser of the library adds the fields of a trailer to the header of a request that is already accepted. Their size was limited by the read buffer only (128 KiB). The library stores lengths in 16 bits and throws for more, out of a composed read, so that the exception left the event loop and not the coroutine that awaited the read.

Ruled out: another limit of the request (with a field of 70 bytes, or with the long field in the header, nothing ends), and a header that grows field by field (the parser counts what it keeps of one).

Change: HttpMessageParser checks the fields of a trailer within the limit of a header and drops them; a field that exceeds the library's size, in a header or a trailer, gets 431. The memory of a message is counted with each read, also while its header or a trailer arrives.

--- a/src/base/HttpServer.cpp
+++ b/src/base/HttpServer.cpp
@@ -15,13 +15,12 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 #include <glog/logging.h>
 
 #include "base/Acceptor.h"
+#include "base/HttpReader.h"
 
 namespace marigoldpaddle {
 
@@ -282,7 +281,7 @@
     {
         // A chunk extension or a trailer is buffered until its end, which may never come.
         this->buffer.max_size(std::max(MinimumBufferBytes, 2 * this->state->limits.headerBytes));
-        this->parser->header_limit(static_cast<std::uint32_t>(this->state->limits.headerBytes));
+        this->parser->setHeaderLimit(this->state->limits.headerBytes);
         this->parser->body_limit(this->state->limits.bodyBytes);
     }
 
@@ -319,20 +318,23 @@
 
     asio::awaitable<void> readMessage(error_code& failure)
     {
-        co_await http::async_read_header(
-            this->stream, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, failure));
+        while (!failure && !this->parser->is_header_done())
+            failure = co_await this->readPart();
         if (!failure && this->hasUnsupportedTransferCoding())
             failure = http::error::bad_transfer_encoding;
         if (!failure && this->parser->get()[http::field::expect] == "100-continue")
             co_await this->sendContinue(failure);
+        while (!failure && !this->parser->is_done())
+            failure = co_await this->readPart();
+    }
+
+    // Receives and parses a part of the request, and counts its memory.
+    asio::awaitable<error_code> readPart()
+    {
+        auto failure = co_await readMessagePart(this->stream, this->buffer, *this->parser);
         if (!failure && !this->chargeMessage())
             failure = asio::error::no_memory;
-        while (!failure && !this->parser->is_done()) {
-            co_await http::async_read_some(
-                this->stream, this->buffer, *this->parser, asio::redirect_error(asio::use_awaitable, failure));
-            if (!failure && !this->chargeMessage())
-                failure = asio::error::no_memory;
-        }
+        co_return failure;
     }
 
     // Counts the memory of what was read. A short field takes several times its bytes. Returns false if the budget does
@@ -342,12 +344,14 @@
         if (this->isReclaimed)
             return false;
         const auto& message = this->parser->get();
-        if (this->headerBytes == 0 && this->parser->is_header_done()) {
+        const bool hasHeader = this->parser->is_header_done();
+        if (this->headerBytes == 0 && hasHeader) {
             for (const auto& field : message)
                 this->headerBytes += FieldOverheadBytes + field.name_string().size() + field.value().size();
         }
         // A body with a stated length is reserved as a whole, which takes memory only as it is filled.
-        const auto body = this->parser->content_length() ? message.body().size() : message.body().capacity();
+        const bool hasLength = hasHeader && this->parser->content_length();
+        const auto body = hasLength ? message.body().size() : message.body().capacity();
         return this->held.resize(this->headerBytes + body + this->buffer.capacity(), timerNow());
     }
 
@@ -405,7 +409,7 @@
     beast::tcp_stream stream;
     std::shared_ptr<State> state;
     beast::flat_buffer buffer;
-    std::optional<http::request_parser<http::string_body>> parser;
+    std::optional<HttpMessageParser<true>> parser;
     MemoryBudget::Holding held;
     std::size_t headerBytes { 0 }; // Memory of the request's header.
     bool isReclaimed { false };
--- a/test/ServingNode_test.cpp
+++ b/test/ServingNode_test.cpp
@@ -357,6 +357,28 @@
         head("Transfer-Encoding: chunked\r\n\r\n186a1\r\n" + std::string(100'001, 'x') + "\r\n0\r\n\r\n"), "413");
 }
 
+TEST_F(ServingNodeInvalidInputTest, TrailerBeyondTheHeaderLimitIsRefused)
+{
+    this->expectRefused(
+        head("Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: " + std::string(5000, 'x') + "\r\n\r\n"), "431");
+}
+
+// A request without a key, at a path without a route, ended the process and cut off the answers that it was writing.
+TEST_F(ServingNodeInvalidInputTest, RequestWithATrailerFieldOfManyBytesDoesNotCutOffAnAnswerInProgress)
+{
+    PlatformAnswer answer;
+    this->harness.beginPrompt(answer, 5000, 101);
+    ASSERT_TRUE(this->harness.runUntil([&] { return answer.eventIds().size() >= 2; }));
+    ASSERT_FALSE(answer.isWhole);
+    EXPECT_THAT(this->harness.sendRaw("POST /nowhere HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+                                      "X-Odd: "
+                        + std::string(70'000, 'o') + "\r\n\r\n",
+                    "\r\n\r\n"),
+        ::testing::StartsWith("HTTP/1.1 431"));
+    EXPECT_TRUE(this->harness.runUntil([&] { return answer.isWhole; }));
+    EXPECT_THAT(answer.eventIds(), ElementsAreArray(idsUpTo(11)));
+}
+
 TEST_F(ServingNodeInvalidInputTest, UnknownHostRouteAndKeyGetDistinctStatuses)
 {
     const auto status = [this](const std::string& host, const std::string& path, const std::string& key) {
