Check and drop the trailer of an answer

Such an answer of the store ends all instances that read it at once.

Cause: as for requests, the parser adds the fields of a trailer to a header that was already read, and throws out of the event loop for one that exceeds the library's size. Ruled out: a field of the trailer that reaches a caller (the header is copied before the body is read).

Change: HttpClient parses with HttpMessageParser, as the server does. An answer whose trailer is malformed, or exceeds the limit of a header (8 KiB as before, now HttpClientLimits::maximumHeaderBytes), is malformed. A connection is kept only if the header allows it, too: a trailer could keep one that a server of HTTP/1.0 closes.

--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -13,11 +13,11 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <netinet/tcp.h>
 
+#include "base/HttpReader.h"
+
 namespace marigoldpaddle {
 
 namespace asio = boost::asio;
@@ -38,12 +38,15 @@
     void parseBuffered()
     {
         error_code failure;
-        while (!this->parser->is_done() && this->buffer.size() > 0 && !failure) {
-            const auto used = this->parser->put(this->buffer.data(), failure);
-            this->buffer.consume(used);
-            if (used == 0)
-                break;
-        }
+        while (!this->parser->is_done() && this->buffer.size() > 0 && !failure)
+            failure = parseMessagePart(this->stream, this->buffer, *this->parser);
+    }
+
+    // Whether another request may follow on the connection. The parser's own view includes fields of a trailer.
+    bool isReusable() const
+    {
+        return this->parser && this->parser->is_done() && this->parser->keep_alive() && this->header.keep_alive()
+            && this->buffer.size() == 0;
     }
 
     // Bytes that are received and not parsed yet. The parser consumes a body as it arrives, but waits for the end of a
@@ -53,7 +56,7 @@
     beast::tcp_stream stream;
     std::string address;
     beast::flat_buffer buffer { MaximumBufferedBytes };
-    std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<HttpMessageParser<false>> parser;
     HttpResponseHeader header;
     TimePoint reusableUntil {};
 };
@@ -278,8 +281,7 @@
 {
     // Bytes after a complete response do not belong to any request, so the next response on the connection could not be
     // matched to its request. Such a connection is closed.
-    if (!this->connection || !this->connection->parser || !this->connection->parser->is_done()
-        || !this->connection->parser->keep_alive() || this->connection->buffer.size() > 0)
+    if (!this->connection || !this->connection->isReusable())
         return;
     if (const auto pool = this->pool.lock())
         pool->put(std::move(this->connection));
@@ -302,9 +304,7 @@
     auto& body = parser.get().body();
     this->connection->stream.expires_after(timeout);
     while (!parser.is_done() && body.empty()) {
-        error_code failure;
-        co_await http::async_read_some(this->connection->stream, this->connection->buffer, parser,
-            asio::redirect_error(asio::use_awaitable, failure));
+        const auto failure = co_await readMessagePart(this->connection->stream, this->connection->buffer, parser);
         Pool::report(this->pool, this->connection->address, failure);
         if (failure == beast::error::timeout)
             co_return HttpError::Timeout;
@@ -381,8 +381,9 @@
     }
     connection->parser.emplace();
     connection->parser->body_limit(limits.maximumResponseBytes);
-    co_await http::async_read_header(connection->stream, connection->buffer, *connection->parser,
-        asio::redirect_error(asio::use_awaitable, failure));
+    connection->parser->setHeaderLimit(limits.maximumHeaderBytes);
+    while (!failure && !connection->parser->is_header_done())
+        failure = co_await readMessagePart(connection->stream, connection->buffer, *connection->parser);
     Pool::report(pool, address, failure);
     if (failure)
         co_return responseError(failure);
--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -14,6 +14,7 @@
 
 struct HttpClientLimits {
     Duration connectTimeout { std::chrono::seconds { 1 } };
+    std::size_t maximumHeaderBytes { 8 * 1024 }; // Also of a trailer, whose fields are dropped.
     std::size_t maximumResponseBytes { 64 * 1024 * 1024 };
     // Bytes that the incomplete bodies of readAll() hold together. A body may grow while it is no larger than what is
     // left, so that few large ones fit, or many small ones; up to AlwaysHeldBytes it may grow in any case.
--- a/test/StoreClient_test.cpp
+++ b/test/StoreClient_test.cpp
@@ -10,6 +10,7 @@
 #include <gtest/gtest.h>
 
 #include "DrippingServer.h"
+#include "RawServer.h"
 #include "base/HttpServer.h"
 #include "platform/LogFormat.h"
 
@@ -188,6 +189,21 @@
     EXPECT_TRUE(this->run(this->client.changes(KeyedStream::Targets, 3, 0s)));
 }
 
+// Such an answer ended the process that read it: all instances at once, also while they start.
+TEST_F(StoreClientTest, AnswerWithATrailerFieldOfManyBytesFailsAndTheNextOneIsRead)
+{
+    testing::RawServer odd { this->context,
+        [](const HttpRequest&) {
+            const std::string listing = R"({"items":[],"endOffset":3})";
+            return testing::RawAnswer { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1a\r\n" + listing
+                + "\r\n0\r\nX-Odd: " + std::string(70'000, 'o') + "\r\n\r\n" };
+        } };
+    this->client.setAddress(odd.address());
+    EXPECT_FALSE(this->run(this->client.newestPart(KeyedStream::Targets, {})));
+    this->client.setAddress(this->address);
+    EXPECT_TRUE(this->listing(R"({"items":[],"endOffset":3})"));
+}
+
 // The store limits the size of an answer. Its reader took the first part for all changes.
 TEST_F(StoreClientTest, ChangesSayWhetherOthersFollow)
 {
