Log an exception that leaves a handler of the event loop, and go on

Change: runEventLoop() logs the type and text of what left a handler and goes on with the next one. Weighed against an end with a message, which cuts off all accepted requests for the fault of one operation; see docs/design/TRAILERS.md. Programs now run outside of LEAF's handlers, so that an exception before the event loop is printed as well.

A settings file that cannot be read for a reason without a text now ends a program with exit code 2 and a message; it was 1 and silent.

--- a/src/base/Program.cpp
+++ b/src/base/Program.cpp
@@ -3,7 +3,10 @@
 #include <cstdio>
 #include <fstream>
 #include <iostream>
+#include <optional>
+#include <typeinfo>
 
+#include <boost/core/demangle.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <getopt.h>
 #include <glog/logging.h>
@@ -74,22 +77,35 @@
     std::cout << "\nExit codes: 0 success, 1 failure, 2 invalid command line or settings.\n";
 }
 
-int runWithSettings(const std::string& config, bool isCheck, const ProgramDescription& description,
-    const std::function<int(const Settings&, const std::string&)>& run)
+// Returns nothing, and writes the problem to the standard error stream, if the settings are invalid.
+std::optional<Settings> loadSettings(const std::string& config, std::span<const SettingSpecification> specifications)
 {
     return boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<int> {
-            BOOST_LEAF_AUTO(settings, Settings::load(config, description.settings));
-            if (!isCheck)
-                return run(settings, config);
-            std::cout << config << ": settings are valid\n";
-            return static_cast<int>(ExitCode::Success);
+        [&]() -> boost::leaf::result<std::optional<Settings>> {
+            BOOST_LEAF_AUTO(settings, Settings::load(config, specifications));
+            return settings;
         },
         [](const SettingsProblem& problem) {
             std::cerr << problem.message << '\n';
-            return static_cast<int>(ExitCode::Usage);
+            return std::optional<Settings> {};
         },
-        [] { return static_cast<int>(ExitCode::Failure); });
+        [&] {
+            std::cerr << config << ": the settings could not be read\n";
+            return std::optional<Settings> {};
+        });
+}
+
+// The program runs outside of LEAF's handlers, which would take an exception for an error without a text.
+int runWithSettings(const std::string& config, bool isCheck, const ProgramDescription& description,
+    const std::function<int(const Settings&, const std::string&)>& run)
+{
+    const auto settings = loadSettings(config, description.settings);
+    if (!settings)
+        return static_cast<int>(ExitCode::Usage);
+    if (!isCheck)
+        return run(*settings, config);
+    std::cout << config << ": settings are valid\n";
+    return static_cast<int>(ExitCode::Success);
 }
 
 }
@@ -130,6 +146,19 @@
     }
 }
 
+void runEventLoop(boost::asio::io_context& context)
+{
+    while (true) {
+        try {
+            context.run();
+            return;
+        } catch (const std::exception& failure) {
+            LOG(ERROR) << "exception left a handler of the event loop: "
+                       << boost::core::demangle(typeid(failure).name()) << ": " << failure.what();
+        }
+    }
+}
+
 void writePorts(const std::string& path, std::span<const std::pair<std::string, std::uint16_t>> ports)
 {
     if (path == "-") {
--- a/src/base/Program.h
+++ b/src/base/Program.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include <boost/asio/io_context.hpp>
+
 #include "base/Settings.h"
 
 namespace marigoldpaddle {
@@ -34,6 +36,11 @@
 int runProgram(int argc, char** argv, const ProgramDescription& description,
     const std::function<int(const Settings&, const std::string&)>& run);
 
+// Runs the event loop until it is stopped. An exception that leaves one of its handlers is logged with its type and
+// text, and ends the operation that threw it and no other: to end the process instead would cut off every request that
+// it has accepted.
+void runEventLoop(boost::asio::io_context& context);
+
 // Writes the bound ports as `key=port` lines to `path`, or to the standard output if `path` is "-". The file is written
 // under a temporary name and renamed, so that no reader sees an incomplete file.
 void writePorts(const std::string& path, std::span<const std::pair<std::string, std::uint16_t>> ports);
--- a/src/programs/DispatcherMain.cpp
+++ b/src/programs/DispatcherMain.cpp
@@ -78,7 +78,7 @@
         grace.expires_after(values.milliseconds("stop", "grace_ms"));
         grace.async_wait([&](const boost::system::error_code&) { context.stop(); });
     });
-    context.run();
+    runEventLoop(context);
     return static_cast<int>(ExitCode::Success);
 }
 
--- a/src/programs/GatewayMain.cpp
+++ b/src/programs/GatewayMain.cpp
@@ -84,7 +84,7 @@
         auto stopping = stopGracefully(context, gateway, server, values.milliseconds("stop", "grace_ms"));
         boost::asio::co_spawn(context, std::move(stopping), boost::asio::detached);
     });
-    context.run();
+    runEventLoop(context);
     return static_cast<int>(ExitCode::Success);
 }
 
--- a/src/programs/NodeMain.cpp
+++ b/src/programs/NodeMain.cpp
@@ -131,7 +131,7 @@
     asio::signal_set signals { context, SIGTERM, SIGINT };
     signals.async_wait(
         [&](const boost::system::error_code&, int) { asio::co_spawn(context, node.stopGracefully(), asio::detached); });
-    context.run();
+    runEventLoop(context);
     // Exits without running destructors: suspended background tasks refer to the objects above, and no order of
     // destruction is safe for all of them. The tasks hold no resources that outlive the process.
     std::quick_exit(static_cast<int>(ExitCode::Success));
