Take an answer with a status above 599 for malformed

Callers got answers of a server in trouble whose status was 600 or 999, with its seal, as the server's. HTTP defines statuses from 100 to 599; 000 and interim ones were malformed before.

Ruled out: a path on which 000 is delivered (HttpClient::start() is the only place that reads a status, for targets, peers, orders and the store).

Before: HttpClientStatusTest failed on at 600. After: it passes.

--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -69,6 +69,7 @@
 using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned LastStatus = 599;
 constexpr int LostProbes = 2; // Unanswered probes after which the connection fails.
 
 void enableProbes(tcp::socket& socket, std::chrono::seconds after)
@@ -387,8 +388,10 @@
     Pool::report(pool, address, failure);
     if (failure)
         co_return responseError(failure);
-    // No request asks for an interim response, so it is none of the answers that a server may give.
-    if (connection->parser->get().result_int() < FirstFinalStatus)
+    // No request asks for an interim response, so it is none of the answers that a server may give. HTTP defines no
+    // status above 599.
+    const auto status = connection->parser->get().result_int();
+    if (status < FirstFinalStatus || status > LastStatus)
         co_return HttpError::Malformed;
     connection->stream.expires_never();
     connection->header = HttpResponseHeader { connection->parser->get().base() };
