Take an early answer without length for cut off

Callers got a part of an answer as a complete one: a server that had read 3,000 bytes of an upload answered 200 without a length, sent a part, ended its side of the connection and reset it later. The rest of the upload lay in this host's send buffer, so that the write had ended and the reader saw an orderly end.

Change: such an end completes an answer only if the server's host has acknowledged the whole request (SIOCOUTQ) and no reset is behind it (SO_ERROR). A host that has received the request acknowledges it with the end at the latest, so that sound answers are not affected. A safe request is sent elsewhere, another one gets 502, a stream is broken off. The hop over a peer, orders and the store use the same reader.

--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -14,7 +14,10 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/write.hpp>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include "base/HttpReader.h"
 
@@ -49,6 +52,20 @@
             && this->buffer.size() == 0;
     }
 
+    // Whether a response that ends with its connection may be a part of one, since the server has stopped reading: its
+    // host has not acknowledged the whole request, or a reset has followed the end.
+    bool hasEndedEarly()
+    {
+        if (!this->parser->need_eof())
+            return false;
+        const auto handle = this->stream.socket().native_handle();
+        int unacknowledged = 0;
+        int reset = 0;
+        socklen_t size = sizeof(reset);
+        return (::ioctl(handle, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0)
+            || (::getsockopt(handle, SOL_SOCKET, SO_ERROR, &reset, &size) == 0 && reset != 0);
+    }
+
     // Bytes that are received and not parsed yet. The parser consumes a body as it arrives, but waits for the end of a
     // header, a chunk extension or a trailer, which a faulty server may never send.
     static constexpr std::size_t MaximumBufferedBytes = 128 * 1024;
@@ -313,6 +330,10 @@
             co_return responseError(failure) == HttpError::Malformed ? HttpError::Malformed : HttpError::Truncated;
     }
     this->connection->stream.expires_never();
+    if (parser.is_done() && body.empty() && this->connection->hasEndedEarly()) {
+        this->connection->stream.close();
+        co_return HttpError::Truncated;
+    }
     this->connection->parseBuffered();
     co_return std::exchange(body, std::string {});
 }
