Read the rest of a rejected request before closing

Callers could lose the reason of a refusal (413, 431, 503): the instance answered and closed while they still wrote, and a close with unread bytes resets the connection. A caller that writes first sees only the reset; on a lossy path the reset can also overtake the answer.

Change: after the answer the server ends its side and drops what still arrives, for as long as a request may take (HttpServerLimits:: receiveTimeout) and at most twice its bytes. Such a connection counts as idle, so that a new one may take its place; it holds 4 KiB.

--- a/src/base/HttpServer.cpp
+++ b/src/base/HttpServer.cpp
@@ -34,6 +34,8 @@
 
 // A pipelined request and a piece of a body fit into it.
 constexpr std::size_t MinimumBufferBytes = 128 * 1024;
+// What is read at once of a request that was rejected.
+constexpr std::size_t DiscardedBytes = 4 * 1024;
 // Memory of a header field beside its name and value.
 constexpr std::size_t FieldOverheadBytes = 64;
 
@@ -273,10 +275,27 @@
         this->buffer.shrink_to_fit();
         this->held.force(0);
         this->stream.expires_never();
-        co_await this->respond(this->state->handler.makeFaultResponse(*fault));
+        if (co_await this->respond(this->state->handler.makeFaultResponse(*fault)))
+            co_await this->discardRest();
         co_return false;
     }
 
+    // Reads and drops what the caller still sends of a rejected request, for as long as a request may take, and twice
+    // as many bytes. To close a connection with unread bytes resets it, and the reset can reach the caller before the
+    // response.
+    asio::awaitable<void> discardRest()
+    {
+        error_code failure;
+        this->stream.socket().shutdown(tcp::socket::shutdown_send, failure);
+        this->stream.expires_after(this->state->limits.receiveTimeout);
+        this->waitingSince = timerNow(); // A new connection may take its place.
+        std::string dropped(DiscardedBytes, '\0');
+        for (std::size_t bytes = 0; !failure && bytes < 2 * this->state->limits.bodyBytes;)
+            bytes += co_await this->stream.async_read_some(
+                asio::buffer(dropped), asio::redirect_error(asio::use_awaitable, failure));
+        this->waitingSince.reset();
+    }
+
     void applyLimits()
     {
         // A chunk extension or a trailer is buffered until its end, which may never come.
--- a/test/HttpServer_test.cpp
+++ b/test/HttpServer_test.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
@@ -186,6 +188,58 @@
     EXPECT_EQ(exchange(1000), "HTTP/1.1 200 OK");
 }
 
+// The rest of a rejected upload was not read, so that the close became a reset, which can overtake the answer.
+class HttpServerRejectedUploadTest : public ::testing::Test {
+protected:
+    // What a caller sees that sends its whole request before it reads.
+    struct Seen {
+        boost::system::error_code write;
+        std::string answer;
+        boost::system::error_code end;
+    };
+
+    Seen upload(std::size_t bytes)
+    {
+        Seen seen;
+        bool isDone = false;
+        const std::string request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(bytes)
+            + "\r\n\r\n" + std::string(bytes, 'x');
+        asio::co_spawn(
+            this->context,
+            [&]() -> asio::awaitable<void> {
+                tcp::socket caller { this->context };
+                co_await caller.async_connect({ asio::ip::address_v4::loopback(), this->port }, asio::use_awaitable);
+                co_await asio::async_write(
+                    caller, asio::buffer(request), asio::redirect_error(asio::use_awaitable, seen.write));
+                std::string piece(1024, '\0');
+                while (!seen.end) {
+                    const auto count = co_await caller.async_receive(
+                        asio::buffer(piece), asio::redirect_error(asio::use_awaitable, seen.end));
+                    seen.answer += piece.substr(0, count);
+                }
+                isDone = true;
+                this->context.stop();
+            },
+            asio::detached);
+        this->context.run_for(10s);
+        EXPECT_TRUE(isDone);
+        return seen;
+    }
+
+    asio::io_context context { 1 };
+    ReplyHandler handler;
+    HttpServer server { this->context, this->handler, { .bodyBytes = 5 * 1024 * 1024 } };
+    std::uint16_t port { this->server.listen("127.0.0.1:0") };
+};
+
+TEST_F(HttpServerRejectedUploadTest, CallerThatStillWritesIsNotResetAndReadsTheAnswer)
+{
+    const auto seen = this->upload(8 * 1024 * 1024);
+    EXPECT_FALSE(seen.write) << seen.write.message();
+    EXPECT_EQ(seen.answer.substr(0, seen.answer.find("\r\n")), "HTTP/1.1 413 Payload Too Large");
+    EXPECT_EQ(seen.end, asio::error::eof) << seen.end.message();
+}
+
 // Records whether the caller had left when its request was handled, and answers.
 class CallerLeftHandler final : public HttpHandler {
 public:
