Let the soak send trailers beyond the limits

Change: two events. OddRequests sends a request with a trailer field of 70,000 bytes to the three HTTP addresses of a node; like planned work, it excuses nothing. OddTrailers lets the order service end answers that way.

--- a/standins/ServiceStandin.cpp
+++ b/standins/ServiceStandin.cpp
@@ -1,5 +1,7 @@
 #include "standins/ServiceStandin.h"
 
+#include <sstream>
+
 #include <boost/beast/http/verb.hpp>
 #include <boost/json.hpp>
 
@@ -17,6 +19,17 @@
 constexpr unsigned StatusCreated = 201;
 constexpr unsigned StatusUnavailable = 503;
 constexpr std::chrono::milliseconds FrozenPollPeriod { 5 };
+// Exceeds the limits of headers, and the size of a field that HTTP libraries store.
+constexpr std::size_t OddFieldBytes = 70'000;
+
+// Returns a body as one chunk, followed by a trailer with an overlong field.
+std::string chunksWithTrailer(std::string_view body)
+{
+    std::ostringstream chunks;
+    chunks << std::hex << body.size() << "\r\n"
+           << body << "\r\n0\r\nX-Odd: " << std::string(OddFieldBytes, 'o') << "\r\n\r\n";
+    return std::move(chunks).str();
+}
 
 std::string fieldOf(const HttpRequest& request, std::string_view name)
 {
@@ -77,6 +90,14 @@
             co_await exchange.write(std::string_view { response.body() }.substr(0, response.body().size() / 2));
         co_return;
     }
+    if (consumeFault(this->faults.oddTrailers)) {
+        HttpResponseHeader header { response.base() };
+        header.chunked(true);
+        if (co_await exchange.beginStreamWithoutLength(std::move(header))
+            && co_await exchange.write(chunksWithTrailer(response.body())))
+            co_await exchange.endStream();
+        co_return;
+    }
     co_await exchange.respond(std::move(response));
 }
 
@@ -161,6 +182,7 @@
     readField(object, "drop_answers", this->faults.dropAnswers);
     readField(object, "drop_requests", this->faults.dropRequests);
     readField(object, "truncate_answers", this->faults.truncateAnswers);
+    readField(object, "odd_trailers", this->faults.oddTrailers);
     readField(object, "frozen", this->faults.isFrozen);
     readField(object, "leaving", this->faults.isLeaving);
     readField(object, "declining", this->faults.isDeclining);
--- a/standins/ServiceStandin.h
+++ b/standins/ServiceStandin.h
@@ -16,6 +16,7 @@
     std::uint64_t dropAnswers { 0 }; // Counter of orders that take effect but get no response.
     std::uint64_t dropRequests { 0 }; // Counter of orders that take no effect and get no response.
     std::uint64_t truncateAnswers { 0 }; // Counter of orders that take effect but get only half of the response.
+    std::uint64_t oddTrailers { 0 }; // Counter of orders whose response ends with a trailer field beyond any limit.
     bool isFrozen { false }; // Orders wait until this is cleared, then take effect.
     bool isLeaving { false }; // States so in every answer to an order.
     bool isDeclining { false }; // Orders take no effect and get 503 with the not-executed header.
--- a/test/ServiceStandin_test.cpp
+++ b/test/ServiceStandin_test.cpp
@@ -86,6 +86,14 @@
     EXPECT_THAT(this->counts(), HasSubstr(R"("orders":1)"));
 }
 
+TEST_F(ServiceStandinTest, OrderWhoseAnswerHasAnOddTrailerTakesEffect)
+{
+    this->setFaults(R"({"odd_trailers":1})");
+    EXPECT_FALSE(this->order());
+    EXPECT_THAT(this->counts(), HasSubstr(R"("orders":1)"));
+    EXPECT_EQ(this->order().value().result_int(), 201u);
+}
+
 TEST_F(ServiceStandinTest, OrderDuringOutageGetsNoAnswerAndTakesNoEffect)
 {
     this->setFaults(R"({"down":true})");
--- a/test/SoakCluster.cpp
+++ b/test/SoakCluster.cpp
@@ -6,8 +6,14 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
 #include <boost/json.hpp>
 
 #include "standins/StandinProgram.h"
@@ -30,6 +36,8 @@
 constexpr Duration ReadinessPeriod = 1s;
 constexpr unsigned MissesUntilOut = 2;
 constexpr std::string_view EngineMemory = "60000";
+// Exceeds the limit of a header and what the library stores of a field.
+constexpr std::size_t OddFieldBytes = 70'000;
 
 std::string routeJson(
     std::string_view name, std::string_view kind, std::string_view service, int timeoutMs, std::string_view more = {})
@@ -126,6 +134,7 @@
     switch (fault.fault) {
     case StopNode:
     case ReloadNode:
+    case OddRequests:
     case KillNode:
     case FreezeNode:
     case StoreLink:
@@ -143,6 +152,7 @@
     case LostAnswers:
     case LostOrders:
     case TruncatedAnswers:
+    case OddTrailers:
     case FrozenOrders:
         co_await this->injectIntoService(this->services[fault.subject], fault);
         break;
@@ -174,6 +184,9 @@
 {
     if (fault.fault == SoakFault::ReloadNode) {
         node.process->signal(SIGHUP);
+    } else if (fault.fault == SoakFault::OddRequests) {
+        for (const auto* const address : { "callers", "ready", "relays" })
+            co_await this->sendOddRequest(node.process->address(address, node.host));
     } else if (fault.fault == SoakFault::StoreLink) {
         node.store->setFault(fault.link, std::chrono::milliseconds { fault.amount });
         co_await this->pause(fault.length);
@@ -193,6 +206,28 @@
     }
 }
 
+// A node that ends is reported by checkProcesses(); the answer, if any, must be a refusal.
+asio::awaitable<void> SoakCluster::sendOddRequest(std::string address)
+{
+    using tcp = asio::ip::tcp;
+    const auto [host, port] = splitAddress(address);
+    const auto request = "POST /nowhere HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Odd: "
+        + std::string(OddFieldBytes, 'o') + "\r\n\r\n";
+    boost::beast::tcp_stream stream { this->context };
+    stream.expires_after(ControlTimeout);
+    boost::system::error_code failure;
+    const tcp::endpoint endpoint { asio::ip::make_address(host), port };
+    co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure)
+        co_await asio::async_write(stream, asio::buffer(request), asio::redirect_error(asio::use_awaitable, failure));
+    boost::beast::flat_buffer buffer;
+    HttpResponse response;
+    if (!failure)
+        co_await http::async_read(stream, buffer, response, asio::redirect_error(asio::use_awaitable, failure));
+    if (!failure && response.result_int() < 400)
+        this->report.violate("odd-request", address + " answered with " + std::to_string(response.result_int()));
+}
+
 asio::awaitable<void> SoakCluster::injectIntoEngine(Target& engine, PlannedFault fault)
 {
     using enum SoakFault;
@@ -268,6 +303,7 @@
     const auto* field = fault.fault == LostAnswers ? "drop_answers"
         : fault.fault == LostOrders                ? "drop_requests"
         : fault.fault == TruncatedAnswers          ? "truncate_answers"
+        : fault.fault == OddTrailers               ? "odd_trailers"
                                                    : "frozen";
     const auto isFrozen = fault.fault == FrozenOrders;
     const auto on
--- a/test/SoakCluster.h
+++ b/test/SoakCluster.h
@@ -100,6 +100,7 @@
     boost::asio::awaitable<void> watchReadiness(Node& node);
     boost::asio::awaitable<void> stopNode(Node& node);
     boost::asio::awaitable<void> injectIntoNode(Node& node, PlannedFault fault);
+    boost::asio::awaitable<void> sendOddRequest(std::string address);
     boost::asio::awaitable<void> injectIntoEngine(Target& engine, PlannedFault fault);
     boost::asio::awaitable<void> drainAndRestart(Target& engine, Duration length);
     boost::asio::awaitable<void> injectIntoService(Target& service, PlannedFault fault);
--- a/test/SoakPlan.cpp
+++ b/test/SoakPlan.cpp
@@ -19,14 +19,15 @@
 constexpr Duration StopReserve = 10s;
 constexpr Duration RestartReserve = 2s;
 
-constexpr std::array Names { "stop-node", "reload-node", "configure", "drain-engine", "kill-node", "freeze-node",
-    "kill-engine", "freeze-engine", "freeze-store", "silent-engine", "declining-engine", "limited-engine",
-    "failing-engine", "broken-stream", "late-orders", "slow-engine", "store-down", "store-silent", "store-slow",
-    "lost-answers", "lost-orders", "truncated-answers", "frozen-orders", "engine-link", "store-link", "stall" };
+constexpr std::array Names { "stop-node", "reload-node", "configure", "odd-requests", "drain-engine", "kill-node",
+    "freeze-node", "kill-engine", "freeze-engine", "freeze-store", "silent-engine", "declining-engine",
+    "limited-engine", "failing-engine", "broken-stream", "late-orders", "slow-engine", "store-down", "store-silent",
+    "store-slow", "lost-answers", "lost-orders", "truncated-answers", "odd-trailers", "frozen-orders", "engine-link",
+    "store-link", "stall" };
 constexpr std::array LinkNames { "none", "delay", "reset", "cut-to-server", "cut-to-client", "silence" };
 
 constexpr std::array PlannedWork { SoakFault::StopNode, SoakFault::StopNode, SoakFault::ReloadNode,
-    SoakFault::Configure, SoakFault::Configure, SoakFault::DrainEngine };
+    SoakFault::Configure, SoakFault::Configure, SoakFault::OddRequests, SoakFault::DrainEngine };
 
 class Planner {
 public:
@@ -109,11 +110,13 @@
         switch (fault) {
         case ReloadNode:
         case Configure:
+        case OddRequests:
         case FailingEngine:
         case BrokenStream:
         case LostAnswers:
         case LostOrders:
         case TruncatedAnswers:
+        case OddTrailers:
             return 300ms;
         case SilentEngine:
             return this->between(500ms, 1500ms);
@@ -165,6 +168,7 @@
     switch (fault) {
     case StopNode:
     case ReloadNode:
+    case OddRequests:
     case KillNode:
     case FreezeNode:
         return SoakPart::Node;
@@ -176,6 +180,7 @@
     case LostAnswers:
     case LostOrders:
     case TruncatedAnswers:
+    case OddTrailers:
     case FrozenOrders:
         return SoakPart::Service;
     case EngineLink:
--- a/test/SoakPlan.h
+++ b/test/SoakPlan.h
@@ -17,6 +17,7 @@
     StopNode, // SIGTERM; the node starts again `length` after its end.
     ReloadNode, // SIGHUP.
     Configure, // A new version of the configuration, with another route.
+    OddRequests, // Requests in chunks whose trailers are beyond the limits, at each address of a node.
     DrainEngine, // Registered as draining for `length`, then restarted when it is idle.
     // Signals.
     KillNode, // SIGKILL; the node starts again after `length`.
@@ -38,6 +39,7 @@
     LostAnswers, // Orders take effect and get no answer.
     LostOrders, // Orders take no effect and get no answer.
     TruncatedAnswers,
+    OddTrailers, // Answers end with a trailer field that is beyond the limits.
     FrozenOrders, // Orders wait.
     // Faults of a proxy.
     EngineLink, // Between all nodes and one engine.
