Ask the header whether a request states its length

The build with sanitizers failed: with -O1 and sanitizers g++ 12 warns that the optional of basic_parser::content_length() may be uninitialized where it is inlined, as it is since the parser has a final type.

Change: chargeMessage() asks the header for Content-Length, which is the same, and returns early while the header is incomplete. No change of behaviour.

After: the file builds with and without sanitizers.

--- a/src/base/HttpServer.cpp
+++ b/src/base/HttpServer.cpp
@@ -362,15 +362,15 @@
     {
         if (this->isReclaimed)
             return false;
+        if (!this->parser->is_header_done())
+            return this->held.resize(this->buffer.capacity(), timerNow());
         const auto& message = this->parser->get();
-        const bool hasHeader = this->parser->is_header_done();
-        if (this->headerBytes == 0 && hasHeader) {
+        if (this->headerBytes == 0) {
             for (const auto& field : message)
                 this->headerBytes += FieldOverheadBytes + field.name_string().size() + field.value().size();
         }
         // A body with a stated length is reserved as a whole, which takes memory only as it is filled.
-        const bool hasLength = hasHeader && this->parser->content_length();
-        const auto body = hasLength ? message.body().size() : message.body().capacity();
+        const auto body = message.has_content_length() ? message.body().size() : message.body().capacity();
         return this->held.resize(this->headerBytes + body + this->buffer.capacity(), timerNow());
     }
 
