--- /dev/null
+++ b/review/standins-3/SlowReaders.cpp
@@ -0,0 +1,111 @@
+// review/14: a crowd reads the answers to its requests very slowly. See review/14/claim.txt.
+#include "Kit.h"
+
+using namespace kit;
+
+namespace {
+
+constexpr int Crowd = 1'400; // Connections, below half of the machine's descriptors.
+constexpr std::size_t AnswerBytes = 256 * 1024;
+constexpr long CrowdPeriodMs = 3; // Between two requests of the crowd.
+constexpr long UnreadMs = 8'000;
+constexpr std::size_t MachineBytes = std::size_t { 260 } * 1024 * 1024; // `memoryMb`
+constexpr long PlayMs = 16'000;
+
+}
+
+int main(int argc, char** argv)
+{
+    begin(argc, argv);
+    const std::string host = "127.0.0.1";
+    Store store { host };
+    std::vector<std::unique_ptr<Server>> servers;
+    std::atomic<int> ran { 0 };
+    for (int i = 0; i < 3; ++i) {
+        const auto id = "dispatch-" + std::to_string(i);
+        servers.push_back(std::make_unique<Server>(host, [&ran, id](const Message& request, int fd) {
+            ++ran;
+            const auto attempt = request.field("Marigoldpaddle-Attempt-Id");
+            const auto isReport = request.target().ends_with("report");
+            sleepMs(5);
+            return sendAll(fd,
+                answerText(200,
+                    "Marigoldpaddle-Attempt-Id: " + attempt + "\r\nMarigoldpaddle-Server-Seal: " + id + "\r\n",
+                    std::string(isReport ? AnswerBytes : 800, 'x')));
+        }));
+        store.put("keyed.servers", id,
+            registration("dispatch-app", servers.back()->address(), "hu-central-a", unixMs()));
+    }
+    store.put("keyed.op", "config",
+        configuration(7, route("freezer", "/freezer/", "safe", "dispatch-app", 5'000, 2),
+            service("dispatch-app", 110)));
+    const auto port = freePort("127.0.1.1");
+    auto node = makeNode("node-1", "127.0.1.1", "hu-central-a", store.address(),
+        "127.0.1.1:" + std::to_string(port), port);
+    start(node);
+    if (!waitUntilReady(node))
+        finish(CouldNotRun, "the node did not get ready");
+    sleepMs(4'000);
+    record("resident before: " + std::to_string(residentBytes(node.pid) / 1024) + " KB");
+
+    std::atomic<bool> isOver { false };
+    std::atomic<std::size_t> peak { 0 };
+    std::atomic<bool> isKilled { false };
+    // What the platform does: "A process that exceeds `memoryMb` is killed." Bytes that the kernel holds for the process
+    // are left out, in its favour.
+    std::thread machine { [&] {
+        long loggedAt = 0;
+        while (!isOver) {
+            const auto resident = residentBytes(node.pid);
+            peak = std::max(peak.load(), resident);
+            if (nowMs() - loggedAt >= 500) {
+                loggedAt = nowMs();
+                record("resident: " + std::to_string(resident / 1024) + " KB, run: " + std::to_string(ran));
+            }
+            if (resident > MachineBytes && !isKilled) {
+                record("resident: " + std::to_string(resident / 1024) + " KB; the machine kills the process");
+                ::kill(node.pid, SIGKILL);
+                isKilled = true;
+            }
+            sleepMs(10);
+        }
+    } };
+    const auto endAt = nowMs() + PlayMs;
+    std::vector<std::thread> threads;
+    std::atomic<int> crowdAnswered { 0 };
+    for (int number = 0; number < Crowd; ++number) {
+        threads.emplace_back([&, number] {
+            sleepMs(number * CrowdPeriodMs);
+            // Clients that read slowly offer a small window.
+            const int fd = connectTo(node.host, node.front, hasTrouble() ? 4096 : 0);
+            if (fd < 0)
+                return;
+            sendAll(fd, requestText("GET", "/freezer/report", "crowd-" + std::to_string(number), 10'000));
+            if (hasTrouble())
+                sleepMs(UnreadMs);
+            Reader reader { fd };
+            const auto answer = reader.read(std::max(1L, endAt - nowMs()), false);
+            crowdAnswered += answer && answer->status() == 200;
+            ::close(fd);
+        });
+    }
+    std::atomic<int> asked { 0 };
+    std::atomic<int> served { 0 };
+    while (nowMs() < endAt) {
+        threads.emplace_back([&] {
+            const auto id = "ordinary-" + std::to_string(++asked);
+            const auto answer = callOnce(node, requestText("GET", "/freezer/stock", id, 1'500), 2'000);
+            served += answer.status == 200;
+            record(id + ": status " + std::to_string(answer.status) + " after " + std::to_string(answer.tookMs) + " ms");
+        });
+        sleepMs(200);
+    }
+    for (auto& thread : threads)
+        thread.join();
+    isOver = true;
+    machine.join();
+    const auto text = "peak of the resident memory " + std::to_string(peak / 1024 / 1024) + " MB of 260; "
+        + std::to_string(asked) + " ordinary requests, " + std::to_string(served) + " served; " + std::to_string(ran)
+        + " run, " + std::to_string(crowdAnswered) + " answers read by the crowd";
+    finish(isKilled || hasEnded(node) ? Broken : Held, text);
+}
