--- a/review/standins-3/ExpectVersion.cpp
+++ b/review/standins-3/ExpectVersion.cpp
@@ -67,13 +67,14 @@
         registered.emplace_back(id, *address);
     }
     Server desk { host, [](const Message& request, int fd) {
-        const auto attempt = request.field("Marigoldpaddle-Attempt-Id");
-        record("run: " + attempt + " at dispatch-0");
-        sleepMs(15);
-        return sendAll(fd,
-            answerText(200, "Marigoldpaddle-Attempt-Id: " + attempt + "\r\nMarigoldpaddle-Server-Seal: dispatch-0\r\n",
-                std::string(800, 'x')));
-    } };
+                     const auto attempt = request.field("Marigoldpaddle-Attempt-Id");
+                     record("run: " + attempt + " at dispatch-0");
+                     sleepMs(15);
+                     return sendAll(fd,
+                         answerText(200,
+                             "Marigoldpaddle-Attempt-Id: " + attempt + "\r\nMarigoldpaddle-Server-Seal: dispatch-0\r\n",
+                             std::string(800, 'x')));
+                 } };
     auto beat = [&, sequence = 0]() mutable {
         ++sequence;
         const auto withSequence = [&](std::string entry) {
@@ -102,8 +103,8 @@
     const auto seeds = "127.0.1.1:" + std::to_string(port) + ",127.0.1.2:" + std::to_string(port);
     std::vector<Node> nodes;
     for (int i = 1; i <= 2; ++i) {
-        nodes.push_back(makeNode("node-" + std::to_string(i), "127.0.1." + std::to_string(i), "hu-central-a",
-            store.address(), seeds, port));
+        nodes.push_back(makeNode(
+            "node-" + std::to_string(i), "127.0.1." + std::to_string(i), "hu-central-a", store.address(), seeds, port));
         start(nodes.back());
     }
     for (const auto& node : nodes) {
@@ -125,15 +126,15 @@
             const std::string prompt = "Marigoldpaddle-Model: m\r\nMarigoldpaddle-Token-Usage: 5000,200\r\n"
                                        "Marigoldpaddle-Prompt-Prefix: 0a000001:40,"
                 + std::to_string(10'000'000 + number) + ":4960\r\n";
-            const auto fields
-                = !isKerb ? "" : kind == "pinned" ? prompt + "Marigoldpaddle-Expect-Version: " + EarlierVersion + "\r\n"
-                                                  : prompt;
+            const auto fields = !isKerb ? ""
+                : kind == "pinned"      ? prompt + "Marigoldpaddle-Expect-Version: " + EarlierVersion + "\r\n"
+                                        : prompt;
             const auto answer = callOnce(nodes[static_cast<std::size_t>(node)],
                 requestText(isKerb ? "POST" : "GET", isKerb ? "/kerb/ask" : "/freezer/stock", id,
                     isKerb ? 10'000 : 1'500, fields, isKerb ? "{}" : ""),
                 10'500);
-            record(id + ": status " + std::to_string(answer.status) + " after " + std::to_string(answer.tookMs)
-                + " ms " + (answer.status == 200 ? "" : answer.body));
+            record(id + ": status " + std::to_string(answer.status) + " after " + std::to_string(answer.tookMs) + " ms "
+                + (answer.status == 200 ? "" : answer.body));
             if (!count)
                 return;
             ++count->asked;
@@ -169,7 +170,9 @@
     std::string text;
     bool isBroken = false;
     for (int node = 0; node < 2; ++node) {
-        const auto share = [](const Count& count) { return static_cast<double>(count.served) / std::max(1, count.asked.load()); };
+        const auto share = [](const Count& count) {
+            return static_cast<double>(count.served) / std::max(1, count.asked.load());
+        };
         text += "node " + std::to_string(node + 1) + ": kerb served " + std::to_string(kerbBefore[node].served) + " of "
             + std::to_string(kerbBefore[node].asked) + " before, " + std::to_string(kerbAfter[node].served) + " of "
             + std::to_string(kerbAfter[node].asked) + " after; freezer " + std::to_string(freezerAfter[node].served)
--- a/review/standins-3/Kit.h
+++ b/review/standins-3/Kit.h
@@ -426,8 +426,8 @@
             for (const auto& [key, value] : newest)
                 items += (items.empty() ? "" : ",") + std::string { "{\"key\":\"" } + key + "\",\"value\":\""
                     + base64(value.first) + "\",\"offset\":" + std::to_string(value.second) + "}";
-            const auto body = "{\"items\":[" + items + "],\"hasMore\":false,\"endOffset\":" + std::to_string(log.size())
-                + "}";
+            const auto body
+                = "{\"items\":[" + items + "],\"hasMore\":false,\"endOffset\":" + std::to_string(log.size()) + "}";
             lock.unlock();
             return sendAll(fd, answerText(200, "Store-Era: 1\r\nContent-Type: application/json\r\n", body));
         }
@@ -505,7 +505,9 @@
     const auto control = freePort(host);
     node.settings = folder() + "/" + name + ".ini";
     node.log = folder() + "/" + name + ".log";
-    const auto at = [&](int port) { return host + ":" + std::to_string(port); };
+    const auto at = [&](int port) {
+        return host + ":" + std::to_string(port);
+    };
     std::ofstream out { node.settings };
     out << "[instance]\nname = " << name << "\nzone = " << zone << "\n[listen]\ncallers = " << at(node.front)
         << "\nready = " << at(node.ready) << "\nmetrics = " << at(metrics) << "\nrelays = " << at(control)
@@ -567,7 +569,9 @@
         ::waitpid(pid, nullptr, 0);
     }
     if (const char* keep = std::getenv("KEEP"); !keep) {
-        const auto remove = [](const std::string& path) { ::unlink(path.c_str()); };
+        const auto remove = [](const std::string& path) {
+            ::unlink(path.c_str());
+        };
         for (int i = 0; i < 8; ++i) {
             remove(folder() + "/node-" + std::to_string(i) + ".ini");
             remove(folder() + "/node-" + std::to_string(i) + ".log");
@@ -669,8 +673,8 @@
 inline std::string registration(const std::string& service, const std::string& address, const std::string& zone,
     long born, const std::string& state = "ready", int slots = 6)
 {
-    return "{\"service\":\"" + service + "\",\"address\":\"" + address + "\",\"zone\":\"" + zone + "\",\"version\":\"1\""
-        + ",\"state\":\"" + state + "\",\"slots\":" + std::to_string(slots)
+    return "{\"service\":\"" + service + "\",\"address\":\"" + address + "\",\"zone\":\"" + zone
+        + "\",\"version\":\"1\"" + ",\"state\":\"" + state + "\",\"slots\":" + std::to_string(slots)
         + ",\"coldRemainingMs\":0,\"sequence\":0,\"born\":" + std::to_string(born) + "}";
 }
 
--- a/review/standins-3/ManyParts.cpp
+++ b/review/standins-3/ManyParts.cpp
@@ -56,7 +56,9 @@
         model.connections.insert(fd);
     }
     const auto attempt = request.field("Marigoldpaddle-Attempt-Id");
-    const auto isSame = [&] { return model.starts == start; };
+    const auto isSame = [&] {
+        return model.starts == start;
+    };
     const auto hasPart = request.field("Marigoldpaddle-Prompt-Prefix").find(CrashingPart) != std::string::npos;
     if (hasPart) {
         record("arrives: " + attempt + " at " + model.id);
@@ -116,8 +118,8 @@
     }
     std::snprintf(part, sizeof(part), "%08x:90", 0x70000000 + number);
     return requestText("POST", "/notes/summary", id, 10'000,
-        "Marigoldpaddle-Model: m\r\nMarigoldpaddle-Token-Usage: 45000,966\r\nMarigoldpaddle-Prompt-Prefix: " + prefix + part
-            + "\r\n",
+        "Marigoldpaddle-Model: m\r\nMarigoldpaddle-Token-Usage: 45000,966\r\nMarigoldpaddle-Prompt-Prefix: " + prefix
+            + part + "\r\n",
         "{\"number\":" + std::to_string(number) + "}");
 }
 
@@ -147,13 +149,13 @@
             registration("paddle-llm", model.server->address(), "hu-central-a", unixMs(), "ready", 16));
     }
     Server desk { host, [](const Message& request, int fd) {
-        sleepMs(15);
-        return sendAll(fd,
-            answerText(200,
-                "Marigoldpaddle-Attempt-Id: " + request.field("Marigoldpaddle-Attempt-Id")
-                    + "\r\nMarigoldpaddle-Server-Seal: dispatch-0\r\n",
-                std::string(800, 'x')));
-    } };
+                     sleepMs(15);
+                     return sendAll(fd,
+                         answerText(200,
+                             "Marigoldpaddle-Attempt-Id: " + request.field("Marigoldpaddle-Attempt-Id")
+                                 + "\r\nMarigoldpaddle-Server-Seal: dispatch-0\r\n",
+                             std::string(800, 'x')));
+                 } };
     store.put("keyed.servers", "dispatch-0", registration("dispatch-app", desk.address(), "hu-central-a", unixMs()));
     const std::string notes
         = R"({"name":"notes","host":"rounds.example","pathPrefix":"/notes/","kind":"stream","service":"paddle-llm",)"
@@ -170,8 +172,8 @@
     const auto seeds = "127.0.1.1:" + std::to_string(port) + ",127.0.1.2:" + std::to_string(port);
     std::vector<Node> nodes;
     for (int i = 1; i <= 2; ++i) {
-        nodes.push_back(makeNode("node-" + std::to_string(i), "127.0.1." + std::to_string(i), "hu-central-a",
-            store.address(), seeds, port));
+        nodes.push_back(makeNode(
+            "node-" + std::to_string(i), "127.0.1." + std::to_string(i), "hu-central-a", store.address(), seeds, port));
         start(nodes.back());
     }
     for (const auto& node : nodes) {
@@ -189,9 +191,10 @@
             const auto id = std::string { isCrashing ? "crashing-" : "sound-" } + std::to_string(own);
             const auto text = promptText(id, own, isCrashing);
             const auto result = callOnce(nodes[node], text, 11'000);
-            record(id + " at node-" + std::to_string(node + 1) + ": " + std::to_string(text.size()) + " bytes sent, status "
-                + std::to_string(result.status) + (result.end == Reader::End::Whole ? ", whole" : ", not whole")
-                + " after " + std::to_string(result.tookMs) + " ms");
+            record(id + " at node-" + std::to_string(node + 1) + ": " + std::to_string(text.size())
+                + " bytes sent, status " + std::to_string(result.status)
+                + (result.end == Reader::End::Whole ? ", whole" : ", not whole") + " after "
+                + std::to_string(result.tookMs) + " ms");
             --open;
         }).detach();
     };
@@ -246,8 +249,8 @@
             + std::to_string(count.served) + " served, " + std::to_string(count.lateAtTimeout)
             + " without an answer at timeoutMs, " + std::to_string(count.lateHalfASecondAfter)
             + " of them half a second later. ";
-        isBroken = isBroken
-            || (count.lateAtTimeout >= FewestLate && 2 * count.lateHalfASecondAfter > count.lateAtTimeout);
+        isBroken
+            = isBroken || (count.lateAtTimeout >= FewestLate && 2 * count.lateHalfASecondAfter > count.lateAtTimeout);
         if (hasEnded(nodes[node]))
             finish(Broken, "a process ended; " + text);
     }
--- a/review/standins-3/ShortFields.cpp
+++ b/review/standins-3/ShortFields.cpp
@@ -19,7 +19,9 @@
     for (int i = 0; i < Options; ++i)
         fields += ",a";
     fields += "\r\n";
-    auto request = [&] { return requestText("GET", "/freezer/stock", "crowd-" + std::to_string(number), 10'000, fields); };
+    auto request = [&] {
+        return requestText("GET", "/freezer/stock", "crowd-" + std::to_string(number), 10'000, fields);
+    };
     while (request().size() + 4 <= HeaderBytes) {
         const auto missing = (HeaderBytes - request().size()) / 4;
         for (std::size_t i = 0; i < missing; ++i)
@@ -49,15 +51,15 @@
                     "Marigoldpaddle-Attempt-Id: " + attempt + "\r\nMarigoldpaddle-Server-Seal: " + id + "\r\n",
                     std::string(800, 'x')));
         }));
-        store.put("keyed.servers", id,
-            registration("dispatch-app", servers.back()->address(), "hu-central-a", unixMs()));
+        store.put(
+            "keyed.servers", id, registration("dispatch-app", servers.back()->address(), "hu-central-a", unixMs()));
     }
     store.put("keyed.op", "config",
-        configuration(7, route("freezer", "/freezer/", "safe", "dispatch-app", TimeoutMs, 2),
-            service("dispatch-app", 110)));
+        configuration(
+            7, route("freezer", "/freezer/", "safe", "dispatch-app", TimeoutMs, 2), service("dispatch-app", 110)));
     const auto port = freePort("127.0.1.1");
-    auto node = makeNode("node-1", "127.0.1.1", "hu-central-a", store.address(),
-        "127.0.1.1:" + std::to_string(port), port);
+    auto node
+        = makeNode("node-1", "127.0.1.1", "hu-central-a", store.address(), "127.0.1.1:" + std::to_string(port), port);
     start(node);
     if (!waitUntilReady(node))
         finish(CouldNotRun, "the node did not get ready");
@@ -97,7 +99,8 @@
             lateAtTimeout += !isAnswered || answer.tookMs > TimeoutMs;
             lateHalfASecondAfter += !isAnswered || answer.tookMs > TimeoutMs + 500;
             served += answer.status == 200;
-            record(id + ": status " + std::to_string(answer.status) + " after " + std::to_string(answer.tookMs) + " ms");
+            record(
+                id + ": status " + std::to_string(answer.status) + " after " + std::to_string(answer.tookMs) + " ms");
         });
         sleepMs(OrdinaryPeriodMs);
     }
--- a/review/standins-3/SlowReaders.cpp
+++ b/review/standins-3/SlowReaders.cpp
@@ -46,15 +46,15 @@
                     "Marigoldpaddle-Attempt-Id: " + attempt + "\r\nMarigoldpaddle-Server-Seal: " + id + "\r\n",
                     std::string(isReport ? AnswerBytes : 800, 'x')));
         }));
-        store.put("keyed.servers", id,
-            registration("dispatch-app", servers.back()->address(), "hu-central-a", unixMs()));
+        store.put(
+            "keyed.servers", id, registration("dispatch-app", servers.back()->address(), "hu-central-a", unixMs()));
     }
     store.put("keyed.op", "config",
-        configuration(7, route("freezer", "/freezer/", "safe", "dispatch-app", 10'000, 2),
-            service("dispatch-app", 110)));
+        configuration(
+            7, route("freezer", "/freezer/", "safe", "dispatch-app", 10'000, 2), service("dispatch-app", 110)));
     const auto port = freePort("127.0.1.1");
-    auto node = makeNode("node-1", "127.0.1.1", "hu-central-a", store.address(),
-        "127.0.1.1:" + std::to_string(port), port);
+    auto node
+        = makeNode("node-1", "127.0.1.1", "hu-central-a", store.address(), "127.0.1.1:" + std::to_string(port), port);
     start(node);
     if (!waitUntilReady(node))
         finish(CouldNotRun, "the node did not get ready");
@@ -64,8 +64,8 @@
     std::atomic<bool> isOver { false };
     std::atomic<std::size_t> peak { 0 };
     std::atomic<bool> isKilled { false };
-    // What the platform does: "A process that exceeds `memoryMb` is killed." Bytes that the kernel holds for the process
-    // are left out, in its favour.
+    // What the platform does: "A process that exceeds `memoryMb` is killed." Bytes that the kernel holds for the
+    // process are left out, in its favour.
     std::thread machine { [&] {
         long loggedAt = 0;
         while (!isOver) {
@@ -122,7 +122,8 @@
             const auto id = "ordinary-" + std::to_string(++asked);
             const auto answer = callOnce(node, requestText("GET", "/freezer/stock", id, 1'500), 2'000);
             served += answer.status == 200;
-            record(id + ": status " + std::to_string(answer.status) + " after " + std::to_string(answer.tookMs) + " ms");
+            record(
+                id + ": status " + std::to_string(answer.status) + " after " + std::to_string(answer.tookMs) + " ms");
         });
         sleepMs(200);
     }
--- a/review/standins-3/SteadyReaders.cpp
+++ b/review/standins-3/SteadyReaders.cpp
@@ -33,15 +33,15 @@
             record("run: " + attempt + " at " + id + (isSent ? ", whole answer sent" : ", answer not sent"));
             return isSent;
         }));
-        store.put("keyed.servers", id,
-            registration("dispatch-app", servers.back()->address(), "hu-central-a", unixMs()));
+        store.put(
+            "keyed.servers", id, registration("dispatch-app", servers.back()->address(), "hu-central-a", unixMs()));
     }
     store.put("keyed.op", "config",
-        configuration(7, route("freezer", "/freezer/", "safe", "dispatch-app", DeadlineMs, 2),
-            service("dispatch-app", 110)));
+        configuration(
+            7, route("freezer", "/freezer/", "safe", "dispatch-app", DeadlineMs, 2), service("dispatch-app", 110)));
     const auto port = freePort("127.0.1.1");
-    auto node = makeNode("node-1", "127.0.1.1", "hu-central-a", store.address(),
-        "127.0.1.1:" + std::to_string(port), port);
+    auto node
+        = makeNode("node-1", "127.0.1.1", "hu-central-a", store.address(), "127.0.1.1:" + std::to_string(port), port);
     start(node);
     if (!waitUntilReady(node))
         finish(CouldNotRun, "the node did not get ready");
@@ -86,8 +86,9 @@
             const auto isWhole = expected > 0 && answer.size() == expected;
             (isWhole ? whole : lost) += 1;
             record(name + "-report: " + std::to_string(answer.size()) + " of " + std::to_string(expected)
-                + " bytes after " + std::to_string(nowMs() - startedAt) + " ms, " + (isWhole ? "whole" : "connection closed")
-                + ", longest time without a byte " + std::to_string(longestPause) + " ms");
+                + " bytes after " + std::to_string(nowMs() - startedAt) + " ms, "
+                + (isWhole ? "whole" : "connection closed") + ", longest time without a byte "
+                + std::to_string(longestPause) + " ms");
             ::close(fd);
         });
     for (auto& thread : threads)
