--- a/review/standins-3/SlowReaders.cpp
+++ b/review/standins-3/SlowReaders.cpp
@@ -9,6 +9,7 @@
 
 constexpr int Crowd = 1'400; // Connections, below half of the machine's descriptors.
 constexpr std::size_t AnswerBytes = 256 * 1024;
+constexpr std::size_t OrdinaryBytes = 800;
 constexpr long CrowdPeriodMs = 5; // Between two requests of the crowd.
 constexpr long UnreadMs = 8'000;
 constexpr std::size_t MachineBytes = std::size_t { 260 } * 1024 * 1024; // `memoryMb`
@@ -20,6 +21,10 @@
 int main(int argc, char** argv)
 {
     begin(argc, argv);
+    rlimit files {};
+    ::getrlimit(RLIMIT_NOFILE, &files);
+    if (files.rlim_cur < 4'100)
+        finish(CouldNotRun, "this needs 4,100 descriptors");
     const std::string host = "127.0.0.1";
     Store store { host };
     std::vector<std::unique_ptr<Server>> servers;
@@ -44,7 +49,7 @@
             return sendAll(fd,
                 answerText(200,
                     "Marigoldpaddle-Attempt-Id: " + attempt + "\r\nMarigoldpaddle-Server-Seal: " + id + "\r\n",
-                    std::string(isReport ? AnswerBytes : 800, 'x')));
+                    std::string(isReport ? AnswerBytes : OrdinaryBytes, 'x')));
         }));
         store.put(
             "keyed.servers", id, registration("dispatch-app", servers.back()->address(), "hu-central-a", unixMs()));
@@ -87,34 +92,83 @@
     std::vector<std::thread> threads;
     std::atomic<int> crowdAnswered { 0 };
     std::atomic<int> crowdLost { 0 };
-    for (int number = 0; number < Crowd; ++number) {
-        threads.emplace_back([&, number] {
-            sleepMs(number * CrowdPeriodMs);
-            // Clients that read slowly offer a small window.
-            const int fd = connectTo(node.host, node.front, hasTrouble() ? 4096 : 0);
-            if (fd < 0)
-                return;
-            // A kept connection: an earlier request was answered on it.
-            Reader reader { fd };
-            sendAll(fd, requestText("GET", "/freezer/stock", "crowd-" + std::to_string(number) + "-first", 10'000));
-            if (const auto first = reader.read(10'000, false); !first || first->status() != 200) {
-                ::close(fd);
-                return;
-            }
-            sendAll(fd, requestText("GET", "/freezer/report", "crowd-" + std::to_string(number), 10'000));
-            if (hasTrouble())
-                sleepMs(UnreadMs);
-            const auto answer = reader.read(std::max(1L, endAt - nowMs()), false);
-            crowdAnswered += answer && answer->status() == 200;
-            // The connection was closed without a whole answer, although a server had run the request.
+    // One thread plays all clients of the crowd.
+    threads.emplace_back([&] {
+        struct Client {
+            int fd { -1 };
+            long sentAt { 0 };
+            std::size_t received { 0 };
+            std::size_t expected { 0 }; // Bytes of the second answer, once its header is known.
+            std::string head;
+            bool isFirst { true };
+            bool isOver { false };
+        };
+        std::vector<Client> clients(Crowd);
+        std::vector<char> bytes(65536);
+        const auto begunAt = nowMs();
+        const auto end = [&](Client& client, std::size_t number, bool isClosed) {
             const auto id = "crowd-" + std::to_string(number);
-            if (!answer && reader.end != Reader::End::TimedOut && isRun(id)) {
+            const auto isWhole = client.expected > 0 && client.received == client.expected;
+            crowdAnswered += isWhole;
+            // The connection was closed without a whole answer, although a server had run the request.
+            if (isClosed && !isWhole && isRun(id)) {
                 ++crowdLost;
                 record(id + ": run, and its connection is closed without a whole answer");
             }
-            ::close(fd);
-        });
-    }
+            ::close(client.fd);
+            client.isOver = true;
+        };
+        while (nowMs() < endAt) {
+            for (std::size_t number = 0; number < clients.size(); ++number) {
+                auto& client = clients[number];
+                if (client.isOver || nowMs() < begunAt + static_cast<long>(number) * CrowdPeriodMs)
+                    continue;
+                const auto id = "crowd-" + std::to_string(number);
+                if (client.fd < 0) {
+                    // Clients that read slowly offer a small window.
+                    client.fd = connectTo(node.host, node.front, hasTrouble() ? 4096 : 0);
+                    client.isOver = client.fd < 0;
+                    if (!client.isOver)
+                        sendAll(client.fd, requestText("GET", "/freezer/stock", id + "-first", 10'000));
+                    continue;
+                }
+                const auto isUnread = !client.isFirst && hasTrouble() && nowMs() < client.sentAt + UnreadMs;
+                if (isUnread) {
+                    pollfd state { client.fd, POLLRDHUP, 0 };
+                    if (::poll(&state, 1, 0) > 0)
+                        end(client, number, true);
+                    continue;
+                }
+                const auto count = ::recv(client.fd, bytes.data(), bytes.size(), MSG_DONTWAIT);
+                if (count < 0 && errno == EAGAIN)
+                    continue;
+                if (count <= 0) {
+                    end(client, number, !client.isFirst);
+                    continue;
+                }
+                client.received += static_cast<std::size_t>(count);
+                if (client.expected == 0)
+                    client.head.append(bytes.data(), static_cast<std::size_t>(count));
+                const auto headEnd = client.head.find("\r\n\r\n");
+                if (client.expected == 0 && headEnd != std::string::npos)
+                    client.expected = headEnd + 4 + (client.isFirst ? OrdinaryBytes : AnswerBytes);
+                if (client.expected == 0 || client.received < client.expected)
+                    continue;
+                if (client.isFirst && client.head.starts_with("HTTP/1.1 200")) {
+                    // A kept connection: an earlier request was answered on it.
+                    client = Client { client.fd, nowMs(), 0, 0, {}, false, false };
+                    sendAll(client.fd, requestText("GET", "/freezer/report", id, 10'000));
+                } else {
+                    end(client, number, false);
+                }
+            }
+            sleepMs(1);
+        }
+        for (std::size_t number = 0; number < clients.size(); ++number) {
+            if (!clients[number].isOver && clients[number].fd >= 0)
+                end(clients[number], number, false);
+        }
+    });
     std::atomic<int> asked { 0 };
     std::atomic<int> served { 0 };
     while (nowMs() < endAt) {
